--- /dev/null
+++ b/catkinseam/base/clock.cc
@@ -0,0 +1,28 @@
+// Clocks: the machine's own, and one that tests drive by hand.
+#include "catkinseam/base/clock.h"
+
+namespace catkinseam {
+
+TimePoint SystemClock::now() const {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
+WallTime SystemClock::wallNow() const {
+  return std::chrono::time_point_cast<Milliseconds>(
+      std::chrono::system_clock::now());
+}
+
+TimePoint ManualClock::now() const {
+  // Starts at one hour so that "long ago" can be expressed.
+  return TimePoint(std::chrono::hours(1) + Duration(m_elapsed.load()));
+}
+
+WallTime ManualClock::wallNow() const {
+  return WallTime(std::chrono::hours(1) +
+                  toMilliseconds(Duration(m_elapsed.load())));
+}
+
+void ManualClock::advance(Duration Step) { m_elapsed += Step.count(); }
+
+} // namespace catkinseam
--- /dev/null
+++ b/catkinseam/capacity/resources.h
@@ -0,0 +1,85 @@
+// Amounts of processors, memory and accelerators.
+//
+//   if (Task.m_size.fitsIn(Room)) Used += Task.m_size;
+#ifndef CATKINSEAM_CAPACITY_RESOURCES_H
+#define CATKINSEAM_CAPACITY_RESOURCES_H
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+
+namespace catkinseam {
+
+/// An amount of each resource; also used for differences.
+struct Resources {
+  std::int64_t m_milliProcessors = 0;
+  std::int64_t m_memoryMb = 0;
+  std::int64_t m_accelerators = 0;
+
+  bool operator==(const Resources &) const = default;
+
+  Resources &operator+=(const Resources &Other) {
+    m_milliProcessors += Other.m_milliProcessors;
+    m_memoryMb += Other.m_memoryMb;
+    m_accelerators += Other.m_accelerators;
+    return *this;
+  }
+
+  Resources &operator-=(const Resources &Other) {
+    m_milliProcessors -= Other.m_milliProcessors;
+    m_memoryMb -= Other.m_memoryMb;
+    m_accelerators -= Other.m_accelerators;
+    return *this;
+  }
+
+  friend Resources operator+(Resources Left, const Resources &Right) {
+    return Left += Right;
+  }
+  friend Resources operator-(Resources Left, const Resources &Right) {
+    return Left -= Right;
+  }
+
+  /// Returns whether no amount exceeds the one in `Room`.
+  bool fitsIn(const Resources &Room) const {
+    return m_milliProcessors <= Room.m_milliProcessors &&
+           m_memoryMb <= Room.m_memoryMb &&
+           m_accelerators <= Room.m_accelerators;
+  }
+
+  bool isZero() const { return *this == Resources{}; }
+
+  template <class Archive> void serialize(Archive &Target) {
+    Target(m_milliProcessors, m_memoryMb, m_accelerators);
+  }
+};
+
+/// Amount by amount, the smaller of the two.
+inline Resources smaller(const Resources &Left, const Resources &Right) {
+  return {std::min(Left.m_milliProcessors, Right.m_milliProcessors),
+          std::min(Left.m_memoryMb, Right.m_memoryMb),
+          std::min(Left.m_accelerators, Right.m_accelerators)};
+}
+
+/// Amount by amount, the larger of the two.
+inline Resources larger(const Resources &Left, const Resources &Right) {
+  return {std::max(Left.m_milliProcessors, Right.m_milliProcessors),
+          std::max(Left.m_memoryMb, Right.m_memoryMb),
+          std::max(Left.m_accelerators, Right.m_accelerators)};
+}
+
+/// Returns the name of the first resource of which `Wanted` exceeds `Room`,
+/// or an empty string.
+inline std::string shortResource(const Resources &Wanted,
+                                 const Resources &Room) {
+  if (Wanted.m_milliProcessors > Room.m_milliProcessors)
+    return "processors";
+  if (Wanted.m_memoryMb > Room.m_memoryMb)
+    return "memory";
+  if (Wanted.m_accelerators > Room.m_accelerators)
+    return "accelerators";
+  return "";
+}
+
+} // namespace catkinseam
+
+#endif // CATKINSEAM_CAPACITY_RESOURCES_H
--- /dev/null
+++ b/catkinseam/cli/main.cc
@@ -0,0 +1,92 @@
+// The shipped binary: the server and its command line.
+#include "catkinseam/cli/command.h"
+#include "catkinseam/cli/operator_commands.h"
+#include "catkinseam/server/entry.h"
+#include "catkinseam/settings/settings.h"
+#include "catkinseam/telemetry/log.h"
+
+#include <Poco/Exception.h>
+#include <csignal>
+#include <iostream>
+
+namespace catkinseam {
+
+namespace {
+
+namespace po = boost::program_options;
+
+void addSettingsOption(po::options_description &Options) {
+  Options.add_options()("settings", po::value<std::string>()->required(),
+                        "TOML settings file");
+}
+
+Result<Settings> readSettings(const CommandContext &Context) {
+  const std::string Path = Context.m_options["settings"].as<std::string>();
+  LoadedSettings Loaded = loadSettings(Path);
+  for (const SettingsFault &Fault : Loaded.m_faults)
+    Context.m_err << Path << ": " << toString(Fault) << "\n";
+  if (!Loaded.m_faults.empty())
+    return makeError(ErrorCode::Invalid,
+                     "settings have " + std::to_string(Loaded.m_faults.size()) +
+                         " faults");
+  return std::move(Loaded.m_settings);
+}
+
+Result<ExitCode> check(const CommandContext &Context) {
+  BOOST_LEAF_AUTO(Read, readSettings(Context));
+  Context.m_out << "settings of entry \"" << Read.m_name << "\" are valid\n";
+  return ExitCode::Success;
+}
+
+/// Signals that stop the process; blocked in all threads, waited for in one.
+sigset_t stopSignals() {
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  return Signals;
+}
+
+Result<ExitCode> serve(const CommandContext &Context) {
+  BOOST_LEAF_AUTO(Read, readSettings(Context));
+  startLogging(Read.m_logLevel);
+  const sigset_t Signals = stopSignals();
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    Entry Running(Read);
+    int Received = 0;
+    sigwait(&Signals, &Received);
+    Running.stop();
+  } catch (const Poco::Exception &Fault) {
+    return makeError(ErrorCode::Unavailable,
+                     "entry \"" + Read.m_name +
+                         "\" cannot start: " + Fault.displayText());
+  }
+  return ExitCode::Success;
+}
+
+} // namespace
+
+const std::vector<Command> &commands() {
+  static const std::vector<Command> All = [] {
+    std::vector<Command> List = {
+        {"serve", "run one entry", addSettingsOption, {"settings"}, serve},
+        {"check",
+         "check a settings file",
+         addSettingsOption,
+         {"settings"},
+         check}};
+    for (Command &Each : operatorCommands())
+      List.push_back(std::move(Each));
+    return List;
+  }();
+  return All;
+}
+
+} // namespace catkinseam
+
+int main(int Count, char **Words) {
+  return catkinseam::runCommandLine({Words + 1, Words + Count}, std::cout,
+                                    std::cerr);
+}
--- /dev/null
+++ b/catkinseam/cli/operator_commands.h
@@ -0,0 +1,17 @@
+// The commands that call an entry's administration API.
+//
+//   for (const Command &Each : operatorCommands()) ...
+#ifndef CATKINSEAM_CLI_OPERATOR_COMMANDS_H
+#define CATKINSEAM_CLI_OPERATOR_COMMANDS_H
+
+#include "catkinseam/cli/command.h"
+
+#include <vector>
+
+namespace catkinseam {
+
+std::vector<Command> operatorCommands();
+
+} // namespace catkinseam
+
+#endif // CATKINSEAM_CLI_OPERATOR_COMMANDS_H
--- /dev/null
+++ b/catkinseam/net/http_client.cc
@@ -0,0 +1,242 @@
+// HTTP client on POCO Net, with reconnecting kept in the caller's hands.
+#include "catkinseam/net/http_client.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Timespan.h>
+#include <algorithm>
+#include <chrono>
+#include <istream>
+
+namespace catkinseam {
+
+namespace {
+
+constexpr Duration KeptForever = std::chrono::hours(24);
+constexpr std::size_t MaxAnswerBytes = 64 * 1024 * 1024;
+
+Poco::Timespan toTimespan(Duration Span) {
+  const auto Micros =
+      std::chrono::duration_cast<std::chrono::microseconds>(Span).count();
+  return Poco::Timespan(std::max<std::int64_t>(Micros, 1));
+}
+
+/// Socket timeouts are real time, also where the logic above is paused.
+TimePoint socketNow() { return SystemClock().now(); }
+
+bool bodyIsDelimited(const Poco::Net::HTTPResponse &Answer) {
+  return Answer.hasContentLength() || Answer.getChunkedTransferEncoding();
+}
+
+bool hasNoBody(const std::string &Method, int Status) {
+  return Method == "HEAD" || Status == 204 || Status == 304 || Status < 200;
+}
+
+} // namespace
+
+/// A POCO session that neither reconnects nor writes twice by itself: POCO's
+/// own would repeat a request whose first write failed.
+class HttpConnection::Session final : public Poco::Net::HTTPClientSession {
+public:
+  explicit Session(const Endpoint &Peer)
+      : HTTPClientSession(Peer.m_host, Peer.m_port) {
+    setKeepAlive(true);
+    setKeepAliveTimeout(toTimespan(KeptForever));
+  }
+
+  void open(Duration Timeout) {
+    const Poco::Net::SocketAddress Address(getHost(), getPort());
+    setTimeout(toTimespan(Timeout));
+    connect(Address);
+    socket().setNoDelay(true);
+    m_isOpen = true;
+  }
+
+  bool isOpen() const { return m_isOpen; }
+  bool hasWritten() const { return m_hasWritten; }
+  void startRequest() { m_hasWritten = false; }
+
+  bool isQuiet() {
+    return !socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+  }
+
+  void setReadTimeout(Duration Left) {
+    socket().setReceiveTimeout(toTimespan(Left));
+  }
+
+protected:
+  int write(const char *Buffer, std::streamsize Length) override {
+    m_hasWritten = true;
+    return HTTPSession::write(Buffer, Length);
+  }
+
+  bool mustReconnect() const override { return false; }
+
+private:
+  bool m_isOpen = false;
+  bool m_hasWritten = false;
+};
+
+HttpConnection::HttpConnection(const Endpoint &Peer) : m_peer(Peer) {}
+HttpConnection::~HttpConnection() = default;
+HttpConnection::HttpConnection(HttpConnection &&) noexcept = default;
+HttpConnection &HttpConnection::operator=(HttpConnection &&) noexcept = default;
+
+Result<void> HttpConnection::connect(Duration Timeout) {
+  try {
+    m_session = std::make_unique<Session>(m_peer);
+    m_session->open(Timeout);
+    return {};
+  } catch (const Poco::Exception &Fault) {
+    m_session.reset();
+    return makeError(ErrorCode::Unavailable, "cannot connect to " +
+                                                 toString(m_peer) + ": " +
+                                                 Fault.displayText());
+  }
+}
+
+bool HttpConnection::isUsable() const {
+  try {
+    return m_session && m_session->isOpen() && m_session->isQuiet();
+  } catch (const Poco::Exception &) {
+    return false;
+  }
+}
+
+void HttpConnection::close() { m_session.reset(); }
+
+namespace {
+
+Poco::Net::HTTPRequest toPoco(const HttpRequest &Request,
+                              const Endpoint &Peer) {
+  const std::string Uri = Request.m_query.empty()
+                              ? Request.m_path
+                              : Request.m_path + "?" + Request.m_query;
+  Poco::Net::HTTPRequest Wire(Request.m_method, Uri,
+                              Poco::Net::HTTPMessage::HTTP_1_1);
+  Wire.setHost(toString(Peer));
+  for (const auto &[Name, Value] : Request.m_headers)
+    Wire.add(Name, Value);
+  Wire.setContentLength64(static_cast<Poco::Int64>(Request.m_body.size()));
+  Wire.setKeepAlive(true);
+  return Wire;
+}
+
+CallResult failed(CallFailure Failure, std::string Reason) {
+  CallResult Failed;
+  Failed.m_failure = Failure;
+  Failed.m_reason = std::move(Reason);
+  return Failed;
+}
+
+} // namespace
+
+CallResult HttpConnection::call(const HttpRequest &Request, Duration Timeout) {
+  if (!m_session)
+    return failed(CallFailure::NotSent, toString(m_peer) + " not connected");
+  const TimePoint Deadline = socketNow() + Timeout;
+  auto TimeLeft = [&] { return Deadline - socketNow(); };
+  // The session leaves this object while in use, so that every early return
+  // closes it.
+  std::unique_ptr<Session> Active = std::move(m_session);
+  Active->startRequest();
+  auto Fail = [&](CallFailure Sent, const std::string &Reason) {
+    return failed(Active->hasWritten() ? Sent : CallFailure::NotSent,
+                  toString(m_peer) + ": " + Reason);
+  };
+  try {
+    Active->setReadTimeout(Timeout);
+    Poco::Net::HTTPRequest Wire = toPoco(Request, m_peer);
+    std::ostream &Body = Active->sendRequest(Wire);
+    Body.write(Request.m_body.data(),
+               static_cast<std::streamsize>(Request.m_body.size()));
+    Body.flush();
+    if (!Body.good())
+      return Fail(CallFailure::Broken, "request could not be written whole");
+
+    Poco::Net::HTTPResponse Answer;
+    Active->setReadTimeout(TimeLeft());
+    std::istream &Stream = Active->receiveResponse(Answer);
+    HttpResponse Response;
+    Response.m_status = Answer.getStatus();
+    for (const auto &[Name, Value] : Answer)
+      Response.m_headers.emplace_back(Name, Value);
+
+    if (!hasNoBody(Request.m_method, Response.m_status)) {
+      if (!bodyIsDelimited(Answer))
+        return Fail(CallFailure::Broken, "answer declares no end");
+      char Buffer[16384];
+      do {
+        if (TimeLeft() <= Duration::zero())
+          return Fail(CallFailure::TimedOut, "answer came in too slowly");
+        Active->setReadTimeout(TimeLeft());
+        Stream.read(Buffer, sizeof Buffer);
+        Response.m_body.append(Buffer,
+                               static_cast<std::size_t>(Stream.gcount()));
+      } while (Stream.gcount() > 0 && Response.m_body.size() <= MaxAnswerBytes);
+      const bool IsShort =
+          Answer.hasContentLength()
+              ? Answer.getContentLength64() !=
+                    static_cast<Poco::Int64>(Response.m_body.size())
+              // A chunked answer that ends with its connection may lack its
+              // last chunk: POCO does not tell the two apart.
+              : !Active->isQuiet();
+      if (IsShort)
+        return Fail(CallFailure::Broken, "answer is cut short");
+    }
+    if (Answer.getKeepAlive())
+      m_session = std::move(Active);
+    CallResult Done;
+    Done.m_response = std::move(Response);
+    return Done;
+  } catch (const Poco::TimeoutException &) {
+    return Fail(CallFailure::TimedOut, "no answer in time");
+  } catch (const Poco::Net::MessageException &Fault) {
+    return Fail(CallFailure::Malformed, Fault.displayText());
+  } catch (const Poco::Exception &Fault) {
+    return Fail(CallFailure::Broken, Fault.displayText());
+  }
+}
+
+std::optional<HttpConnection> HttpClient::takeIdle(const Endpoint &Peer) {
+  const std::lock_guard Lock(m_mutex);
+  std::vector<HttpConnection> &Idle = m_idle[Peer];
+  while (!Idle.empty()) {
+    HttpConnection Connection = std::move(Idle.back());
+    Idle.pop_back();
+    if (Connection.isUsable())
+      return Connection;
+  }
+  return std::nullopt;
+}
+
+void HttpClient::keepIdle(const Endpoint &Peer, HttpConnection Connection) {
+  const std::lock_guard Lock(m_mutex);
+  std::vector<HttpConnection> &Idle = m_idle[Peer];
+  if (Idle.size() < m_options.m_maxIdlePerPeer)
+    Idle.push_back(std::move(Connection));
+}
+
+CallResult HttpClient::call(const Endpoint &Peer, const HttpRequest &Request,
+                            Duration Timeout) {
+  std::optional<HttpConnection> Connection = takeIdle(Peer);
+  if (!Connection) {
+    Connection.emplace(Peer);
+    const Duration Limit = std::min(Timeout, m_options.m_connectTimeout);
+    Outcome<bool> Opened = attempt([&]() -> Result<bool> {
+      BOOST_LEAF_CHECK(Connection->connect(Limit));
+      return true;
+    });
+    if (!Opened)
+      return failed(CallFailure::NotSent, Opened.error().m_message);
+  }
+  CallResult Answer = Connection->call(Request, Timeout);
+  if (Answer.m_response && Connection->isUsable())
+    keepIdle(Peer, std::move(*Connection));
+  return Answer;
+}
+
+} // namespace catkinseam
--- /dev/null
+++ b/catkinseam/net/peer_link.h
@@ -0,0 +1,55 @@
+// Messages between entries: datagrams for what may be lost, framed TCP calls
+// for what must come whole.
+//
+//   PeerLink Link(Listen, {.m_onDatagram = ..., .m_onCall = ...});
+//   Link.send(Peer, encode(Heartbeat));
+//   Result<std::string> Answer = Link.call(Peer, encode(Pull), Timeout);
+#ifndef CATKINSEAM_NET_PEER_LINK_H
+#define CATKINSEAM_NET_PEER_LINK_H
+
+#include "catkinseam/base/clock.h"
+#include "catkinseam/base/error.h"
+#include "catkinseam/net/endpoint.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace catkinseam {
+
+/// One endpoint, UDP and TCP on the same port. Thread-safe.
+class PeerLink {
+public:
+  /// Larger datagrams are refused at the sender: one Ethernet frame's worth
+  /// several times over, still below the IP limit.
+  static constexpr std::size_t MaxDatagramBytes = 60 * 1024;
+  static constexpr std::size_t MaxFrameBytes = 256 * 1024 * 1024;
+
+  struct Handlers {
+    /// Called on the receiving thread; must not block.
+    std::function<void(const std::string &Bytes, const Endpoint &From)>
+        m_onDatagram;
+    /// Called on a thread of its own; returns the answer's bytes.
+    std::function<std::string(const std::string &Bytes)> m_onCall;
+  };
+
+  /// Binds both sockets. Throws Poco::Exception when that fails.
+  PeerLink(const Endpoint &Listen, Handlers Callbacks);
+  ~PeerLink();
+
+  /// Sends one datagram; loss is silent. Returns whether it left.
+  bool send(const Endpoint &Peer, const std::string &Bytes);
+
+  /// Sends one framed request and waits for its answer. Error Unavailable
+  /// names the peer.
+  Result<std::string> call(const Endpoint &Peer, const std::string &Bytes,
+                           Duration Timeout);
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace catkinseam
+
+#endif // CATKINSEAM_NET_PEER_LINK_H
--- /dev/null
+++ b/catkinseam/server/admin_api.cc
@@ -0,0 +1,391 @@
+// Routes of the administration API.
+#include "catkinseam/server/admin_api.h"
+
+#include "catkinseam/base/hash.h"
+#include "catkinseam/server/admin_json.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace catkinseam {
+
+namespace {
+
+constexpr std::size_t MaxIdLength = 63;
+constexpr std::int64_t DefaultHistory = 50;
+
+bool isId(const std::string &Text) {
+  return !Text.empty() && Text.size() <= MaxIdLength &&
+         std::all_of(Text.begin(), Text.end(), [](char Letter) {
+           return std::isalnum(static_cast<unsigned char>(Letter)) != 0 ||
+                  Letter == '-' || Letter == '_' || Letter == '.';
+         });
+}
+
+Result<std::string> requireId(const JsonObject &Body, const std::string &Key) {
+  std::string Id = jsonText(Body, Key);
+  if (!isId(Id))
+    return makeError(ErrorCode::Invalid,
+                     "\"" + Key + "\" must be a name of 1 to " +
+                         std::to_string(MaxIdLength) +
+                         " letters, digits, \"-\", \"_\" or \".\"");
+  return Id;
+}
+
+Result<std::uint64_t> requireVersion(const std::string &Text,
+                                     const std::string &Key) {
+  std::uint64_t Number = 0;
+  const char *Last = Text.data() + Text.size();
+  const auto [End, Fault] = std::from_chars(Text.data(), Last, Number);
+  if (Fault != std::errc() || End != Last || Text.empty())
+    return makeError(ErrorCode::Invalid,
+                     "\"" + Key + "\" must be a version number");
+  return Number;
+}
+
+std::string lastSegment(const std::string &Path) {
+  return Path.substr(Path.rfind('/') + 1);
+}
+
+bool matchesRoute(const std::string &Path, const std::string &Pattern) {
+  if (Pattern.back() != '/')
+    return Path == Pattern;
+  return Path.rfind(Pattern, 0) == 0 && Path.size() > Pattern.size() &&
+         Path.find('/', Pattern.size()) == std::string::npos;
+}
+
+} // namespace
+
+AdminApi::AdminApi(const AdminParts &Parts, const Options &Limits)
+    : m_parts(Parts), m_options(Limits) {}
+
+const std::vector<AdminApi::Route> &AdminApi::routes() {
+  static const std::vector<Route> All = {
+      {"GET", "/v1/config", &AdminApi::showConfig},
+      {"GET", "/v1/config/history", &AdminApi::showHistory},
+      {"GET", "/v1/config/wait", &AdminApi::waitConfig},
+      {"POST", "/v1/config/patches", &AdminApi::submitPatch},
+      {"GET", "/v1/config/patches/", &AdminApi::showPatch},
+      {"GET", "/v1/report", &AdminApi::showReport},
+      {"GET", "/v1/jobs", &AdminApi::listJobs},
+      {"POST", "/v1/jobs", &AdminApi::submitJob},
+      {"POST", "/v1/jobs/cancel", &AdminApi::cancelJobs},
+      {"GET", "/v1/jobs/", &AdminApi::showJob},
+      {"GET", "/v1/workers", &AdminApi::listWorkers},
+      {"GET", "/v1/status", &AdminApi::showStatus},
+  };
+  return All;
+}
+
+HttpResponse AdminApi::handle(const HttpRequest &Request) {
+  const std::string &Path = Request.m_path;
+  if (Path == "/healthz" || Path == "/readyz" || Path == "/metrics")
+    return health(Request);
+  const Outcome<HttpResponse> Answer =
+      attempt([&] { return dispatch(Request); });
+  return Answer ? Answer.value() : problemResponse(Answer.error());
+}
+
+HttpResponse AdminApi::health(const HttpRequest &Request) {
+  if (Request.m_path == "/healthz")
+    return jsonResponse(200, R"({"status":"alive"})");
+  if (Request.m_path == "/metrics") {
+    HttpResponse Text;
+    Text.m_headers.emplace_back("Content-Type",
+                                "text/plain; version=0.0.4; charset=utf-8");
+    Text.m_body = m_parts.m_metrics.text();
+    return Text;
+  }
+  const std::string Reason = m_parts.m_unreadiness();
+  if (Reason.empty())
+    return jsonResponse(200, R"({"status":"ready"})");
+  return problemResponse({ErrorCode::Unavailable, Reason});
+}
+
+Result<void> AdminApi::checkToken(const HttpRequest &Request) const {
+  const std::string *Given = Request.header("Authorization");
+  if (Given == nullptr || !equalSecrets(*Given, "Bearer " + m_options.m_token))
+    return makeError(ErrorCode::Unauthorized,
+                     "the administration token is missing or wrong");
+  return {};
+}
+
+Result<HttpResponse> AdminApi::dispatch(const HttpRequest &Request) {
+  BOOST_LEAF_CHECK(checkToken(Request));
+  bool IsPathKnown = false;
+  for (const Route &Known : routes()) {
+    if (!matchesRoute(Request.m_path, Known.m_path))
+      continue;
+    if (Request.m_method == Known.m_method)
+      return (this->*Known.m_call)(Request);
+    IsPathKnown = true;
+  }
+  if (IsPathKnown)
+    return makeError(ErrorCode::Invalid, "\"" + Request.m_path +
+                                             "\" does not take " +
+                                             Request.m_method);
+  return makeError(ErrorCode::NotFound,
+                   "\"" + Request.m_path + "\" does not exist");
+}
+
+Result<void> AdminApi::change(Record Entry, const std::string &Id,
+                              const std::function<bool(const State &)> &IsIn) {
+  if (!m_parts.m_writer.submit(std::move(Entry), nullptr))
+    return makeError(ErrorCode::Unavailable,
+                     "the log does not take records now; \"" + Id +
+                         "\" did not happen");
+  m_parts.m_wakeWriter();
+  if (!m_parts.m_replica.waitFor(IsIn, m_options.m_changeTimeout))
+    return makeError(ErrorCode::OutcomeUnknown,
+                     "the log has not confirmed \"" + Id +
+                         "\"; its outcome is unknown, ask for it by this id");
+  return {};
+}
+
+Result<HttpResponse> AdminApi::showConfig(const HttpRequest &) {
+  return m_parts.m_replica.read([](const State &Shared) {
+    JsonObject Body = newObject();
+    Body->set("version", Shared.config().version());
+    Body->set("content", contentJson(Shared.config().content()));
+    return jsonResponse(200, toText(Body));
+  });
+}
+
+Result<HttpResponse> AdminApi::showHistory(const HttpRequest &Request) {
+  BOOST_LEAF_AUTO(
+      Limit, requireVersion(
+                 Request.queryValue("limit", std::to_string(DefaultHistory)),
+                 "limit"));
+  return m_parts.m_replica.read([&](const State &Shared) {
+    const auto &History = Shared.config().history();
+    const std::size_t Count = std::min<std::size_t>(Limit, History.size());
+    JsonArray Versions = newArray();
+    for (std::size_t Index = History.size() - Count; Index < History.size();
+         ++Index)
+      Versions->add(versionJson(History[Index]));
+    JsonObject Body = newObject();
+    Body->set("versions", Versions);
+    return jsonResponse(200, toText(Body));
+  });
+}
+
+HttpResponse AdminApi::patchAnswer(const ConfigPatch *Patch,
+                                   const std::string &Id,
+                                   const PatchOutcome &Decided) {
+  static constexpr int Statuses[] = {200, 409, 422};
+  JsonObject Body = m_parts.m_replica.read([&](const State &Shared) {
+    return outcomeJson(Shared.config(), Patch, Id, Decided);
+  });
+  return jsonResponse(Statuses[static_cast<std::size_t>(Decided.m_verdict)],
+                      toText(Body));
+}
+
+Result<HttpResponse> AdminApi::submitPatch(const HttpRequest &Request) {
+  BOOST_LEAF_AUTO(Body, parseJsonObject(Request.m_body));
+  ConfigPatch Patch;
+  BOOST_LEAF_ASSIGN(Patch.m_id, requireId(Body, "id"));
+  BOOST_LEAF_ASSIGN(Patch.m_author, requireId(Body, "author"));
+  if (!Body->has("base") || jsonNumber(Body, "base", -1) < 0)
+    return makeError(ErrorCode::Invalid,
+                     "\"base\" must be the version that the patch was "
+                     "written against");
+  Patch.m_base = static_cast<std::uint64_t>(jsonNumber(Body, "base"));
+  BOOST_LEAF_ASSIGN(Patch.m_changes,
+                    changesFromJson(jsonObject(Body, "changes")));
+  auto Known = [&](const State &Shared) {
+    return Shared.config().outcome(Patch.m_id) != nullptr;
+  };
+  if (!m_parts.m_replica.read(Known))
+    BOOST_LEAF_CHECK(change(ConfigPatchRecord{Patch}, Patch.m_id, Known));
+  const PatchOutcome Decided = m_parts.m_replica.read(
+      [&](const State &Now) { return *Now.config().outcome(Patch.m_id); });
+  return patchAnswer(&Patch, Patch.m_id, Decided);
+}
+
+Result<HttpResponse> AdminApi::showPatch(const HttpRequest &Request) {
+  const std::string Id = lastSegment(Request.m_path);
+  const std::optional<PatchOutcome> Decided = m_parts.m_replica.read(
+      [&](const State &Shared) -> std::optional<PatchOutcome> {
+        const PatchOutcome *Known = Shared.config().outcome(Id);
+        return Known == nullptr ? std::nullopt : std::optional(*Known);
+      });
+  if (!Decided)
+    return makeError(ErrorCode::NotFound,
+                     "patch \"" + Id + "\" has no outcome yet");
+  return patchAnswer(nullptr, Id, *Decided);
+}
+
+Result<HttpResponse> AdminApi::waitConfig(const HttpRequest &Request) {
+  BOOST_LEAF_AUTO(Version,
+                  requireVersion(Request.queryValue("version"), "version"));
+  BOOST_LEAF_AUTO(
+      Asked,
+      requireVersion(Request.queryValue("timeout_ms", "10000"), "timeout_ms"));
+  const Duration Limit =
+      std::min<Duration>(Milliseconds(Asked), m_options.m_longestWait);
+  constexpr Duration LookEvery = std::chrono::milliseconds(20);
+  const TimePoint End = m_parts.m_clock.now() + Limit;
+  std::vector<Seat> Behind;
+  do {
+    // Waits for the fold to move, or for the next look at the peers.
+    m_parts.m_replica.waitFor([](const State &) { return false; }, LookEvery);
+    const std::uint64_t Own = m_parts.m_replica.read(
+        [](const State &Shared) { return Shared.config().version(); });
+    Behind = m_parts.m_members.with([&](const Membership &Members) {
+      std::vector<Seat> Late;
+      for (const Seat Place : Members.aliveSeats()) {
+        const auto Peer = Members.peers().find(Place);
+        const std::uint64_t Has = Peer == Members.peers().end()
+                                      ? Own
+                                      : Peer->second.m_last.m_configVersion;
+        if (Has < Version)
+          Late.push_back(Place);
+      }
+      return Late;
+    });
+  } while (!Behind.empty() && m_parts.m_clock.now() < End);
+  if (Behind.empty()) {
+    JsonObject Body = newObject();
+    Body->set("version", Version);
+    Body->set("in_force", true);
+    return jsonResponse(200, toText(Body));
+  }
+  std::string Names;
+  for (const Seat Place : Behind)
+    Names += " " + std::to_string(Place);
+  return makeError(ErrorCode::Unavailable,
+                   "version " + std::to_string(Version) +
+                       " is not yet in force on the entries at seats" + Names);
+}
+
+Result<HttpResponse> AdminApi::showReport(const HttpRequest &Request) {
+  const std::string As = Request.queryValue("as", "both");
+  if (As != "both" && As != "service" && As != "batch")
+    return makeError(ErrorCode::Invalid,
+                     "\"as\" must be service, batch or both");
+  return m_parts.m_replica.read([&](const State &Shared) {
+    return jsonResponse(200, toText(reportJson(Shared, As)));
+  });
+}
+
+Result<HttpResponse> AdminApi::submitJob(const HttpRequest &Request) {
+  BOOST_LEAF_AUTO(Body, parseJsonObject(Request.m_body));
+  JobRecord Job;
+  BOOST_LEAF_ASSIGN(Job.m_job, requireId(Body, "id"));
+  BOOST_LEAF_ASSIGN(Job.m_team, requireId(Body, "team"));
+  BOOST_LEAF_CHECK(readJob(Body, m_options.m_tasksPerJob, Job));
+  auto IsIn = [&](const State &Shared) {
+    return Shared.job(Job.m_job) != nullptr;
+  };
+  const auto [IsKnown, Misfit] = m_parts.m_replica.read([&](const State &Now) {
+    return std::pair(IsIn(Now), Now.misfitOf(Job));
+  });
+  if (!IsKnown && !Misfit.empty())
+    return makeError(ErrorCode::Conflict, Misfit);
+  if (!IsKnown)
+    BOOST_LEAF_CHECK(change(Job, Job.m_job, IsIn));
+  return m_parts.m_replica.read([&](const State &Shared) {
+    return jsonResponse(IsKnown ? 200 : 201,
+                        toText(jobJson(*Shared.job(Job.m_job))));
+  });
+}
+
+Result<HttpResponse> AdminApi::listJobs(const HttpRequest &) {
+  return m_parts.m_replica.read([](const State &Shared) {
+    JsonArray Jobs = newArray();
+    for (const auto &[Name, Job] : Shared.jobs())
+      Jobs->add(jobJson(Job));
+    JsonObject Body = newObject();
+    Body->set("jobs", Jobs);
+    return jsonResponse(200, toText(Body));
+  });
+}
+
+Result<HttpResponse> AdminApi::showJob(const HttpRequest &Request) {
+  const std::string Id = lastSegment(Request.m_path);
+  return m_parts.m_replica.read(
+      [&](const State &Shared) -> Result<HttpResponse> {
+        const JobRow *Job = Shared.job(Id);
+        if (Job == nullptr)
+          return makeError(ErrorCode::NotFound,
+                           "job \"" + Id + "\" does not exist");
+        JsonObject Body = jobJson(*Job);
+        Body->set("task_list", taskListJson(*Job));
+        return jsonResponse(200, toText(Body));
+      });
+}
+
+Result<HttpResponse> AdminApi::cancelJobs(const HttpRequest &Request) {
+  BOOST_LEAF_AUTO(Body, parseJsonObject(Request.m_body));
+  CancelRecord Cancel;
+  const JsonArray Names = jsonArray(Body, "jobs");
+  if (Names->size() == 0 || Names->size() > m_options.m_jobsPerCancel)
+    return makeError(ErrorCode::Invalid,
+                     "\"jobs\" must name 1 to " +
+                         std::to_string(m_options.m_jobsPerCancel) + " jobs");
+  for (std::size_t Index = 0; Index < Names->size(); ++Index)
+    Cancel.m_jobs.push_back(
+        Names->getElement<std::string>(static_cast<unsigned>(Index)));
+  const std::string Unknown = m_parts.m_replica.read([&](const State &Shared) {
+    for (const std::string &Name : Cancel.m_jobs)
+      if (Shared.job(Name) == nullptr)
+        return Name;
+    return std::string();
+  });
+  if (!Unknown.empty())
+    return makeError(ErrorCode::NotFound, "job \"" + Unknown +
+                                              "\" does not exist; nothing was "
+                                              "cancelled");
+  auto IsIn = [&](const State &Shared) {
+    return std::all_of(Cancel.m_jobs.begin(), Cancel.m_jobs.end(),
+                       [&](const std::string &Name) {
+                         const JobRow *Job = Shared.job(Name);
+                         return Job == nullptr ||
+                                Job->m_phase != JobPhase::Active;
+                       });
+  };
+  if (!m_parts.m_replica.read(IsIn))
+    BOOST_LEAF_CHECK(change(Cancel, Cancel.m_jobs.front(), IsIn));
+  JsonObject Answer = newObject();
+  Answer->set("cancelled", Cancel.m_jobs.size());
+  return jsonResponse(200, toText(Answer));
+}
+
+Result<HttpResponse> AdminApi::listWorkers(const HttpRequest &) {
+  const std::map<std::string, WorkerStatus> Statuses =
+      m_parts.m_batch.statuses();
+  const auto Upstreams = m_parts.m_core.with(
+      [](const RequestCore &Core) { return Core.upstreams(); });
+  return m_parts.m_replica.read([&](const State &Shared) {
+    JsonArray Workers = newArray();
+    for (const auto &[Name, Row] : Shared.workers())
+      Workers->add(workerJson(Name, Row, Statuses, Upstreams));
+    JsonObject Body = newObject();
+    Body->set("workers", Workers);
+    return jsonResponse(200, toText(Body));
+  });
+}
+
+Result<HttpResponse> AdminApi::showStatus(const HttpRequest &) {
+  JsonObject Body = newObject();
+  const std::string Reason = m_parts.m_unreadiness();
+  Body->set("ready", Reason.empty());
+  if (!Reason.empty())
+    Body->set("reason", Reason);
+  Body->set("log_writable", !m_parts.m_writer.isCircuitOpen());
+  m_parts.m_replica.read([&](const State &Shared) {
+    Body->set("config_version", Shared.config().version());
+    Body->set("next_offset", Shared.nextOffset());
+    Body->set("workers", Shared.workers().size());
+    Body->set("jobs", Shared.jobs().size());
+  });
+  Body->set("snapshot_divergences", m_parts.m_replica.divergences());
+  m_parts.m_members.with([&](const Membership &Members) {
+    Body->set("seat", Members.seat());
+    Body->set("in_majority", Members.isInMajority());
+    Body->set("entries", entriesJson(Members));
+  });
+  return jsonResponse(200, toText(Body));
+}
+
+} // namespace catkinseam
--- /dev/null
+++ b/catkinseam/server/entry.h
@@ -0,0 +1,105 @@
+// One entry process: wires the components, runs their threads, stops cleanly.
+//
+//   Entry Running(Settings);
+//   ... wait for a signal ...
+//   Running.stop();
+#ifndef CATKINSEAM_SERVER_ENTRY_H
+#define CATKINSEAM_SERVER_ENTRY_H
+
+#include "catkinseam/base/ticker.h"
+#include "catkinseam/net/http_server.h"
+#include "catkinseam/net/peer_link.h"
+#include "catkinseam/server/admin_api.h"
+#include "catkinseam/server/key_service.h"
+#include "catkinseam/server/request_service.h"
+#include "catkinseam/settings/settings.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace catkinseam {
+
+/// Thread-safe.
+class Entry {
+public:
+  /// Starts serving. Throws Poco::Exception when an endpoint can't be bound.
+  explicit Entry(const Settings &Given);
+  ~Entry();
+
+  /// Graceful stop: not ready first, then serves on until the balancer has had
+  /// time to look away, ends everything in progress, flushes the log writer.
+  void stop();
+
+  /// Why the entry is not ready; empty when it is.
+  std::string unreadiness() const;
+
+private:
+  void startThreads();
+  void readLog();
+  void followPeers();
+  bool pullState();
+  void appendLog();
+  void beat();
+  void lendSlots();
+  void pollInstances();
+  void refreshView();
+  void updateReadiness();
+  void maintainSnapshots();
+  bool isSnapshotDue();
+  void updateGauges();
+
+  void onDatagram(const std::string &Bytes, const Endpoint &From);
+  std::string onCall(const std::string &Bytes);
+  void sendTo(Seat Place, const PeerDatagram &Message);
+  void sendToAll(const PeerDatagram &Message);
+  std::optional<PeerAnswer> callSeat(Seat Place, const PeerCall &Call,
+                                     Duration Timeout);
+  Endpoint addressOf(Seat Place) const;
+
+  const Settings m_settings;
+  SystemClock m_clock;
+  const std::string m_bootId;
+  Metrics m_metrics;
+  SpanExporter m_spans;
+  std::unique_ptr<LogService> m_log;
+  std::unique_ptr<InstanceList> m_instanceList;
+  std::unique_ptr<WorkerService> m_workers;
+  LogWriter m_writer;
+  Replica m_replica;
+  Guarded<Membership> m_members;
+  Guarded<RequestCore> m_core;
+  UpstreamPool m_pool;
+  KeyService m_keys;
+  RequestService m_requests;
+  BatchDriver m_batch;
+  AdminApi m_admin;
+
+  mutable std::mutex m_mutex;
+  /// Where each seat's last heartbeat came from; settings until then.
+  std::vector<Endpoint> m_addresses;
+  std::vector<Instance> m_instances;
+  std::uint64_t m_viewVersion = 0;
+  bool m_isViewStale = true;
+  /// Why reading the log last failed; empty when it did not.
+  std::string m_logFault;
+
+  std::atomic<bool> m_hasState{false};
+  std::atomic<bool> m_isDraining{false};
+  std::atomic<std::uint64_t> m_logFirst{0};
+  TimePoint m_started;
+  TimePoint m_lastPull;
+  std::uint64_t m_markOffset = 0;
+
+  std::unique_ptr<PeerLink> m_link;
+  std::unique_ptr<HttpServer> m_callers;
+  std::unique_ptr<HttpServer> m_operators;
+  std::vector<std::unique_ptr<Ticker>> m_tickers;
+  Ticker *m_writerTicker = nullptr;
+};
+
+} // namespace catkinseam
+
+#endif // CATKINSEAM_SERVER_ENTRY_H
--- /dev/null
+++ b/catkinseam/server/request_service.h
@@ -0,0 +1,126 @@
+// Serves one caller's request from arrival to its terminal outcome.
+//
+//   RequestService Service({Clock, Core, Keys, Pool, Counters, Spans}, {});
+//   HttpResponse Answer = Service.handle(Request);
+//
+// Every answer carries Catkinseam-Outcome: answered, not_run or unknown. A
+// request that is given up gets its outcome at once, with Retry-After.
+#ifndef CATKINSEAM_SERVER_REQUEST_SERVICE_H
+#define CATKINSEAM_SERVER_REQUEST_SERVICE_H
+
+#include "catkinseam/base/guarded.h"
+#include "catkinseam/net/http.h"
+#include "catkinseam/request/request_core.h"
+#include "catkinseam/server/key_service.h"
+#include "catkinseam/server/upstream_pool.h"
+#include "catkinseam/telemetry/metrics.h"
+#include "catkinseam/telemetry/trace.h"
+
+#include <array>
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace catkinseam {
+
+/// What the service works with; all outlive it.
+struct RequestParts {
+  const Clock &m_clock;
+  Guarded<RequestCore> &m_core;
+  KeyService &m_keys;
+  UpstreamPool &m_pool;
+  Metrics &m_metrics;
+  SpanExporter &m_spans;
+};
+
+/// What configuration and the instance list say; replaced whole.
+struct RequestView {
+  KindTable m_kinds;
+  std::uint64_t m_configVersion = 0;
+  std::map<std::string, Endpoint> m_services;
+};
+
+/// Thread-safe; handle() blocks its calling thread.
+class RequestService {
+public:
+  struct Options {
+    std::string m_entry;
+    std::size_t m_maxInFlight = 2000;
+    Duration m_longestDeadline = std::chrono::minutes(10);
+    int m_mostTries = 3;
+    int m_tracedPerThousand = 1000;
+    /// A silent idempotent call is repeated elsewhere after this many times
+    /// the kind's 99th percentile.
+    double m_silenceFactor = 2.5;
+    Duration m_leastSilence = std::chrono::milliseconds(50);
+  };
+
+  RequestService(const RequestParts &Parts, const Options &Limits);
+
+  /// Serves one request.
+  HttpResponse handle(const HttpRequest &Request);
+
+  void setView(std::shared_ptr<const RequestView> View);
+
+  /// Gives waiting requests what the core decided.
+  void deliver(const std::vector<Decision> &Made);
+
+  std::size_t inFlight() const { return m_inFlight; }
+
+private:
+  /// One request on its way.
+  struct Job {
+    const HttpRequest *m_request = nullptr;
+    std::shared_ptr<const RequestView> m_view;
+    KindPolicy m_kind;
+    TimePoint m_arrived;
+    TimePoint m_deadline;
+    std::string m_key;
+    TraceContext m_trace;
+    std::string m_worker;
+  };
+
+  /// How a request ended.
+  struct Ending {
+    enum class Kind { Answered, NotRun, Unknown };
+    Kind m_kind = Kind::NotRun;
+    HttpResponse m_answer;
+    std::string m_reason;
+    Duration m_retryAfter = std::chrono::seconds(1);
+  };
+
+  struct Waiter {
+    std::condition_variable m_changed;
+    std::optional<Decision> m_decision;
+  };
+
+  Result<Job> read(const HttpRequest &Request);
+  Ending run(Job &Work);
+  Ending runWithKey(Job &Work);
+  Ending runTries(Job &Work);
+  Decision decide(const Job &Work, const std::string &Avoid, bool IsRetry);
+  CallResult callWorker(const Job &Work, const Decision &Where, bool MayRepeat);
+  std::optional<Ending> judge(const Job &Work, const CallResult &Called,
+                              RequestId Id);
+  HttpResponse respond(const Job &Work, Ending Done);
+  void recordSpan(const Job &Work, const char *Name, WallTime Start,
+                  Duration Length, const std::string &Outcome);
+  Duration silenceBound(const KindPolicy &Kind) const;
+
+  const RequestParts m_parts;
+  const Options m_options;
+  mutable std::mutex m_viewMutex;
+  std::shared_ptr<const RequestView> m_view;
+  std::atomic<std::size_t> m_inFlight{0};
+  std::atomic<RequestId> m_nextId{1};
+  std::mutex m_waitersMutex;
+  std::map<RequestId, std::shared_ptr<Waiter>> m_waiters;
+};
+
+} // namespace catkinseam
+
+#endif // CATKINSEAM_SERVER_REQUEST_SERVICE_H
--- /dev/null
+++ b/catkinseam/settings/settings.h
@@ -0,0 +1,93 @@
+// Settings of one entry process, read from a TOML file and checked whole.
+//
+//   LoadedSettings Loaded = loadSettings("entry.toml");
+//   for (const SettingsFault &Fault : Loaded.m_faults)
+//     std::cerr << toString(Fault) << "\n";
+//
+// What may change while the system runs is not here: it is configuration,
+// and lives in the platform's log.
+#ifndef CATKINSEAM_SETTINGS_SETTINGS_H
+#define CATKINSEAM_SETTINGS_SETTINGS_H
+
+#include "catkinseam/base/clock.h"
+#include "catkinseam/net/endpoint.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace catkinseam {
+
+struct Settings {
+  // [entry]
+  std::string m_name;
+  std::string m_dataCentre;
+  /// Place of this entry in m_peers, from 1.
+  std::int64_t m_seat = 0;
+  Endpoint m_callers;
+  Endpoint m_admin;
+  Endpoint m_peer;
+  /// Peer addresses of all entries, by seat.
+  std::vector<Endpoint> m_peers;
+
+  // [platform]
+  Endpoint m_log;
+  Endpoint m_instances;
+  Milliseconds m_logPollInterval{20};
+  Milliseconds m_logTimeout{1000};
+  Milliseconds m_instancesPollInterval{200};
+  Milliseconds m_logRetention{24 * 3600 * 1000};
+
+  // [admin]
+  std::string m_adminToken;
+
+  // [limits]
+  std::int64_t m_headerBytes = 16 * 1024;
+  std::int64_t m_bodyBytes = 1024 * 1024;
+  std::int64_t m_callerConnections = 1000;
+  std::int64_t m_adminConnections = 64;
+  std::int64_t m_requestsInFlight = 2000;
+  std::int64_t m_tasksPerJob = 10000;
+  Milliseconds m_readTimeout{5000};
+  Milliseconds m_idleTimeout{60000};
+
+  // [request]
+  std::int64_t m_connectionsPerWorker = 8;
+  std::string m_slotSharing = "lending";
+  Milliseconds m_drainWait{1000};
+
+  // [batch]
+  Milliseconds m_lease{10000};
+  Milliseconds m_renewInterval{2000};
+
+  // [telemetry]
+  std::string m_logLevel = "info";
+  std::string m_otlp;
+  std::int64_t m_tracedPerThousand = 1000;
+};
+
+/// One thing wrong with a settings file. Line 0: the key is missing.
+struct SettingsFault {
+  std::string m_key;
+  std::int64_t m_line = 0;
+  std::string m_message;
+};
+
+struct LoadedSettings {
+  Settings m_settings;
+  /// Every fault found, in the order of the file; empty when usable.
+  std::vector<SettingsFault> m_faults;
+};
+
+/// Reads and checks a file. Never throws; an unreadable file is a fault.
+LoadedSettings loadSettings(const std::string &Path);
+
+/// Same, from text.
+LoadedSettings parseSettings(const std::string &Text);
+
+/// Returns "line 12: limits.body_bytes: must be from 1024 to 67108864".
+std::string toString(const SettingsFault &Fault);
+
+} // namespace catkinseam
+
+#endif // CATKINSEAM_SETTINGS_SETTINGS_H
--- /dev/null
+++ b/catkinseam/state/fold.cc
@@ -0,0 +1,404 @@
+// Applies log records to the shared tables.
+#include "catkinseam/state/fold.h"
+
+#include "catkinseam/base/codec.h"
+#include "catkinseam/base/hash.h"
+
+namespace catkinseam {
+
+namespace {
+
+RecordOutcome accepted() { return {true, ""}; }
+
+RecordOutcome refused(std::string Reason) { return {false, std::move(Reason)}; }
+
+std::string quoted(const std::string &Name) { return "\"" + Name + "\""; }
+
+} // namespace
+
+const WorkerRow *State::worker(const std::string &Name) const {
+  const auto Place = m_workers.find(Name);
+  return Place == m_workers.end() ? nullptr : &Place->second;
+}
+
+const JobRow *State::job(const std::string &Name) const {
+  const auto Place = m_jobs.find(Name);
+  return Place == m_jobs.end() ? nullptr : &Place->second;
+}
+
+const TaskRow *State::task(const TaskId &Task) const {
+  const JobRow *Job = job(Task.m_job);
+  if (Job == nullptr || Task.m_index >= Job->m_tasks.size())
+    return nullptr;
+  return &Job->m_tasks[Task.m_index];
+}
+
+Resources State::heldByTeam(const std::string &Team) const {
+  const auto Place = m_heldByTeam.find(Team);
+  return Place == m_heldByTeam.end() ? Resources{} : Place->second;
+}
+
+Applied State::apply(std::uint64_t Offset, const RecordBatch &Batch) {
+  Applied Result;
+  m_applying = Offset;
+  m_nextOffset = Offset + 1;
+  if (!acceptWriter(Batch)) {
+    Result.m_isDuplicate = true;
+    return Result;
+  }
+  m_timeMs = std::max(m_timeMs, Batch.m_wallMs);
+  for (const Record &Entry : Batch.m_records)
+    Result.m_outcomes.push_back(std::visit(
+        [&](const auto &Known) { return applyRecord(Known); }, Entry));
+  forgetIdleWriters();
+  return Result;
+}
+
+bool State::acceptWriter(const RecordBatch &Batch) {
+  if (Batch.m_format != RecordBatch::CurrentFormat)
+    return false;
+  const auto Known = m_writers.find(Batch.m_writer);
+  if (Known == m_writers.end() && Batch.m_wallMs < m_timeMs - WriterMemoryMs)
+    return false;
+  WriterRow &Writer = m_writers[Batch.m_writer];
+  if (Batch.m_sequence <= Writer.m_sequence)
+    return false;
+  Writer.m_sequence = Batch.m_sequence;
+  Writer.m_lastWallMs = std::max(Writer.m_lastWallMs, Batch.m_wallMs);
+  return true;
+}
+
+void State::forgetIdleWriters() {
+  // A forgotten writer's late batches are older than WriterMemoryMs and are
+  // dropped for that reason.
+  std::erase_if(m_writers, [this](const auto &Writer) {
+    return Writer.second.m_lastWallMs < m_timeMs - WriterMemoryMs;
+  });
+}
+
+RecordOutcome State::applyRecord(const ConfigPatchRecord &Record) {
+  const bool IsKnown = m_config.outcome(Record.m_patch.m_id) != nullptr;
+  const PatchOutcome &Decided = m_config.apply(Record.m_patch, m_timeMs);
+  if (Decided.m_verdict != PatchVerdict::Accepted)
+    return refused(Decided.m_message);
+  if (IsKnown)
+    return accepted();
+  std::set<std::string> Workers;
+  for (const auto &[Path, Value] : Record.m_patch.m_changes)
+    if (Path.rfind("workers/", 0) == 0)
+      Workers.insert(entityOf(Path).substr(std::string("workers/").size()));
+  for (const std::string &Name : Workers)
+    rebuildWorker(Name);
+  return accepted();
+}
+
+void State::rebuildWorker(const std::string &Name) {
+  const ConfigContent &Content = m_config.content();
+  const std::string Base = "workers/" + Name + "/";
+  WorkerRow &Row = m_workers[Name];
+  const Resources Target{numberAt(Content, Base + "processors_milli", 0),
+                         numberAt(Content, Base + "memory_mb", 0),
+                         numberAt(Content, Base + "accelerators", 0)};
+  const Resources Protected{
+      numberAt(Content, Base + "protected_processors_milli", 0),
+      numberAt(Content, Base + "protected_memory_mb", 0),
+      numberAt(Content, Base + "protected_accelerators", 0)};
+  applyReport(Row.m_capacity, Target, Protected);
+  Row.m_rack = textAt(Content, Base + "rack", "");
+  Row.m_dataCentre = textAt(Content, Base + "data_centre", "");
+  Row.m_slots =
+      static_cast<std::uint32_t>(numberAt(Content, Base + "slots", 0));
+  Row.m_isReported = !Target.isZero();
+  if (!Row.m_isReported && Row.m_tasks.empty())
+    m_workers.erase(Name);
+}
+
+RecordOutcome State::applyRecord(const JobRecord &Record) {
+  if (m_jobs.count(Record.m_job) > 0)
+    return accepted(); // The same id is the same job, however often sent.
+  if (Record.m_tasks == 0)
+    return refused("job " + quoted(Record.m_job) + " has no tasks");
+  if (std::string Misfit = misfitOf(Record); !Misfit.empty())
+    return refused(Misfit);
+  JobRow &Job = m_jobs[Record.m_job];
+  Job.m_record = Record;
+  Job.m_submittedMs = m_timeMs;
+  Job.m_tasks.resize(Record.m_tasks);
+  for (std::uint32_t Index = 0; Index < Record.m_tasks; ++Index) {
+    Job.m_tasks[Index].m_sinceMs = m_timeMs;
+    Job.m_queued.insert(Job.m_queued.end(), Index);
+  }
+  return accepted();
+}
+
+std::string State::misfitOf(const JobRecord &Job) const {
+  std::string Short = "workers";
+  for (const auto &[Name, Worker] : m_workers) {
+    const CapacityRow &Capacity = Worker.m_capacity;
+    const Resources Most =
+        larger(Capacity.m_target - Capacity.m_protected, Resources{});
+    if (Worker.m_isReported && Job.m_size.fitsIn(Most))
+      return "";
+    if (Worker.m_isReported)
+      Short = shortResource(Job.m_size, Most);
+  }
+  return "job " + quoted(Job.m_job) + " fits on no worker: too little " + Short;
+}
+
+std::string State::workerRefusal(const std::string &Name,
+                                 const WorkerRow &Worker,
+                                 const Resources &Reserved) const {
+  if (!Worker.m_isReported)
+    return "worker " + quoted(Name) + " is not in the capacity report";
+  const Readings Now = readReport(Worker.m_capacity);
+  if (std::string Short = shortResource(Reserved, Now.m_room); !Short.empty())
+    return "worker " + quoted(Name) + " has too little " + Short;
+  if (isQuarantined(Worker)) {
+    const bool MayProbe = Worker.m_claimsSinceOutcome == 0 &&
+                          m_timeMs >= Worker.m_lastFailureMs + ProbeAfterMs;
+    return MayProbe ? "" : "worker " + quoted(Name) + " is quarantined";
+  }
+  if (Worker.m_failStreak > 0 && Worker.m_claimsSinceOutcome > 0)
+    return "worker " + quoted(Name) + " failed its last task";
+  if (!Worker.m_hasSucceeded && Worker.m_tasks.size() >= UnprovenClaims)
+    return "worker " + quoted(Name) + " has not yet finished a task";
+  return "";
+}
+
+std::string State::quotaRefusal(const JobRow &Job,
+                                const Resources &Reserved) const {
+  const std::string &Team = Job.m_record.m_team;
+  const std::int64_t Quota =
+      numberAt(m_config.content(), "teams/" + Team + "/processors_milli", -1);
+  if (Quota < 0)
+    return "";
+  const std::int64_t Held = heldByTeam(Team).m_milliProcessors;
+  return Held + Reserved.m_milliProcessors <= Quota
+             ? ""
+             : "team " + quoted(Team) + " is at its quota";
+}
+
+std::string State::refusalOf(const ClaimRecord &Claim) const {
+  const JobRow *Job = job(Claim.m_task.m_job);
+  const TaskRow *Task = task(Claim.m_task);
+  const std::string Name = "task " + quoted(toString(Claim.m_task));
+  if (Task == nullptr)
+    return Name + " does not exist";
+  if (Task->m_phase != TaskPhase::Queued)
+    return Name + " is not queued";
+  if (Claim.m_attempt != Task->m_attempt + 1)
+    return Name + " is at attempt " + std::to_string(Task->m_attempt);
+  if (Job->m_phase != JobPhase::Active)
+    return "job " + quoted(Claim.m_task.m_job) + " is not active";
+  const WorkerRow *Worker = worker(Claim.m_worker);
+  if (Worker == nullptr)
+    return "worker " + quoted(Claim.m_worker) + " does not exist";
+  if (std::string Reason =
+          workerRefusal(Claim.m_worker, *Worker, Claim.m_reserved);
+      !Reason.empty())
+    return Reason;
+  return quotaRefusal(*Job, Claim.m_reserved);
+}
+
+RecordOutcome State::applyRecord(const ClaimRecord &Record) {
+  if (std::string Reason = refusalOf(Record); !Reason.empty())
+    return refused(Reason);
+  JobRow &Job = m_jobs.at(Record.m_task.m_job);
+  TaskRow &Task = Job.m_tasks[Record.m_task.m_index];
+  WorkerRow &Worker = m_workers.at(Record.m_worker);
+  Task.m_phase = TaskPhase::Claimed;
+  Task.m_isFenced = false;
+  Task.m_attempt = Record.m_attempt;
+  Task.m_worker = Record.m_worker;
+  Task.m_reserved = Record.m_reserved;
+  Task.m_sinceMs = m_timeMs;
+  Job.m_queued.erase(Record.m_task.m_index);
+  ++Job.m_claimed;
+  Worker.m_tasks.insert(Record.m_task);
+  ++Worker.m_claimsSinceOutcome;
+  reserve(Worker.m_capacity, Record.m_reserved);
+  m_heldByTeam[Job.m_record.m_team] += Record.m_reserved;
+  return accepted();
+}
+
+std::string State::holderRefusal(const TaskId &Task,
+                                 std::uint32_t Attempt) const {
+  const TaskRow *Row = task(Task);
+  const bool IsHeld = Row != nullptr && Row->m_phase == TaskPhase::Claimed &&
+                      Row->m_attempt == Attempt;
+  return IsHeld ? ""
+                : "attempt " + std::to_string(Attempt) + " of task " +
+                      quoted(toString(Task)) + " does not hold it";
+}
+
+RecordOutcome State::applyRecord(const FenceRecord &Record) {
+  if (std::string Reason = holderRefusal(Record.m_task, Record.m_attempt);
+      !Reason.empty())
+    return refused(Reason);
+  TaskRow &Task = m_jobs.at(Record.m_task.m_job).m_tasks[Record.m_task.m_index];
+  if (Task.m_isFenced)
+    return accepted();
+  Task.m_isFenced = true;
+  Task.m_fenceOffset = m_applying;
+  return accepted();
+}
+
+RecordOutcome State::applyRecord(const ReleaseRecord &Record) {
+  if (std::string Reason = holderRefusal(Record.m_task, Record.m_attempt);
+      !Reason.empty())
+    return refused(Reason);
+  JobRow &Job = m_jobs.at(Record.m_task.m_job);
+  TaskRow &Task = Job.m_tasks[Record.m_task.m_index];
+  if (Record.m_kind == ReleaseKind::Lapsed && !Task.m_isFenced)
+    return refused("task " + quoted(toString(Record.m_task)) +
+                   " is not fenced");
+  const std::string Worker = Task.m_worker;
+  freePlace(Record.m_task, Task, Job);
+  settleTask(Record, Task, Job);
+  recordOutcomeOnWorker(Record, Worker, Job);
+  parkIfHopeless(Job);
+  endJobIfDone(Record.m_task.m_job, Job);
+  return accepted();
+}
+
+void State::freePlace(const TaskId &Task, TaskRow &Row, JobRow &Job) {
+  WorkerRow &Worker = m_workers.at(Row.m_worker);
+  release(Worker.m_capacity, Row.m_reserved);
+  Worker.m_tasks.erase(Task);
+  m_heldByTeam[Job.m_record.m_team] -= Row.m_reserved;
+  --Job.m_claimed;
+  if (!Worker.m_isReported && Worker.m_tasks.empty())
+    m_workers.erase(Row.m_worker);
+  Row.m_worker.clear();
+  Row.m_reserved = {};
+  Row.m_isFenced = false;
+  Row.m_sinceMs = m_timeMs;
+}
+
+void State::settleTask(const ReleaseRecord &Record, TaskRow &Row, JobRow &Job) {
+  Job.m_peak = larger(Job.m_peak, Record.m_peak);
+  if (Record.m_kind == ReleaseKind::Finished) {
+    Row.m_phase = TaskPhase::Finished;
+    ++Job.m_finished;
+    Job.m_longestRunMs = std::max(Job.m_longestRunMs, Record.m_ranMs);
+    return;
+  }
+  if (Record.m_kind == ReleaseKind::Evicted) {
+    ++Row.m_evictions;
+    ++Job.m_evictions;
+  }
+  if (!Record.m_checkpoint.empty())
+    Row.m_checkpoint = Record.m_checkpoint;
+  if (Job.m_phase != JobPhase::Active) {
+    Row.m_phase = TaskPhase::Cancelled;
+    return;
+  }
+  Row.m_phase = TaskPhase::Queued;
+  Job.m_queued.insert(Record.m_task.m_index);
+}
+
+void State::recordOutcomeOnWorker(const ReleaseRecord &Record,
+                                  const std::string &Worker,
+                                  const JobRow &Job) {
+  const auto Place = m_workers.find(Worker);
+  if (Place == m_workers.end())
+    return;
+  WorkerRow &Row = Place->second;
+  if (Record.m_kind == ReleaseKind::Finished) {
+    Row.m_hasSucceeded = true;
+    Row.m_failStreak = 0;
+    Row.m_claimsSinceOutcome = 0;
+    return;
+  }
+  if (Record.m_kind != ReleaseKind::Failed) {
+    if (Row.m_claimsSinceOutcome > 0)
+      --Row.m_claimsSinceOutcome;
+    return;
+  }
+  JobRow &Failing = m_jobs.at(Record.m_task.m_job);
+  Failing.m_failedOn.insert(Worker);
+  Row.m_claimsSinceOutcome = 0;
+  Row.m_lastFailureMs = m_timeMs;
+  // A job that has failed elsewhere and finished nothing is itself suspect.
+  const bool IsJobsFault = Job.m_failedOn.size() > 1 && Job.m_finished == 0;
+  if (!IsJobsFault)
+    ++Row.m_failStreak;
+}
+
+void State::parkIfHopeless(JobRow &Job) {
+  const auto Limit = static_cast<std::size_t>(numberAt(
+      m_config.content(), "batch/failures_to_park", DefaultFailuresToPark));
+  const bool IsHopeless = Job.m_phase == JobPhase::Active &&
+                          Job.m_finished == 0 && Job.m_failedOn.size() >= Limit;
+  if (!IsHopeless)
+    return;
+  Job.m_phase = JobPhase::Parked;
+  Job.m_reason = "failed on workers";
+  for (const std::string &Worker : Job.m_failedOn)
+    Job.m_reason += " " + quoted(Worker);
+  dropQueuedTasks(Job);
+}
+
+void State::dropQueuedTasks(JobRow &Job) {
+  for (const std::uint32_t Index : Job.m_queued)
+    Job.m_tasks[Index].m_phase = TaskPhase::Cancelled;
+  Job.m_queued.clear();
+}
+
+void State::endJobIfDone(const std::string &Name, JobRow &Job) {
+  const bool IsDone = Job.m_queued.empty() && Job.m_claimed == 0;
+  if (!IsDone || Job.m_endedMs != 0)
+    return;
+  if (Job.m_phase == JobPhase::Active)
+    Job.m_phase = JobPhase::Finished;
+  Job.m_endedMs = std::max<std::int64_t>(m_timeMs, 1);
+  Job.m_tasks.clear();
+  m_endedJobs.push_back(Name);
+  if (m_endedJobs.size() <= MaxEndedJobs)
+    return;
+  m_jobs.erase(m_endedJobs.front());
+  m_endedJobs.pop_front();
+}
+
+RecordOutcome State::applyRecord(const CancelRecord &Record) {
+  std::string Unknown;
+  for (const std::string &Name : Record.m_jobs) {
+    const auto Place = m_jobs.find(Name);
+    if (Place == m_jobs.end()) {
+      Unknown = Name;
+      continue;
+    }
+    JobRow &Job = Place->second;
+    if (Job.m_endedMs != 0)
+      continue;
+    Job.m_phase = JobPhase::Cancelled;
+    dropQueuedTasks(Job);
+    endJobIfDone(Name, Job);
+  }
+  return Unknown.empty()
+             ? accepted()
+             : refused("job " + quoted(Unknown) + " does not exist");
+}
+
+RecordOutcome State::applyRecord(const SnapshotMarkRecord &) {
+  return accepted(); // The owner of the state hashes it after the batch.
+}
+
+RecordOutcome State::applyRecord(const SnapshotPartRecord &Record) {
+  if (Record.m_part == 0) {
+    m_snapshotPartsOf = Record.m_snapshot;
+    m_snapshotParts = 0;
+  }
+  const bool IsNext = Record.m_snapshot == m_snapshotPartsOf &&
+                      Record.m_part == m_snapshotParts;
+  if (!IsNext)
+    return refused("snapshot part is out of order");
+  ++m_snapshotParts;
+  if (m_snapshotParts == Record.m_parts)
+    m_snapshot = {Record.m_nextOffset, m_timeMs};
+  return accepted();
+}
+
+std::uint64_t State::hash() const { return hashBytes(encode(*this)); }
+
+} // namespace catkinseam
--- /dev/null
+++ b/catkinseam/state/log_writer.cc
@@ -0,0 +1,129 @@
+// Batches records and repeats an append until the fold shows it.
+#include "catkinseam/state/log_writer.h"
+
+#include "catkinseam/base/codec.h"
+#include "catkinseam/base/hash.h"
+
+#include <algorithm>
+
+namespace catkinseam {
+
+namespace {
+
+/// Room for what a record takes besides its payload.
+constexpr std::size_t RecordOverheadBytes = 256;
+
+std::size_t roughSize(const Record &Entry) {
+  if (const auto *Part = std::get_if<SnapshotPartRecord>(&Entry))
+    return Part->m_bytes.size() + RecordOverheadBytes;
+  return RecordOverheadBytes;
+}
+
+/// Between half and all of `Wait`, by a hash so that writers differ.
+Duration jittered(Duration Wait, const std::string &BootId,
+                  std::uint64_t Sequence, TimePoint Now) {
+  const std::uint64_t Dice =
+      hashPair(BootId, std::to_string(Sequence) + "/" +
+                           std::to_string(Now.time_since_epoch().count()));
+  return Wait / 2 + (Wait / 2) * (Dice % 1000) / 1000;
+}
+
+} // namespace
+
+LogWriter::LogWriter(const Clock &Time, std::string BootId,
+                     const Options &Limits)
+    : m_clock(Time), m_bootId(std::move(BootId)), m_options(Limits) {}
+
+bool LogWriter::isStuck(TimePoint Now) const {
+  return !m_inFlight.empty() &&
+         Now - m_flightStart > m_options.m_openCircuitAfter;
+}
+
+bool LogWriter::submit(Record Entry, RecordDone Done) {
+  const std::lock_guard Lock(m_mutex);
+  if (isStuck(m_clock.now()) || m_queue.size() >= m_options.m_maxQueued)
+    return false;
+  m_queue.push_back({std::move(Entry), std::move(Done)});
+  return true;
+}
+
+bool LogWriter::isCircuitOpen() const {
+  const std::lock_guard Lock(m_mutex);
+  return isStuck(m_clock.now());
+}
+
+std::size_t LogWriter::queued() const {
+  const std::lock_guard Lock(m_mutex);
+  return m_queue.size() + m_inFlight.size();
+}
+
+std::optional<std::string> LogWriter::nextAppend() {
+  const std::lock_guard Lock(m_mutex);
+  const TimePoint Now = m_clock.now();
+  if (m_inFlight.empty()) {
+    if (m_queue.empty())
+      return std::nullopt;
+    startBatch(Now);
+  } else if (Now < m_nextSend) {
+    return std::nullopt;
+  }
+  m_nextSend = Now + jittered(m_retryWait, m_bootId, m_sequence, Now);
+  m_retryWait = std::min(m_retryWait * 2, m_options.m_maxRetry);
+  return m_inFlightBytes;
+}
+
+void LogWriter::startBatch(TimePoint Now) {
+  RecordBatch Batch;
+  Batch.m_writer = m_bootId;
+  Batch.m_sequence = ++m_sequence;
+  Batch.m_wallMs = m_clock.wallNow().time_since_epoch().count();
+  std::size_t Bytes = 0;
+  while (!m_queue.empty() &&
+         Batch.m_records.size() < m_options.m_maxRecordsPerBatch &&
+         Bytes < m_options.m_maxBytesPerBatch) {
+    Bytes += roughSize(m_queue.front().m_record);
+    Batch.m_records.push_back(m_queue.front().m_record);
+    m_inFlight.push_back(std::move(m_queue.front()));
+    m_queue.pop_front();
+  }
+  m_inFlightBytes = encode(Batch);
+  m_flightStart = Now;
+  m_retryWait = m_options.m_firstRetry;
+}
+
+std::vector<LogWriter::Pending> LogWriter::takeFlight() {
+  std::vector<Pending> Ended;
+  Ended.swap(m_inFlight);
+  m_inFlightBytes.clear();
+  return Ended;
+}
+
+void LogWriter::onApplied(std::uint64_t Sequence,
+                          const std::vector<RecordOutcome> &Outcomes) {
+  std::vector<Pending> Ended;
+  {
+    const std::lock_guard Lock(m_mutex);
+    if (Sequence != m_sequence || m_inFlight.empty())
+      return;
+    Ended = takeFlight();
+  }
+  for (std::size_t Index = 0; Index < Ended.size(); ++Index)
+    if (Ended[Index].m_done)
+      Ended[Index].m_done(Outcomes[Index]);
+}
+
+void LogWriter::onSkipped(std::uint64_t Sequence) {
+  std::vector<Pending> Ended;
+  {
+    const std::lock_guard Lock(m_mutex);
+    if (Sequence < m_sequence || m_inFlight.empty())
+      return;
+    Ended = takeFlight();
+  }
+  for (const Pending &Each : Ended)
+    if (Each.m_done)
+      Each.m_done(Error{ErrorCode::OutcomeUnknown,
+                        "the record was applied unseen; ask by its id"});
+}
+
+} // namespace catkinseam
--- /dev/null
+++ b/catkinseam/state/replica.cc
@@ -0,0 +1,195 @@
+// Keeps one copy of the fold in step with the log.
+#include "catkinseam/state/replica.h"
+
+#include "catkinseam/base/codec.h"
+#include "catkinseam/base/hash.h"
+
+namespace catkinseam {
+
+namespace {
+
+constexpr std::size_t SnapshotPartBytes = 256 * 1024;
+constexpr std::size_t MarksKept = 8;
+
+std::optional<RecordBatch> decodeBatch(const std::string &Bytes) {
+  Outcome<RecordBatch> Batch =
+      attempt([&] { return decode<RecordBatch>(Bytes); });
+  if (!Batch)
+    return std::nullopt;
+  return std::move(Batch.value());
+}
+
+std::vector<Record> splitSnapshot(const std::string &Name,
+                                  const std::string &Bytes,
+                                  std::uint64_t NextOffset,
+                                  std::uint64_t Hash) {
+  const auto Parts = static_cast<std::uint32_t>(
+      (Bytes.size() + SnapshotPartBytes - 1) / SnapshotPartBytes);
+  std::vector<Record> Records;
+  for (std::uint32_t Part = 0; Part < Parts; ++Part) {
+    SnapshotPartRecord Piece;
+    Piece.m_snapshot = Name;
+    Piece.m_nextOffset = NextOffset;
+    Piece.m_part = Part;
+    Piece.m_parts = Parts;
+    Piece.m_hash = Hash;
+    Piece.m_bytes = Bytes.substr(Part * SnapshotPartBytes, SnapshotPartBytes);
+    Records.emplace_back(std::move(Piece));
+  }
+  return Records;
+}
+
+} // namespace
+
+bool Replica::waitFor(const std::function<bool(const State &)> &Holds,
+                      Duration Timeout) const {
+  std::unique_lock Lock(m_mutex);
+  return m_changed.wait_for(Lock, Timeout, [&] { return Holds(m_state); });
+}
+
+std::uint64_t Replica::nextOffset() const {
+  const std::lock_guard Lock(m_mutex);
+  return m_state.nextOffset();
+}
+
+std::uint64_t Replica::readFrom() const {
+  const std::lock_guard Lock(m_mutex);
+  return m_isCollecting ? m_collectFrom : m_state.nextOffset();
+}
+
+PageResult Replica::applyPage(const LogPage &Page) {
+  std::uint64_t Skipped = 0;
+  {
+    const std::lock_guard Lock(m_mutex);
+    if (Page.m_first > m_state.nextOffset() && !m_isCollecting) {
+      m_isCollecting = true;
+      m_collectFrom = Page.m_first;
+    }
+    if (m_isCollecting && !collectSnapshot(Page))
+      return PageResult::NeedsSnapshot;
+    for (const LogEntry &Entry : Page.m_entries)
+      if (Entry.m_offset >= m_state.nextOffset())
+        applyEntry(Entry);
+    const auto Own = m_state.writers().find(m_writer.bootId());
+    if (Own != m_state.writers().end())
+      Skipped = Own->second.m_sequence;
+  }
+  m_changed.notify_all();
+  m_writer.onSkipped(Skipped);
+  return PageResult::Applied;
+}
+
+void Replica::applyEntry(const LogEntry &Entry) {
+  std::optional<RecordBatch> Batch = decodeBatch(Entry.m_bytes);
+  // An undecodable entry still takes its offset.
+  const Applied Result =
+      m_state.apply(Entry.m_offset, Batch ? *Batch : RecordBatch{});
+  if (!Batch || Result.m_isDuplicate)
+    return;
+  if (Batch->m_writer == m_writer.bootId())
+    m_writer.onApplied(Batch->m_sequence, Result.m_outcomes);
+  onMark(*Batch);
+  for (const Record &Each : Batch->m_records)
+    if (const auto *Part = std::get_if<SnapshotPartRecord>(&Each))
+      onPart(*Part);
+}
+
+void Replica::onMark(const RecordBatch &Batch) {
+  for (const Record &Each : Batch.m_records) {
+    const auto *Mark = std::get_if<SnapshotMarkRecord>(&Each);
+    if (Mark == nullptr)
+      continue;
+    const std::string Bytes = encode(m_state);
+    const std::uint64_t Hash = hashBytes(Bytes);
+    m_marks[Mark->m_snapshot] = Hash;
+    if (m_marks.size() > MarksKept)
+      m_marks.erase(m_marks.begin());
+    if (Batch.m_writer == m_writer.bootId())
+      m_snapshotRecords =
+          splitSnapshot(Mark->m_snapshot, Bytes, m_state.nextOffset(), Hash);
+  }
+}
+
+void Replica::onPart(const SnapshotPartRecord &Part) {
+  const auto Own = m_marks.find(Part.m_snapshot);
+  if (Part.m_part == 0 && Own != m_marks.end() && Own->second != Part.m_hash)
+    ++m_divergences;
+}
+
+bool Replica::collectSnapshot(const LogPage &Page) {
+  for (const LogEntry &Entry : Page.m_entries) {
+    m_collectFrom = Entry.m_offset + 1;
+    std::optional<RecordBatch> Batch = decodeBatch(Entry.m_bytes);
+    if (!Batch)
+      continue;
+    for (const Record &Each : Batch->m_records) {
+      const auto *Part = std::get_if<SnapshotPartRecord>(&Each);
+      if (Part == nullptr)
+        continue;
+      Parts &Known = m_collected[Part->m_snapshot];
+      Known.m_parts[Part->m_part] = Part->m_bytes;
+      if (Known.m_parts.size() < Part->m_parts)
+        continue;
+      std::string Whole;
+      for (const auto &[Number, Bytes] : Known.m_parts)
+        Whole += Bytes;
+      m_collected.erase(Part->m_snapshot);
+      // A tail that has expired already makes the snapshot useless.
+      if (hashBytes(Whole) != Part->m_hash || Part->m_nextOffset < Page.m_first)
+        continue;
+      Outcome<State> Read = attempt([&] { return decode<State>(Whole); });
+      if (!Read)
+        continue;
+      m_state = std::move(Read.value());
+      m_isCollecting = false;
+      m_collected.clear();
+      return true;
+    }
+  }
+  return false;
+}
+
+StateCopy Replica::copy() const {
+  const std::lock_guard Lock(m_mutex);
+  StateCopy Copy;
+  Copy.m_nextOffset = m_state.nextOffset();
+  Copy.m_configVersion = m_state.config().version();
+  Copy.m_bytes = encode(m_state);
+  Copy.m_hash = hashBytes(Copy.m_bytes);
+  return Copy;
+}
+
+Result<bool> Replica::install(const StateCopy &Copy) {
+  if (hashBytes(Copy.m_bytes) != Copy.m_hash)
+    return makeError(ErrorCode::Invalid, "state copy does not match its hash");
+  BOOST_LEAF_AUTO(Read, decode<State>(Copy.m_bytes));
+  std::uint64_t Skipped = 0;
+  {
+    const std::lock_guard Lock(m_mutex);
+    const bool IsAhead = Read.nextOffset() > m_state.nextOffset() &&
+                         Read.config().version() >= m_state.config().version();
+    if (!IsAhead)
+      return false;
+    m_state = std::move(Read);
+    m_isCollecting = false;
+    m_collected.clear();
+    const auto Own = m_state.writers().find(m_writer.bootId());
+    if (Own != m_state.writers().end())
+      Skipped = Own->second.m_sequence;
+  }
+  m_changed.notify_all();
+  m_writer.onSkipped(Skipped);
+  return true;
+}
+
+std::vector<Record> Replica::takeSnapshotRecords() {
+  const std::lock_guard Lock(m_mutex);
+  return std::exchange(m_snapshotRecords, {});
+}
+
+std::uint64_t Replica::divergences() const {
+  const std::lock_guard Lock(m_mutex);
+  return m_divergences;
+}
+
+} // namespace catkinseam
--- /dev/null
+++ b/catkinseam/state/tables.h
@@ -0,0 +1,115 @@
+// Rows of the shared state: workers, jobs and their tasks.
+//
+// Only the fold (state/fold.h) writes these rows; everybody else reads.
+#ifndef CATKINSEAM_STATE_TABLES_H
+#define CATKINSEAM_STATE_TABLES_H
+
+#include "catkinseam/capacity/report.h"
+#include "catkinseam/state/records.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace catkinseam {
+
+struct WorkerRow {
+  CapacityRow m_capacity;
+  std::string m_rack;
+  std::string m_dataCentre;
+  /// Service slots; the request half shares them among entries.
+  std::uint32_t m_slots = 0;
+  /// False once operators have removed the worker from the report.
+  bool m_isReported = false;
+  /// Invariant: the tasks claimed on this worker and not yet released; their
+  /// reservations add up to m_capacity.m_held.
+  std::set<TaskId> m_tasks;
+  bool m_hasSucceeded = false;
+  /// Failures since the last success that are not the jobs' own fault.
+  std::uint32_t m_failStreak = 0;
+  std::uint32_t m_claimsSinceOutcome = 0;
+  std::int64_t m_lastFailureMs = 0;
+
+  template <class Archive> void serialize(Archive &Target) {
+    Target(m_capacity, m_rack, m_dataCentre, m_slots, m_isReported, m_tasks,
+           m_hasSucceeded, m_failStreak, m_claimsSinceOutcome, m_lastFailureMs);
+  }
+};
+
+enum class TaskPhase : std::uint8_t { Queued, Claimed, Finished, Cancelled };
+
+struct TaskRow {
+  TaskPhase m_phase = TaskPhase::Queued;
+  bool m_isFenced = false;
+  /// Counts claims; the attempt that holds or last held the task.
+  std::uint32_t m_attempt = 0;
+  /// Where the current attempt runs; empty unless Claimed.
+  std::string m_worker;
+  Resources m_reserved;
+  std::string m_checkpoint;
+  std::int64_t m_sinceMs = 0;
+  /// Offset of the fence, to which peers' progress is compared.
+  std::uint64_t m_fenceOffset = 0;
+  std::uint16_t m_evictions = 0;
+
+  template <class Archive> void serialize(Archive &Target) {
+    Target(m_phase, m_isFenced, m_attempt, m_worker, m_reserved, m_checkpoint,
+           m_sinceMs, m_fenceOffset, m_evictions);
+  }
+};
+
+enum class JobPhase : std::uint8_t { Active, Finished, Cancelled, Parked };
+
+struct JobRow {
+  JobRecord m_record;
+  JobPhase m_phase = JobPhase::Active;
+  /// Why the job is parked.
+  std::string m_reason;
+  std::int64_t m_submittedMs = 0;
+  std::int64_t m_endedMs = 0;
+  /// Empty once the job has ended and no task holds a place.
+  std::vector<TaskRow> m_tasks;
+  /// Invariant: indices of the tasks in phase Queued.
+  std::set<std::uint32_t> m_queued;
+  std::uint32_t m_claimed = 0;
+  std::uint32_t m_finished = 0;
+  std::uint32_t m_evictions = 0;
+  /// Workers on which a task of this job failed.
+  std::set<std::string> m_failedOn;
+  /// Highest usage that any task of the job was seen at.
+  Resources m_peak;
+  std::int64_t m_longestRunMs = 0;
+
+  template <class Archive> void serialize(Archive &Target) {
+    Target(m_record, m_phase, m_reason, m_submittedMs, m_endedMs, m_tasks,
+           m_queued, m_claimed, m_finished, m_evictions, m_failedOn, m_peak,
+           m_longestRunMs);
+  }
+};
+
+/// What is remembered of a process that appends.
+struct WriterRow {
+  /// Highest batch sequence applied.
+  std::uint64_t m_sequence = 0;
+  std::int64_t m_lastWallMs = 0;
+
+  template <class Archive> void serialize(Archive &Target) {
+    Target(m_sequence, m_lastWallMs);
+  }
+};
+
+/// The last whole snapshot seen in the log.
+struct SnapshotRow {
+  std::uint64_t m_nextOffset = 0;
+  std::int64_t m_wallMs = 0;
+
+  template <class Archive> void serialize(Archive &Target) {
+    Target(m_nextOffset, m_wallMs);
+  }
+};
+
+} // namespace catkinseam
+
+#endif // CATKINSEAM_STATE_TABLES_H
--- /dev/null
+++ b/catkinseam/telemetry/log.h
@@ -0,0 +1,32 @@
+// Structured log records: one line of key=value pairs each.
+//
+//   startLogging("info");
+//   logInfo("worker.leaving", {{"worker", Name}, {"slots", "8"}});
+#ifndef CATKINSEAM_TELEMETRY_LOG_H
+#define CATKINSEAM_TELEMETRY_LOG_H
+
+#include <initializer_list>
+#include <string>
+#include <utility>
+
+namespace catkinseam {
+
+using LogField = std::pair<const char *, std::string>;
+
+/// Sends records of `Level` ("debug", "info", "warn", "error") and above to
+/// standard error. Call once, before the first record.
+void startLogging(const std::string &Level);
+
+/// Writes one record. Thread-safe. `Event` names what happened, dotted.
+void logDebug(const char *Event, std::initializer_list<LogField> Fields);
+void logInfo(const char *Event, std::initializer_list<LogField> Fields);
+void logWarn(const char *Event, std::initializer_list<LogField> Fields);
+void logError(const char *Event, std::initializer_list<LogField> Fields);
+
+/// Returns the record's text, for example: event=entry.ready port="8080".
+std::string formatRecord(const char *Event,
+                         std::initializer_list<LogField> Fields);
+
+} // namespace catkinseam
+
+#endif // CATKINSEAM_TELEMETRY_LOG_H
--- /dev/null
+++ b/catkinseam/telemetry/metrics.cc
@@ -0,0 +1,69 @@
+// Metrics on prometheus-cpp.
+#include "catkinseam/telemetry/metrics.h"
+
+#include <prometheus/text_serializer.h>
+#include <sstream>
+
+namespace catkinseam {
+
+namespace {
+
+const prometheus::Histogram::BucketBoundaries SecondsBuckets = {
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30};
+
+double toSeconds(Duration Span) {
+  return std::chrono::duration<double>(Span).count();
+}
+
+} // namespace
+
+Metrics::Metrics()
+    : m_registry(std::make_shared<prometheus::Registry>()),
+      m_requests(prometheus::BuildCounter()
+                     .Name("catkinseam_requests_total")
+                     .Help("Requests by kind and terminal outcome.")
+                     .Register(*m_registry)),
+      m_latency(prometheus::BuildHistogram()
+                    .Name("catkinseam_request_seconds")
+                    .Help("Time from arrival to terminal outcome.")
+                    .Register(*m_registry)),
+      m_queueWait(prometheus::BuildHistogram()
+                      .Name("catkinseam_queue_wait_seconds")
+                      .Help("Time a request waited for a slot.")
+                      .Register(*m_registry)),
+      m_batch(prometheus::BuildCounter()
+                  .Name("catkinseam_batch_events_total")
+                  .Help("Batch task events seen by this entry.")
+                  .Register(*m_registry)) {}
+
+void Metrics::countRequest(const std::string &Kind, const std::string &Outcome,
+                           Duration Latency) {
+  m_requests.Add({{"kind", Kind}, {"outcome", Outcome}}).Increment();
+  m_latency.Add({{"kind", Kind}}, SecondsBuckets).Observe(toSeconds(Latency));
+}
+
+void Metrics::observeQueueWait(const std::string &Kind, Duration Wait) {
+  m_queueWait.Add({{"kind", Kind}}, SecondsBuckets).Observe(toSeconds(Wait));
+}
+
+void Metrics::countBatch(const std::string &Event) {
+  m_batch.Add({{"event", Event}}).Increment();
+}
+
+void Metrics::setGauge(const std::string &Name, double Value) {
+  // Registering a family twice under one name returns the first.
+  prometheus::BuildGauge()
+      .Name(Name)
+      .Help("State of this entry.")
+      .Register(*m_registry)
+      .Add({})
+      .Set(Value);
+}
+
+std::string Metrics::text() const {
+  std::ostringstream Stream;
+  prometheus::TextSerializer().Serialize(Stream, m_registry->Collect());
+  return Stream.str();
+}
+
+} // namespace catkinseam
--- /dev/null
+++ b/standin/platform_main.cc
@@ -0,0 +1,208 @@
+// Stand-in of the platform: log service, instance list, and a trace collector.
+//
+//   standin-platform --listen 127.0.0.1:7000 --retention-ms 86400000
+//
+// POST /control {"log":"up|down|lose_answers|slow"} sets the log's fault;
+// POST /instances adds or changes workers; GET /traces counts spans received.
+#include "standin/log_store.h"
+
+#include "catkinseam/net/http_server.h"
+#include "catkinseam/platform/json.h"
+
+#include <Poco/Base64Encoder.h>
+#include <Poco/Exception.h>
+#include <atomic>
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <iostream>
+#include <map>
+#include <sstream>
+#include <thread>
+
+namespace {
+
+using namespace catkinseam;
+
+enum class LogFault { None, Down, LoseAnswers, Slow };
+
+std::string toBase64(const std::string &Bytes) {
+  std::ostringstream Text;
+  Poco::Base64Encoder Encoder(Text);
+  Encoder.rdbuf()->setLineLength(0);
+  Encoder << Bytes;
+  Encoder.close();
+  return Text.str();
+}
+
+class Platform {
+public:
+  explicit Platform(Duration Retention) : m_log(Retention) {}
+
+  HttpResponse handle(const HttpRequest &Request) {
+    const bool IsPost = Request.m_method == "POST";
+    if (Request.m_path == "/streams/catkinseam/records")
+      return IsPost ? append(Request) : read(Request);
+    if (Request.m_path == "/instances")
+      return IsPost ? addInstances(Request) : listInstances();
+    if (Request.m_path == "/control" && IsPost)
+      return control(Request);
+    if (Request.m_path == "/v1/traces" && IsPost)
+      return countSpans(Request);
+    if (Request.m_path == "/stats")
+      return stats();
+    return problemResponse({ErrorCode::NotFound, Request.m_path});
+  }
+
+private:
+  static HttpResponse down() {
+    return problemResponse({ErrorCode::Unavailable, "the log is down"});
+  }
+
+  HttpResponse append(const HttpRequest &Request) {
+    constexpr auto SlowBy = std::chrono::milliseconds(800);
+    if (m_fault == LogFault::Down)
+      return down();
+    if (m_fault == LogFault::Slow)
+      std::this_thread::sleep_for(SlowBy);
+    const std::uint64_t Offset = m_log.append(Request.m_body);
+    if (m_fault == LogFault::LoseAnswers)
+      return down(); // It took effect all the same.
+    JsonObject Body = newObject();
+    Body->set("offset", Offset);
+    return jsonResponse(200, toText(Body));
+  }
+
+  HttpResponse read(const HttpRequest &Request) {
+    if (m_fault == LogFault::Down)
+      return down();
+    const LogPage Page =
+        m_log.read(std::stoull(Request.queryValue("from", "0")),
+                   std::stoull(Request.queryValue("max", "100")),
+                   Milliseconds(std::stol(Request.queryValue("wait_ms", "0"))));
+    if (m_fault == LogFault::Down)
+      return down();
+    JsonObject Body = newObject();
+    Body->set("first", Page.m_first);
+    Body->set("end", Page.m_end);
+    JsonArray Records = newArray();
+    for (const LogEntry &Entry : Page.m_entries) {
+      JsonObject Item = newObject();
+      Item->set("offset", Entry.m_offset);
+      Item->set("data", toBase64(Entry.m_bytes));
+      Records->add(Item);
+    }
+    Body->set("records", Records);
+    return jsonResponse(200, toText(Body));
+  }
+
+  HttpResponse addInstances(const HttpRequest &Request) {
+    const Outcome<JsonObject> Body =
+        attempt([&] { return parseJsonObject(Request.m_body); });
+    if (!Body)
+      return problemResponse(Body.error());
+    const std::lock_guard Lock(m_mutex);
+    const JsonArray Items = jsonArray(Body.value(), "instances");
+    for (std::size_t Index = 0; Index < Items->size(); ++Index) {
+      const JsonObject Item = Items->getObject(static_cast<unsigned>(Index));
+      const std::string Name = jsonText(Item, "name");
+      if (jsonText(Item, "state") == "gone") {
+        m_instances.erase(Name);
+        continue;
+      }
+      JsonObject &Known =
+          m_instances.try_emplace(Name, newObject()).first->second;
+      for (const std::string &Key : Item->getNames())
+        Known->set(Key, Item->get(Key));
+    }
+    return jsonResponse(200, "{}");
+  }
+
+  HttpResponse listInstances() {
+    const std::lock_guard Lock(m_mutex);
+    JsonArray Items = newArray();
+    for (const auto &[Name, Item] : m_instances)
+      Items->add(Item);
+    JsonObject Body = newObject();
+    Body->set("instances", Items);
+    return jsonResponse(200, toText(Body));
+  }
+
+  HttpResponse control(const HttpRequest &Request) {
+    static const std::map<std::string, LogFault> Faults = {
+        {"up", LogFault::None},
+        {"down", LogFault::Down},
+        {"lose_answers", LogFault::LoseAnswers},
+        {"slow", LogFault::Slow}};
+    const Outcome<JsonObject> Body =
+        attempt([&] { return parseJsonObject(Request.m_body); });
+    if (!Body || Faults.count(jsonText(Body.value(), "log")) == 0)
+      return problemResponse({ErrorCode::Invalid, "unknown control"});
+    m_fault = Faults.at(jsonText(Body.value(), "log"));
+    return jsonResponse(200, "{}");
+  }
+
+  HttpResponse countSpans(const HttpRequest &Request) {
+    std::size_t Found = 0;
+    for (std::size_t Place = Request.m_body.find("\"spanId\"");
+         Place != std::string::npos;
+         Place = Request.m_body.find("\"spanId\"", Place + 1))
+      ++Found;
+    m_spans += Found;
+    return jsonResponse(200, "{}");
+  }
+
+  HttpResponse stats() {
+    JsonObject Body = newObject();
+    Body->set("appends", m_log.appends());
+    Body->set("bytes", m_log.bytes());
+    Body->set("spans", m_spans.load());
+    return jsonResponse(200, toText(Body));
+  }
+
+  standin::LogStore m_log;
+  std::atomic<LogFault> m_fault{LogFault::None};
+  std::atomic<std::uint64_t> m_spans{0};
+  std::mutex m_mutex;
+  std::map<std::string, JsonObject> m_instances;
+};
+
+} // namespace
+
+int main(int Count, char **Words) {
+  namespace po = boost::program_options;
+  po::options_description Options("options");
+  Options.add_options()("listen", po::value<std::string>()->required(),
+                        "IP:PORT")(
+      "retention-ms", po::value<long>()->default_value(24L * 3600 * 1000),
+      "how long log records are kept");
+  po::variables_map Given;
+  try {
+    po::store(po::parse_command_line(Count, Words, Options), Given);
+    po::notify(Given);
+  } catch (const po::error &Fault) {
+    std::cerr << "standin-platform: " << Fault.what() << "\n" << Options;
+    return 2;
+  }
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  Platform Served{Milliseconds(Given["retention-ms"].as<long>())};
+  const Outcome<Endpoint> Listen =
+      attempt([&] { return parseEndpoint(Given["listen"].as<std::string>()); });
+  if (!Listen) {
+    std::cerr << "standin-platform: " << Listen.error().m_message << "\n";
+    return 2;
+  }
+  HttpServer::Options Limits;
+  Limits.m_listen = Listen.value();
+  Limits.m_maxBodyBytes = 64 * 1024 * 1024;
+  const HttpServer Server(Limits, [&](const HttpRequest &Request) {
+    return Served.handle(Request);
+  });
+  int Received = 0;
+  sigwait(&Signals, &Received);
+  return 0;
+}
