--- a/bench/load_main.cc
+++ b/bench/load_main.cc
@@ -105,6 +105,7 @@
   std::mt19937 Generator(Seed);
   std::exponential_distribution<double> Gap(1);
   std::vector<double> Weights;
+  Weights.reserve(Kinds.size());
   for (const Kind &Each : Kinds)
     Weights.push_back(Each.m_weight);
   std::discrete_distribution<std::size_t> Pick(Weights.begin(), Weights.end());
--- a/catkinseam/batch/driver.cc
+++ b/catkinseam/batch/driver.cc
@@ -3,8 +3,6 @@
 
 #include "catkinseam/telemetry/log.h"
 
-#include <Poco/Exception.h>
-#include <Poco/Runnable.h>
 #include <algorithm>
 
 namespace catkinseam {
@@ -15,30 +13,6 @@
 
 } // namespace
 
-/// One call to a worker on a pool thread; deletes itself when done.
-class BatchDriver::SyncJob final : public Poco::Runnable {
-public:
-  SyncJob(BatchDriver &Driver, std::string Name, Endpoint Where,
-          WorkerCommands Commands)
-      : m_driver(Driver), m_name(std::move(Name)), m_where(std::move(Where)),
-        m_commands(std::move(Commands)) {}
-
-  void run() override {
-    const std::unique_ptr<SyncJob> Self(this);
-    const Outcome<WorkerStatus> Answer = attempt([this] {
-      return m_driver.m_parts.m_workers.sync(m_where, m_commands,
-                                             m_driver.m_options.m_syncTimeout);
-    });
-    m_driver.endCall(m_name, Answer);
-  }
-
-private:
-  BatchDriver &m_driver;
-  const std::string m_name;
-  const Endpoint m_where;
-  const WorkerCommands m_commands;
-};
-
 BatchDriver::BatchDriver(const BatchParts &Parts, const Options &Limits)
     : m_parts(Parts), m_options(Limits),
       m_lapses(LapseWatch::Options{
@@ -46,13 +20,7 @@
               [](const Membership &Now) { return Now.contactWindow(); }),
           .m_lagAllowance = LagAllowance,
           .m_lease = Limits.m_lease,
-          .m_margin = Limits.m_lease / 10}),
-      m_threads(1, Limits.m_threads) {}
-
-BatchDriver::~BatchDriver() {
-  drain();
-  m_threads.joinAll();
-}
+          .m_margin = Limits.m_lease / 10}) {}
 
 void BatchDriver::drain() {
   const std::lock_guard Lock(m_mutex);
@@ -164,14 +132,16 @@
 
 void BatchDriver::beginCall(const std::string &Name, WorkerSlot &Slot,
                             SyncPlan Plan) {
-  auto Job = std::make_unique<SyncJob>(*this, Name, Slot.m_instance.m_tasks,
-                                       std::move(Plan.m_commands));
-  try {
-    m_threads.start(*Job);
-  } catch (const Poco::NoThreadAvailableException &) {
+  const Endpoint Where = Slot.m_instance.m_tasks;
+  const bool IsTaken = m_parts.m_runAside(
+      [this, Name, Where, Commands = std::move(Plan.m_commands)] {
+        endCall(Name, attempt([&] {
+                  return m_parts.m_workers.sync(Where, Commands,
+                                                m_options.m_syncTimeout);
+                }));
+      });
+  if (!IsTaken)
     return; // All threads wait for workers; the next tick tries again.
-  }
-  Job.release();
   Slot.m_isCalling = true;
   Slot.m_lastCall = m_parts.m_clock.now();
   for (std::size_t Started = 0; Started < Plan.m_started; ++Started)
@@ -265,7 +235,9 @@
 void BatchDriver::fenceSilentWorkers(TimePoint Now) {
   std::vector<FenceRecord> Fences;
   m_parts.m_replica.read([&](const State &Shared) {
-    for (const auto &[Name, Row] : Shared.workers()) {
+    for (const auto &Known : Shared.workers()) {
+      const std::string &Name = Known.first;
+      const WorkerRow &Row = Known.second;
       if (Row.m_tasks.empty() || homeOf(Name, m_readySeats) != m_seat)
         continue;
       WorkerSlot &Slot = m_slots[Name];
--- a/catkinseam/batch/driver.h
+++ b/catkinseam/batch/driver.h
@@ -7,6 +7,7 @@
 #define CATKINSEAM_BATCH_DRIVER_H
 
 #include "catkinseam/base/guarded.h"
+#include "catkinseam/base/work_pool.h"
 #include "catkinseam/batch/lease.h"
 #include "catkinseam/batch/planner.h"
 #include "catkinseam/platform/instance_list.h"
@@ -15,9 +16,7 @@
 #include "catkinseam/state/replica.h"
 #include "catkinseam/telemetry/metrics.h"
 
-#include <Poco/ThreadPool.h>
 #include <map>
-#include <memory>
 #include <mutex>
 #include <set>
 #include <string>
@@ -33,6 +32,8 @@
   Guarded<Membership> &m_members;
   WorkerService &m_workers;
   Metrics &m_metrics;
+  /// Runs worker calls; work it took must end before the driver does.
+  RunAside m_runAside;
 };
 
 /// Thread-safe.
@@ -45,11 +46,9 @@
     /// Between calls to a worker that runs tasks.
     Duration m_busySync = std::chrono::milliseconds(200);
     Duration m_syncTimeout = std::chrono::seconds(1);
-    int m_threads = 8;
   };
 
   BatchDriver(const BatchParts &Parts, const Options &Limits);
-  ~BatchDriver();
 
   /// Takes the platform's latest list of workers.
   void setInstances(const std::vector<Instance> &Instances);
@@ -78,8 +77,6 @@
     bool m_isSilent = false;
   };
 
-  class SyncJob;
-
   bool mayRenew(TimePoint Now);
   void planOwnClaims(TimePoint Now);
   void callDueWorkers(bool MayRenew, TimePoint Now);
@@ -112,7 +109,6 @@
   Seat m_seat = 1;
   std::vector<Seat> m_readySeats;
   std::map<Seat, std::set<std::string>> m_unreachableBy;
-  Poco::ThreadPool m_threads;
 };
 
 } // namespace catkinseam
--- a/catkinseam/cli/operator_commands.cc
+++ b/catkinseam/cli/operator_commands.cc
@@ -268,8 +268,11 @@
   JsonObject Changes = newObject();
   for (const std::string &Worker : Report->getNames()) {
     const JsonObject Row = jsonObject(Report, Worker);
-    for (const std::string &Leaf : Row->getNames())
-      Changes->set("workers/" + Worker + "/" + Leaf, Row->get(Leaf));
+    for (const std::string &Leaf : Row->getNames()) {
+      std::string Path = "workers/" + Worker;
+      Path += "/" + Leaf;
+      Changes->set(Path, Row->get(Leaf));
+    }
   }
   return submitChanges(Context, Changes);
 }
--- a/catkinseam/config/schema.cc
+++ b/catkinseam/config/schema.cc
@@ -120,9 +120,15 @@
   const std::int64_t Has = numberAt(Content, Worker + "/" + Resource, 0);
   const std::int64_t Kept =
       numberAt(Content, Worker + "/protected_" + Resource, 0);
-  return Kept <= Has ? ""
-                     : Worker + "/protected_" + Resource + ": exceeds the " +
-                           std::to_string(Has) + " that the worker has";
+  if (Kept <= Has)
+    return "";
+  std::string Fault = Worker;
+  Fault += "/protected_";
+  Fault += Resource;
+  Fault += ": exceeds the ";
+  Fault += std::to_string(Has);
+  Fault += " that the worker has";
+  return Fault;
 }
 
 } // namespace
--- a/catkinseam/net/http_client.cc
+++ b/catkinseam/net/http_client.cc
@@ -70,6 +70,8 @@
 protected:
   int write(const char *Buffer, std::streamsize Length) override {
     m_hasWritten = true;
+    // Past HTTPClientSession::write, which reconnects and writes again.
+    // NOLINTNEXTLINE(bugprone-parent-virtual-call)
     return HTTPSession::write(Buffer, Length);
   }
 
--- a/catkinseam/net/http_server.h
+++ b/catkinseam/net/http_server.h
@@ -19,7 +19,7 @@
 class ThreadPool;
 namespace Net {
 class HTTPServer;
-}
+} // namespace Net
 } // namespace Poco
 
 namespace catkinseam {
--- a/catkinseam/server/admin_api.cc
+++ b/catkinseam/server/admin_api.cc
@@ -277,9 +277,9 @@
   auto IsIn = [&](const State &Shared) {
     return Shared.job(Job.m_job) != nullptr;
   };
-  const auto [IsKnown, Misfit] = m_parts.m_replica.read([&](const State &Now) {
-    return std::pair(IsIn(Now), Now.misfitOf(Job));
-  });
+  const bool IsKnown = m_parts.m_replica.read(IsIn);
+  const std::string Misfit = m_parts.m_replica.read(
+      [&](const State &Shared) { return Shared.misfitOf(Job); });
   if (!IsKnown && !Misfit.empty())
     return makeError(ErrorCode::Conflict, Misfit);
   if (!IsKnown)
--- a/catkinseam/server/entry.cc
+++ b/catkinseam/server/entry.cc
@@ -27,6 +27,7 @@
 constexpr Duration KeySyncGrace = std::chrono::seconds(3);
 constexpr Duration FlushTimeout = std::chrono::seconds(2);
 constexpr std::size_t LogPageSize = 500;
+constexpr int WorkerCallThreads = 8;
 constexpr int SnapshotsPerRetention = 4;
 
 std::optional<Endpoint> collectorOf(const Settings &Given) {
@@ -117,8 +118,12 @@
              {}),
       m_requests({m_clock, m_core, m_keys, m_pool, m_metrics, m_spans},
                  serviceOptions(Given)),
-      m_batch({m_clock, m_replica, m_writer, m_members, *m_workers, m_metrics},
+      m_batch({m_clock, m_replica, m_writer, m_members, *m_workers, m_metrics,
+               [this](std::function<void()> Work) {
+                 return m_workerCalls.tryRun(std::move(Work));
+               }},
               batchOptions(Given)),
+      m_workerCalls(WorkerCallThreads),
       m_admin({m_clock, m_replica, m_writer, m_members, m_core, m_batch,
                m_metrics, [this] { return unreadiness(); },
                [this] { m_writerTicker->wake(); }},
--- a/catkinseam/server/entry.h
+++ b/catkinseam/server/entry.h
@@ -75,6 +75,8 @@
   KeyService m_keys;
   RequestService m_requests;
   BatchDriver m_batch;
+  /// After the driver, so that calls in progress end before it goes.
+  WorkPool m_workerCalls;
   AdminApi m_admin;
 
   mutable std::mutex m_mutex;
--- a/catkinseam/server/request_service.cc
+++ b/catkinseam/server/request_service.cc
@@ -278,7 +278,7 @@
     Limit = std::min(Limit, silenceBound(Work.m_kind));
   const WallTime Start = m_parts.m_clock.wallNow();
   const TimePoint Begin = m_parts.m_clock.now();
-  const CallResult Called =
+  CallResult Called =
       m_parts.m_pool.call(Where.m_worker, Service->second, Onward, Limit,
                           /*NeedsProven=*/!Work.m_kind.m_isIdempotent);
   if (Called.m_failure == CallFailure::TimedOut)
@@ -298,13 +298,11 @@
   CallEnd End = CallEnd::Answered;
   const bool IsServerError =
       Called.m_response && Called.m_response->m_status >= FirstServerError;
-  if (IsServerError)
-    End = CallEnd::Failed;
-  else if (Called.m_failure == CallFailure::NotSent)
+  if (Called.m_failure == CallFailure::NotSent)
     End = CallEnd::NotSent;
   else if (Called.m_failure == CallFailure::TimedOut)
     End = CallEnd::Abandoned;
-  else if (Called.m_failure != CallFailure::None)
+  else if (IsServerError || Called.m_failure != CallFailure::None)
     End = CallEnd::Failed;
   deliver(m_parts.m_core.with(
       [&](RequestCore &Core) { return Core.finish(Id, End); }));
--- a/standin/task_runner.cc
+++ b/standin/task_runner.cc
@@ -24,10 +24,32 @@
 
 } // namespace
 
-TaskRunner::TaskRunner(std::string Worker, const Resources &Capacity,
-                       HistoryFile &History)
+void TaskHistoryFile::started(const std::string &Worker, const TaskId &Task,
+                              std::uint32_t Attempt,
+                              const std::string &Checkpoint) {
+  m_file.write("task_start",
+               {Worker, toString(Task), std::to_string(Attempt), Checkpoint});
+}
+
+void TaskHistoryFile::ended(const std::string &Worker, const TaskId &Task,
+                            std::uint32_t Attempt, AttemptState State,
+                            std::int64_t DoneMs, TimePoint At) {
+  const auto Micros = std::chrono::duration_cast<std::chrono::microseconds>(
+      At.time_since_epoch());
+  m_file.write("task_end", {Worker, toString(Task), std::to_string(Attempt),
+                            attemptStateName(State), std::to_string(DoneMs),
+                            std::to_string(Micros.count())});
+}
+
+void TaskHistoryFile::overcommitted(const std::string &Worker,
+                                    const TaskId &Task) {
+  m_file.write("task_overcommit", {Worker, toString(Task)});
+}
+
+TaskRunner::TaskRunner(const Clock &Time, std::string Worker,
+                       const Resources &Capacity, TaskHistory &History)
     : m_worker(std::move(Worker)), m_capacity(Capacity), m_history(History),
-      m_boot(randomId()), m_booted(m_clock.now()) {}
+      m_clock(Time), m_boot(randomId()), m_booted(Time.now()) {}
 
 WorkerTime TaskRunner::workerNow() const {
   return toMilliseconds(m_clock.now() - m_booted);
@@ -40,10 +62,10 @@
 
 void TaskRunner::end(const TaskId &Task, Attempt &Known, AttemptState State) {
   Known.m_state = State;
-  m_history.write("task_end",
-                  {m_worker, toString(Task), std::to_string(Known.m_number),
-                   attemptStateName(State),
-                   std::to_string(std::llround(Known.m_doneMs))});
+  const TimePoint At = m_booted + std::min<Duration>(Known.m_leaseUntil,
+                                                     m_clock.now() - m_booted);
+  m_history.ended(m_worker, Task, Known.m_number, State,
+                  std::llround(Known.m_doneMs), At);
 }
 
 void TaskRunner::advance(const TaskId &Task, Attempt &Known) {
@@ -124,17 +146,15 @@
     Next.m_reason = "an earlier attempt runs";
   else if (!(limitsInUse() + Command.m_limit).fitsIn(m_capacity)) {
     Next.m_reason = "no capacity";
-    m_history.write("task_overcommit", {m_worker, toString(Command.m_task),
-                                        std::to_string(Command.m_attempt)});
+    m_history.overcommitted(m_worker, Command.m_task);
   }
   if (!Next.m_reason.empty()) {
     Next.m_state = AttemptState::Refused;
     m_attempts[Command.m_task] = Next;
     return;
   }
-  m_history.write("task_start",
-                  {m_worker, toString(Command.m_task),
-                   std::to_string(Command.m_attempt), Command.m_checkpoint});
+  m_history.started(m_worker, Command.m_task, Command.m_attempt,
+                    Command.m_checkpoint);
   Attempt &Stored = m_attempts[Command.m_task] = Next;
   if (m_isFailing) {
     Stored.m_reason = "the worker fails everything";
--- a/standin/task_runner.h
+++ b/standin/task_runner.h
@@ -18,11 +18,43 @@
 
 namespace standin {
 
+/// What a runner reports of its attempts, in order.
+class TaskHistory {
+public:
+  virtual ~TaskHistory() = default;
+  virtual void started(const std::string &Worker,
+                       const catkinseam::TaskId &Task, std::uint32_t Attempt,
+                       const std::string &Checkpoint) = 0;
+  /// `At` is when it ended, which may be before now: a lease that ran out
+  /// while the worker was paused.
+  virtual void ended(const std::string &Worker, const catkinseam::TaskId &Task,
+                     std::uint32_t Attempt, catkinseam::AttemptState State,
+                     std::int64_t DoneMs, catkinseam::TimePoint At) = 0;
+  virtual void overcommitted(const std::string &Worker,
+                             const catkinseam::TaskId &Task) = 0;
+};
+
+/// Writes the events into a history file.
+class TaskHistoryFile final : public TaskHistory {
+public:
+  explicit TaskHistoryFile(HistoryFile &File) : m_file(File) {}
+  void started(const std::string &Worker, const catkinseam::TaskId &Task,
+               std::uint32_t Attempt, const std::string &Checkpoint) override;
+  void ended(const std::string &Worker, const catkinseam::TaskId &Task,
+             std::uint32_t Attempt, catkinseam::AttemptState State,
+             std::int64_t DoneMs, catkinseam::TimePoint At) override;
+  void overcommitted(const std::string &Worker,
+                     const catkinseam::TaskId &Task) override;
+
+private:
+  HistoryFile &m_file;
+};
+
 /// Thread-safe.
 class TaskRunner {
 public:
-  TaskRunner(std::string Worker, const catkinseam::Resources &Capacity,
-             HistoryFile &History);
+  TaskRunner(const catkinseam::Clock &Time, std::string Worker,
+             const catkinseam::Resources &Capacity, TaskHistory &History);
 
   /// Carries out commands and reports, as a worker does.
   catkinseam::WorkerStatus sync(const catkinseam::WorkerCommands &Commands);
@@ -68,8 +100,8 @@
 
   const std::string m_worker;
   const catkinseam::Resources m_capacity;
-  HistoryFile &m_history;
-  const catkinseam::SystemClock m_clock;
+  TaskHistory &m_history;
+  const catkinseam::Clock &m_clock;
   const std::string m_boot;
   const catkinseam::TimePoint m_booted;
   std::atomic<bool> m_isFailing{false};
--- a/standin/workers_main.cc
+++ b/standin/workers_main.cc
@@ -42,7 +42,8 @@
 
   Worker(const Options &Given, standin::HistoryFile &History)
       : m_options(Given), m_service(Given.m_name, Given.m_slots, History),
-        m_tasks(Given.m_name, Given.m_capacity, History) {
+        m_taskHistory(History),
+        m_tasks(m_clock, Given.m_name, Given.m_capacity, m_taskHistory) {
     HttpServer::Options Service;
     Service.m_listen = Given.m_service;
     Service.m_maxConnections = Given.m_connections;
@@ -102,7 +103,9 @@
   }
 
   const Options m_options;
+  const SystemClock m_clock;
   standin::SlotService m_service;
+  standin::TaskHistoryFile m_taskHistory;
   standin::TaskRunner m_tasks;
   std::unique_ptr<HttpServer> m_serviceServer;
   std::unique_ptr<HttpServer> m_taskServer;
