--- a/catkinseam/request/request_core.cc
+++ b/catkinseam/request/request_core.cc
@@ -268,7 +268,9 @@
   const Duration Wait = plannedWait(Spec.m_kind);
   const Duration MostWait =
       fromSeconds(toSeconds(Service) * m_options.m_waitFactor);
-  if (Wait > MostWait || m_clock.now() + Wait > LatestStart ||
+  // One request may always wait, so that few slots do not mean no queue.
+  const bool IsQueueFull = !Line.empty() && Wait > MostWait;
+  if (IsQueueFull || m_clock.now() + Wait > LatestStart ||
       waiting() >= m_options.m_maxWaiting)
     return {refuse(Spec, RefusalReason::Overloaded)};
   Line.emplace(LatestStart, Waiting{Spec, LatestStart});
