Prove leases over faults; claims name the worker's boot; forget ended attempts late

Cause: fuzzing the batch half over fakes (log, worker calls, heartbeats, clock) showed two faults. (1) Whether an unknown attempt had ever started was judged from wall time and uptime: a worker that had just booted churned through 11 attempts a task. Ruled out: a tombstone kept by the worker for ever (the platform's matter, and unbounded); a log append on start (doubles the log's load); trusting the arrival time of heartbeats (a paused entry reads old ones on waking: freshness is proven by echo). Change: a claim names the worker's boot, another boot never starts it; a worker is told to forget only a lease plus contact and lag windows after a majority has applied the end. Stand-in tasks no longer work while their process is paused.

--- a/catkinseam/batch/driver.cc
+++ b/catkinseam/batch/driver.cc
@@ -68,6 +68,12 @@
   return m_lag.keepsUp(Applied, Heard, Now, LagAllowance) && InMajority;
 }
 
+std::uint64_t BatchDriver::majorityOffset() const {
+  const std::uint64_t Own = m_parts.m_replica.nextOffset();
+  return m_parts.m_members.with(
+      [&](const Membership &Members) { return Members.majorityOffset(Own); });
+}
+
 bool BatchDriver::isActing(const std::string &Worker) const {
   // The first seat in the worker's hash order that can reach it; when none
   // can, the first.
@@ -111,6 +117,7 @@
 
 void BatchDriver::callDueWorkers(bool MayRenew, TimePoint Now) {
   std::vector<std::pair<std::string, SyncPlan>> Due;
+  const std::uint64_t MajorityOffset = majorityOffset();
   m_parts.m_replica.read([&](const State &Shared) {
     for (auto &[Name, Slot] : m_slots) {
       if (!Slot.m_isListed || Slot.m_isCalling)
@@ -122,6 +129,8 @@
       if (!isDue(Shared, Name, Slot, Now))
         continue;
       Slot.m_view.m_mayRenew = MayRenew;
+      Slot.m_view.m_majorityOffset = MajorityOffset;
+      Slot.m_view.m_forgetAfter = m_lapses.waitTime();
       Slot.m_view.m_lease = m_options.m_lease;
       Due.emplace_back(Name, planSync(Shared, Name, Slot.m_view, Now));
     }
@@ -222,7 +231,7 @@
         Slot.m_view.m_last && Now - Slot.m_lastCall <= 2 * m_options.m_idleSync;
     if (Slot.m_isListed && !Slot.m_view.m_isLeaving && !Slot.m_isSilent &&
         IsFresh)
-      View.m_usable.insert(Name);
+      View.m_usable[Name] = Slot.m_view.m_last->m_boot;
   }
   if (View.m_usable.empty() || m_parts.m_writer.isCircuitOpen())
     return;
@@ -265,17 +274,14 @@
 
 void BatchDriver::releaseLapsed(TimePoint Now) {
   std::vector<ReleaseRecord> Releases;
+  const std::uint64_t MajorityOffset = majorityOffset();
   m_parts.m_replica.read([&](const State &Shared) {
     for (const auto &[Name, Row] : Shared.workers())
       for (const TaskId &Task : Row.m_tasks) {
         const TaskRow &Held = *Shared.task(Task);
         if (!Held.m_isFenced || homeOf(Name, m_readySeats) != m_seat)
           continue;
-        const bool IsKnown =
-            m_parts.m_members.with([&](const Membership &Members) {
-              return Members.majorityApplied(Held.m_fenceOffset,
-                                             Shared.nextOffset());
-            });
+        const bool IsKnown = MajorityOffset > Held.m_fenceOffset;
         if (!m_lapses.isOver(Task, Held.m_attempt, IsKnown, Now))
           continue;
         ReleaseRecord Release;
--- a/catkinseam/batch/driver.h
+++ b/catkinseam/batch/driver.h
@@ -78,6 +78,7 @@
   };
 
   bool mayRenew(TimePoint Now);
+  std::uint64_t majorityOffset() const;
   void planOwnClaims(TimePoint Now);
   void callDueWorkers(bool MayRenew, TimePoint Now);
   bool isDue(const State &Shared, const std::string &Name,
--- a/catkinseam/batch/lease.cc
+++ b/catkinseam/batch/lease.cc
@@ -11,9 +11,6 @@
 
 /// A throttled victim is stopped after this long.
 constexpr Duration ThrottleBeforeStop = std::chrono::milliseconds(500);
-/// Allowed difference between the fold's wall time and a worker's uptime.
-constexpr std::int64_t UptimeMarginMs = 2000;
-
 std::map<TaskId, AttemptStatus> byTask(const WorkerStatus &Status) {
   std::map<TaskId, AttemptStatus> Found;
   for (const AttemptStatus &Attempt : Status.m_attempts) {
@@ -28,14 +25,6 @@
   return State == AttemptState::Running || State == AttemptState::Throttled;
 }
 
-/// Whether the worker has been up since before the claim: if the attempt had
-/// ever started there, the worker would still know it.
-bool predatesClaim(const State &Shared, const TaskRow &Task,
-                   const WorkerStatus &Status) {
-  const std::int64_t ClaimAge = Shared.timeMs() - Task.m_sinceMs;
-  return Status.m_now.count() > ClaimAge + UptimeMarginMs;
-}
-
 class SyncPlanner {
 public:
   SyncPlanner(const State &Shared, WorkerView &View, TimePoint Now,
@@ -53,6 +42,7 @@
     }
     for (const AttemptStatus &Attempt : m_view.m_last->m_attempts)
       planLeftover(Worker, Attempt);
+    dropForgotten();
     return std::move(m_plan);
   }
 
@@ -95,8 +85,9 @@
   void planUnknown(const AttemptRef &Ref, const TaskRow &Row,
                    const JobRow &Job) {
     const bool IsVictim = m_view.m_evictingSince.count(Ref.m_task) > 0;
-    // A stop of an attempt that the worker does not know bars its start.
-    if (IsVictim || !predatesClaim(m_shared, Row, *m_view.m_last)) {
+    // The boot that was claimed would know the attempt if it had ever started
+    // there. Another boot may have lost it: a stop bars its start for good.
+    if (IsVictim || Row.m_boot != m_view.m_last->m_boot) {
       m_plan.m_commands.m_stops.push_back(Ref);
       return;
     }
@@ -138,8 +129,7 @@
       const JobRow *Job = m_shared.job(Attempt.m_task.m_job);
       const bool IsJobOver = Job != nullptr && Job->m_endedMs != 0;
       if (IsJobOver)
-        m_plan.m_commands.m_forgets.push_back(
-            {Attempt.m_task, Attempt.m_attempt});
+        planForget({Attempt.m_task, Attempt.m_attempt});
       return;
     }
     const bool IsHeld = Row->m_phase == TaskPhase::Claimed &&
@@ -151,9 +141,33 @@
     if (isAlive(Attempt.m_state))
       m_plan.m_commands.m_stops.push_back(Ref);
     else
+      planForget(Ref);
+  }
+
+  /// Lets the worker forget an ended attempt once no entry can take it for one
+  /// that has not been started yet.
+  void planForget(const AttemptRef &Ref) {
+    EndedAttempt &Ended =
+        m_view.m_ended
+            .try_emplace({Ref.m_task, Ref.m_attempt},
+                         EndedAttempt{m_shared.nextOffset(), std::nullopt})
+            .first->second;
+    if (!Ended.m_since && m_view.m_majorityOffset >= Ended.m_offset)
+      Ended.m_since = m_now;
+    if (Ended.m_since && m_now - *Ended.m_since >= m_view.m_forgetAfter)
       m_plan.m_commands.m_forgets.push_back(Ref);
   }
 
+  /// Drops notes of attempts that the worker has forgotten.
+  void dropForgotten() {
+    std::set<std::pair<TaskId, std::uint32_t>> Reported;
+    for (const AttemptStatus &Attempt : m_view.m_last->m_attempts)
+      Reported.insert({Attempt.m_task, Attempt.m_attempt});
+    std::erase_if(m_view.m_ended, [&](const auto &Known) {
+      return Reported.count(Known.first) == 0;
+    });
+  }
+
   const State &m_shared;
   WorkerView &m_view;
   const TimePoint m_now;
--- a/catkinseam/batch/lease.h
+++ b/catkinseam/batch/lease.h
@@ -22,6 +22,14 @@
 
 namespace catkinseam {
 
+/// An attempt that the log has ended, as seen at its worker.
+struct EndedAttempt {
+  /// Next offset of this entry's fold when it first saw the end.
+  std::uint64_t m_offset = 0;
+  /// Since when a majority is known to have reached that offset.
+  std::optional<TimePoint> m_since;
+};
+
 /// What an entry knows of one worker besides the shared state.
 struct WorkerView {
   /// The last status received; leases are counted from its m_now.
@@ -30,8 +38,16 @@
   /// This entry is in touch with a majority and has applied what it heard of.
   bool m_mayRenew = false;
   Milliseconds m_lease{10000};
+  /// Next offset that a majority in proven contact has reached.
+  std::uint64_t m_majorityOffset = 0;
+  /// How long after a majority has applied the end of an attempt an entry that
+  /// lags behind could still start it again: the worker must know it until
+  /// then.
+  Duration m_forgetAfter = std::chrono::seconds(13);
   /// When eviction of a task was first asked for: throttle, later stop.
   std::map<TaskId, TimePoint> m_evictingSince;
+  /// Ended attempts that the worker still reports.
+  std::map<std::pair<TaskId, std::uint32_t>, EndedAttempt> m_ended;
 };
 
 struct SyncPlan {
--- a/catkinseam/batch/planner.cc
+++ b/catkinseam/batch/planner.cc
@@ -19,6 +19,7 @@
 /// A worker as planning uses it up.
 struct Place {
   std::string m_name;
+  std::string m_boot;
   std::string m_rack;
   Resources m_room;
   std::uint32_t m_openClaims = 0;
@@ -45,9 +46,11 @@
   std::vector<Place> Places;
   for (const auto &[Name, Worker] : Shared.workers()) {
     const bool IsOwn = homeOf(Name, View.m_readySeats) == View.m_seat;
-    if (!IsOwn || !Worker.m_isReported || View.m_usable.count(Name) == 0)
+    const auto Usable = View.m_usable.find(Name);
+    if (!IsOwn || !Worker.m_isReported || Usable == View.m_usable.end())
       continue;
-    Place Open{Name, Worker.m_rack, readReport(Worker.m_capacity).m_room,
+    Place Open{Name, Usable->second, Worker.m_rack,
+               readReport(Worker.m_capacity).m_room,
                openClaims(Shared, Worker)};
     if (Open.m_openClaims > 0)
       Places.push_back(std::move(Open));
@@ -176,6 +179,7 @@
       Claims.push_back({{Next.m_job->m_record.m_job, Index},
                         Task.m_attempt + 1,
                         Chosen->m_name,
+                        Chosen->m_boot,
                         Next.m_size});
       Chosen->m_room -= Next.m_size;
       --Chosen->m_openClaims;
--- a/catkinseam/batch/planner.h
+++ b/catkinseam/batch/planner.h
@@ -11,6 +11,7 @@
 #include "catkinseam/membership/membership.h"
 #include "catkinseam/state/fold.h"
 
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,8 +22,8 @@
 struct PlannerView {
   Seat m_seat = 1;
   std::vector<Seat> m_readySeats;
-  /// Workers that are live, not leaving and reachable.
-  std::set<std::string> m_usable;
+  /// Workers that are live, not leaving and reachable, with their boots.
+  std::map<std::string, std::string> m_usable;
   /// Tasks whose claim this entry has appended and not yet read back.
   std::set<TaskId> m_pending;
   std::size_t m_maxClaims = 500;
--- a/catkinseam/membership/membership.cc
+++ b/catkinseam/membership/membership.cc
@@ -140,13 +140,15 @@
   return Highest;
 }
 
-bool Membership::majorityApplied(std::uint64_t Offset,
-                                 std::uint64_t OwnOffset) const {
-  Seat Applied = OwnOffset > Offset ? 1 : 0;
+std::uint64_t Membership::majorityOffset(std::uint64_t OwnOffset) const {
+  std::vector<std::uint64_t> Reached = {OwnOffset};
   for (const auto &[Place, Peer] : m_peers)
-    if (isProven(Peer) && Peer.m_last.m_appliedOffset > Offset)
-      ++Applied;
-  return Applied >= m_seating.majority();
+    if (isProven(Peer))
+      Reached.push_back(Peer.m_last.m_appliedOffset);
+  if (Reached.size() < m_seating.majority())
+    return 0;
+  std::sort(Reached.rbegin(), Reached.rend());
+  return Reached[m_seating.majority() - 1];
 }
 
 Seat homeOf(const std::string &Name, const std::vector<Seat> &Seats) {
--- a/catkinseam/membership/membership.h
+++ b/catkinseam/membership/membership.h
@@ -152,9 +152,10 @@
   /// Highest offset that any peer in contact has applied.
   std::uint64_t highestOffsetHeard() const;
 
-  /// Whether a majority of seats in proven contact, this one included with
-  /// `OwnOffset`, has applied `Offset`.
-  bool majorityApplied(std::uint64_t Offset, std::uint64_t OwnOffset) const;
+  /// Returns the highest next offset that a majority of seats in proven
+  /// contact, this one included with `OwnOffset`, has reached; 0 when this
+  /// entry is not in touch with a majority.
+  std::uint64_t majorityOffset(std::uint64_t OwnOffset) const;
 
   /// Rows of the other entries by seat.
   const std::map<Seat, PeerRow> &peers() const { return m_peers; }
--- a/catkinseam/request/key_register_test.cc
+++ b/catkinseam/request/key_register_test.cc
@@ -230,6 +230,32 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(GrantOfAReplacedProcessIsVoid) {
+  // Seat 2 is replaced by a process that copied from 3, 4 and 5; the old
+  // process, which nobody has told, still grants what was sent to it before.
+  Network Net(5, Joining::Sync);
+  Net.begin(1, "k"); // On its way: to 2 (old), 3, 4, 5.
+  Net.replace(2);
+  for (const Seat From : {3U, 4U, 5U})
+    Net.sync(2, From);
+  Net.handle(0, true, false); // The old process on seat 2 grants ...
+  Net.handle(3, true, false); // ... and seat 1 hears it.
+  Net.handle(0, true, false); // Seat 3 grants, and tells of the new process.
+  Net.handle(2, true, false);
+  Net.handle(0, false, false);
+  Net.handle(0, false, false);
+  BOOST_TEST(Net.grants() == 0U);
+  Net.begin(5, "k");           // To 1, 2 (new), 3, 4 and 2 (old).
+  Net.handle(0, false, false); // Cut from seat 1.
+  Net.handle(0, true, false);
+  Net.handle(0, false, false); // Cut from seat 3.
+  Net.handle(0, true, false);
+  Net.handle(0, false, false); // Cut from the old process.
+  deliverAll(Net);
+  BOOST_TEST(Net.grants() == 1U);
+  BOOST_TEST(Net.grantedTwice().empty());
+}
+
 BOOST_AUTO_TEST_CASE(ForgetsKeysAfterTheMemory) {
   ManualClock Clock;
   Seating Alone;
--- a/catkinseam/state/fold.cc
+++ b/catkinseam/state/fold.cc
@@ -210,6 +210,7 @@
   Task.m_isFenced = false;
   Task.m_attempt = Record.m_attempt;
   Task.m_worker = Record.m_worker;
+  Task.m_boot = Record.m_boot;
   Task.m_reserved = Record.m_reserved;
   Task.m_sinceMs = m_timeMs;
   Job.m_queued.erase(Record.m_task.m_index);
@@ -270,6 +271,7 @@
   if (!Worker.m_isReported && Worker.m_tasks.empty())
     m_workers.erase(Row.m_worker);
   Row.m_worker.clear();
+  Row.m_boot.clear();
   Row.m_reserved = {};
   Row.m_isFenced = false;
   Row.m_sinceMs = m_timeMs;
--- a/catkinseam/state/records.h
+++ b/catkinseam/state/records.h
@@ -64,11 +64,14 @@
   TaskId m_task;
   std::uint32_t m_attempt = 0;
   std::string m_worker;
+  /// Boot of the worker that the claim means: a worker that has restarted
+  /// since can have lost the attempt, and never starts it.
+  std::string m_boot;
   /// What the task is given there.
   Resources m_reserved;
 
   template <class Archive> void serialize(Archive &Target) {
-    Target(m_task, m_attempt, m_worker, m_reserved);
+    Target(m_task, m_attempt, m_worker, m_boot, m_reserved);
   }
 };
 
--- a/catkinseam/state/tables.h
+++ b/catkinseam/state/tables.h
@@ -47,6 +47,8 @@
   std::uint32_t m_attempt = 0;
   /// Where the current attempt runs; empty unless Claimed.
   std::string m_worker;
+  /// The boot of that worker.
+  std::string m_boot;
   Resources m_reserved;
   std::string m_checkpoint;
   std::int64_t m_sinceMs = 0;
@@ -55,7 +57,7 @@
   std::uint16_t m_evictions = 0;
 
   template <class Archive> void serialize(Archive &Target) {
-    Target(m_phase, m_isFenced, m_attempt, m_worker, m_reserved, m_checkpoint,
+    Target(m_phase, m_isFenced, m_attempt, m_worker, m_boot, m_reserved, m_checkpoint,
            m_sinceMs, m_fenceOffset, m_evictions);
   }
 };
--- a/catkinseam/state/testing/fold_builder.h
+++ b/catkinseam/state/testing/fold_builder.h
@@ -76,7 +76,7 @@
   bool claim(const std::string &Job, std::uint32_t Index, std::uint32_t Attempt,
              const std::string &Worker) {
     const Resources Size = m_state.job(Job)->m_record.m_size;
-    return apply(ClaimRecord{{Job, Index}, Attempt, Worker, Size});
+    return apply(ClaimRecord{{Job, Index}, Attempt, Worker, "boot", Size});
   }
 
   bool release(const std::string &Job, std::uint32_t Index,
--- a/standin/task_runner.cc
+++ b/standin/task_runner.cc
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr double ThrottledSpeed = 0.1;
+/// A longer gap between two looks means that this process was paused: no work
+/// was done in it.
+constexpr WorkerTime LongestStep{200};
 
 double programNumber(const std::string &Program, const std::string &Key,
                      double Fallback) {
@@ -80,7 +83,7 @@
   const double Speed =
       Known.m_state == AttemptState::Throttled ? Share * ThrottledSpeed : Share;
   const WorkerTime Passed =
-      std::max(WorkerTime(0), Until - Known.m_lastProgress);
+      std::clamp(Until - Known.m_lastProgress, WorkerTime(0), LongestStep);
   Known.m_doneMs += Speed * static_cast<double>(Passed.count());
   Known.m_ran += Passed;
   Known.m_lastProgress = std::max(Until, Known.m_lastProgress);
