--- a/catkinseam/membership/membership.h
+++ b/catkinseam/membership/membership.h
@@ -69,7 +69,7 @@
   std::vector<std::uint64_t> m_echoes;
   std::uint64_t m_appliedOffset = 0;
   std::uint64_t m_configVersion = 0;
-  /// Requests waiting for a slot.
+  /// Short requests waiting for a slot.
   std::uint32_t m_waiting = 0;
   /// Requests in flight by worker; sent only where a strategy needs it.
   std::map<std::string, std::uint16_t> m_inFlight;
--- a/catkinseam/request/request_core.cc
+++ b/catkinseam/request/request_core.cc
@@ -13,10 +13,12 @@
 constexpr double PlanningRank = 0.9;
 constexpr double AbandonedRank = 0.99;
 constexpr Duration DemandWindow = std::chrono::milliseconds(100);
-constexpr double DemandRise = 0.5;
-constexpr double DemandFall = 0.1;
+constexpr double DemandRise = 0.4;
+constexpr double DemandFall = 0.2;
 /// Slots kept free of long kinds beyond the short kinds' measured demand.
-constexpr double ShortDemandMargin = 1.15;
+constexpr double ShortDemandMargin = 1.05;
+/// A short request rather waits than runs on a worker slower than this.
+constexpr double MostSlownessForShort = 1.7;
 constexpr std::uint32_t EjectionStreak = 3;
 constexpr Duration FirstEjection = std::chrono::seconds(1);
 constexpr Duration LongestEjection = std::chrono::seconds(30);
@@ -151,12 +153,17 @@
 std::string RequestCore::pickWorker(const RequestSpec &Spec) {
   if (Spec.m_kind.m_isLong && m_longInFlight >= longLimit())
     return "";
+  // Waiting is bounded by less than one service time, so a much slower worker
+  // would answer later than the next free slot.
+  const bool AvoidsSlow = !Spec.m_kind.m_isLong && hasFastWorker();
   std::string Best;
   double BestScore = 0;
   for (const auto &[Name, Row] : m_upstreams) {
     const std::uint32_t Open = openSlots(Name, Row);
     if (Open == 0 || !mayUse(Row, Spec))
       continue;
+    if (AvoidsSlow && Row.m_slowness > MostSlownessForShort)
+      continue;
     // Load first, then speed; a hash spreads equal workers over the entries.
     const double Load = static_cast<double>(Row.m_inFlight) /
                         static_cast<double>(Row.m_inFlight + Open);
@@ -186,6 +193,17 @@
   return "";
 }
 
+bool RequestCore::hasFastWorker() const {
+  const TimePoint Now = m_clock.now();
+  return std::any_of(m_upstreams.begin(), m_upstreams.end(),
+                     [&](const auto &Known) {
+                       const UpstreamRow &Row = Known.second;
+                       return !Row.m_isLeaving && Row.m_slots > 0 &&
+                              Row.m_ejectedUntil <= Now &&
+                              Row.m_slowness <= MostSlownessForShort;
+                     });
+}
+
 bool RequestCore::hasServingWorker() const {
   return std::any_of(
       m_upstreams.begin(), m_upstreams.end(), [](const auto &Known) {
@@ -249,6 +267,8 @@
   if (!Spec.m_isRetry)
     countDemand(Spec.m_kind);
   if (!m_sharing->isLimiting()) {
+    if (Spec.m_isRetry)
+      return {refuse(Spec, RefusalReason::RetryBudget)};
     const std::string Worker = nextInTurn();
     return {Worker.empty() ? refuse(Spec, RefusalReason::NoWorker)
                            : dispatch(Spec, Worker)};
@@ -380,7 +400,7 @@
 }
 
 SlotLoan RequestCore::lend(std::uint32_t Wanted) {
-  if (waiting() > 0 || Wanted == 0)
+  if (!m_shortQueue.empty() || Wanted == 0)
     return {};
   std::map<std::string, std::uint32_t> Idle;
   const TimePoint Now = m_clock.now();
@@ -401,6 +421,10 @@
   m_sharing->borrow(Loan, m_clock.now());
 }
 
+std::uint32_t RequestCore::waitingShort() const {
+  return static_cast<std::uint32_t>(m_shortQueue.size());
+}
+
 std::uint32_t RequestCore::waiting() const {
   return static_cast<std::uint32_t>(m_shortQueue.size() + m_longQueue.size());
 }
--- a/catkinseam/request/request_core.h
+++ b/catkinseam/request/request_core.h
@@ -131,6 +131,9 @@
   Duration serviceTime(const KindPolicy &Kind, double Rank) const;
 
   std::uint32_t waiting() const;
+  std::uint32_t waitingShort() const;
+  /// False for the baseline, which neither limits nor repeats.
+  bool mayRepeat() const { return m_sharing->isLimiting(); }
   std::map<std::string, std::uint16_t> inFlight() const;
   bool needsPeerInFlight() const { return m_sharing->needsPeerInFlight(); }
   const std::map<std::string, UpstreamRow> &upstreams() const {
@@ -176,6 +179,7 @@
   Decision refuse(const RequestSpec &Spec, RefusalReason Reason) const;
   Duration plannedWait(const KindPolicy &Kind) const;
   bool hasServingWorker() const;
+  bool hasFastWorker() const;
   void serveQueue(Queue &Line, std::vector<Decision> &Made);
   void serveQueues(std::vector<Decision> &Made);
   void refuseLate(Queue &Line, std::vector<Decision> &Made);
--- a/catkinseam/server/entry.cc
+++ b/catkinseam/server/entry.cc
@@ -305,7 +305,7 @@
 
 void Entry::beat() {
   const auto [Waiting, InFlight] = m_core.with([](const RequestCore &Core) {
-    return std::pair(Core.waiting(),
+    return std::pair(Core.waitingShort(),
                      Core.needsPeerInFlight()
                          ? Core.inFlight()
                          : std::map<std::string, std::uint16_t>());
--- a/catkinseam/server/request_service.cc
+++ b/catkinseam/server/request_service.cc
@@ -219,8 +219,11 @@
       return Done;
     }
     Work.m_worker = Where.m_worker;
-    const bool MayRepeat =
-        Work.m_kind.m_isIdempotent && Try < m_options.m_mostTries;
+    const bool MayRepeat = Work.m_kind.m_isIdempotent &&
+                           Try < m_options.m_mostTries &&
+                           m_parts.m_core.with([](const RequestCore &Core) {
+                             return Core.mayRepeat();
+                           });
     const CallResult Called = callWorker(Work, Where, MayRepeat);
     if (std::optional<Ending> Ended = judge(Work, Called, Where.m_id))
       return *Ended;
--- /dev/null
+++ b/tests/process/at_most_once.sh
@@ -0,0 +1,62 @@
+#!/usr/bin/env bash
+# One key through several entries while entries are killed, paused and replaced:
+# never a second run.
+source "$(dirname "$0")/lib.sh"
+cluster_start "$repo/run/test-at-most-once" 3 3 "$1"
+cluster_configure
+
+# send SEAT KEY WORK_MS: prints the outcome, or "none".
+send() {
+  curl -s --max-time 8 -o /dev/null -D - -X POST -d pay \
+    -H 'Catkinseam-Kind: clock-correction' -H "Idempotency-Key: $2" -H "Request-Id: $2" \
+    -H 'Catkinseam-Deadline-Ms: 3000' \
+    "http://127.0.0.1:$(caller_port "$1")/bill?work_ms=$3" |
+    sed -n 's/^Catkinseam-Outcome: \([a-z_]*\).*/\1/p' | grep . || echo none
+}
+runs() { grep -c "request_start w[0-9]* $1\$" "$cluster_dir/workers.history" || true; }
+ran() { [ "$(runs "$1")" -ge 1 ]; }
+
+[ "$(send 1 plain 10)" = answered ] || fail "a plain request"
+[ "$(send 2 plain 10)" = answered ] || fail "its repeat through another entry"
+[ "$(runs plain)" -eq 1 ] || fail "the repeat ran again"
+pass "a repeat through another entry gets the first answer"
+
+for seat in 1 2 3; do send "$seat" race 50 >"$cluster_dir/race-$seat" & done
+wait $(jobs -p | grep -vxF "$(printf '%s\n' "${cluster_pids[@]}")")
+[ "$(runs race)" -le 1 ] || fail "racing repeats ran $(runs race) times"
+grep -q answered "$cluster_dir"/race-* || fail "no racing repeat was answered"
+pass "racing repeats run once"
+
+send 1 killed 1500 >/dev/null &
+cluster_wait 10 "the start of the request" ran killed
+cluster_signal entry-1 KILL
+cluster_join entry-1 || true
+[ "$(send 2 killed 10)" = unknown ] || fail "a repeat after the holder's death must be unknown"
+[ "$(runs killed)" -eq 1 ] || fail "ran $(runs killed) times"
+pass "a repeat after the holder was killed is unknown, not run again"
+
+cluster_start_entry 1
+cluster_wait 20 "entry 1" cluster_is_ready 1
+[ "$(send 1 killed 10)" = unknown ] || fail "the replaced entry must know of the claim"
+[ "$(runs killed)" -eq 1 ] || fail "ran $(runs killed) times"
+pass "the replaced entry has copied the claims"
+
+send 2 paused 1200 >/dev/null &
+cluster_wait 10 "the start of the request" ran paused
+cluster_signal entry-2 STOP
+answer=$(send 3 paused 10)
+[ "$answer" = unknown ] || [ "$answer" = not_run ] || fail "a repeat beside a paused holder: $answer"
+cluster_signal entry-2 CONT
+[ "$(runs paused)" -eq 1 ] || fail "ran $(runs paused) times"
+pass "a repeat while the holder is paused does not run"
+
+cluster_signal entry-1 STOP
+cluster_signal entry-2 STOP
+[ "$(send 3 minority 10)" = not_run ] || fail "a minority must not claim"
+cluster_signal entry-1 CONT
+cluster_signal entry-2 CONT
+[ "$(runs minority)" -eq 0 ] || fail "ran without a majority"
+claimed() { [ "$(send 1 minority 10)" = answered ]; }
+cluster_wait 15 "the key to be claimable again" claimed
+[ "$(runs minority)" -eq 1 ] || fail "ran $(runs minority) times"
+pass "a minority refuses; the key runs once when the majority is back"
--- /dev/null
+++ b/tests/process/shared_state.sh
@@ -0,0 +1,105 @@
+#!/usr/bin/env bash
+# Shared state under lost answers, outages, retention, racing operators and
+# replacement of every entry.
+source "$(dirname "$0")/lib.sh"
+export CLUSTER_PLATFORM_ARGS="--retention-ms 6000"
+export CLUSTER_SETTINGS=$'[limits]\nread_timeout_ms = 5000'
+cluster_start "$repo/run/test-shared-state" 3 2 "$1"
+# The entries must know how long the log keeps records.
+for seat in 1 2 3; do
+  sed -i 's/^instances = .*/&\nlog_retention_ms = 6000/' "$cluster_dir/entry-$seat.toml"
+  cluster_signal "entry-$seat" TERM
+  cluster_join "entry-$seat" || fail "stop of entry $seat"
+  cluster_start_entry "$seat"
+  cluster_wait 20 "entry $seat" cluster_is_ready "$seat"
+done
+cluster_configure
+
+code=0
+patch 1 stale 1 '{"kinds/shift-count/estimate_ms": 60}' 2>"$cluster_dir/stale.txt" || code=$?
+[ "$code" -eq 3 ] || fail "a stale patch ended with code $code"
+version_is 2 2 || fail "a stale patch changed the version"
+pass "a stale patch is refused"
+
+log_fault lose_answers
+patch 2 lost-answer 2 '{"kinds/shift-count/estimate_ms": 61}' >/dev/null || fail "a lost answer"
+log_fault up
+cluster_wait 10 "version 3" version_is 1 3
+patch 3 lost-answer 2 '{"kinds/shift-count/estimate_ms": 99}' | grep -q 'version = 3' ||
+  fail "the same id must get the same outcome"
+version_is 3 3 || fail "the same id changed the version"
+pass "a lost answer is read back; the same id has the same outcome"
+
+log_fault down
+code=0
+patch 1 while-down 3 '{"kinds/shift-count/estimate_ms": 62}' 2>"$cluster_dir/down.txt" || code=$?
+[ "$code" -eq 6 ] || [ "$code" -eq 5 ] || fail "a patch during an outage ended with code $code"
+sleep 8
+version_is 2 3 || fail "an outage changed the version"
+cluster_signal entry-3 KILL
+cluster_join entry-3 || true
+cluster_start_entry 3
+cluster_wait 30 "entry 3 started while the log is down" cluster_is_ready 3
+version_is 3 3 || fail "the copy from a peer"
+pass "an entry started while the log is down copies a peer's state"
+log_fault up
+if [ "$code" -eq 6 ]; then
+  cluster_wait 20 "version 4" version_is 1 4
+else
+  patch 1 after-down 3 '{"kinds/shift-count/estimate_ms": 62}' >/dev/null || fail "a patch after the outage"
+  cluster_wait 20 "version 4" version_is 1 4
+fi
+cluster_wait 10 "version 4 on entry 3" version_is 3 4
+pass "an outage longer than retention loses nothing"
+
+# Enough appends and time for the first records to expire.
+base=4
+for i in $(seq 1 10); do
+  patch $((i % 3 + 1)) "tick-$i" "$base" "{\"kinds/shift-count/estimate_ms\": $((60 + i))}" >/dev/null ||
+    fail "patch tick-$i"
+  base=$((base + 1))
+  sleep 0.9
+  for seat in 1 2 3; do cluster_wait 10 "version $base on entry $seat" version_is "$seat" "$base"; done
+done
+expired() {
+  ! curl -fs "http://127.0.0.1:$(cluster_port 0)/streams/catkinseam/records?from=0&max=1" |
+    grep -q '"first":0,'
+}
+cluster_wait 20 "records to expire" expired
+for seat in 1 2 3; do
+  cluster_signal "entry-$seat" KILL
+  cluster_join "entry-$seat" || true
+done
+for seat in 1 2 3; do cluster_start_entry "$seat"; done
+for seat in 1 2 3; do
+  cluster_wait 30 "entry $seat after all were replaced" cluster_is_ready "$seat"
+  version_is "$seat" "$base" || fail "entry $seat came back at version $(config_version "$seat")"
+  cluster_cli "$seat" status | grep -q 'snapshot_divergences = 0' || fail "divergence"
+done
+pass "all entries replaced at once start from snapshot and tail"
+
+# Operators race from the same base: one wins, nobody is merged.
+race() {
+  local operator=$1
+  for round in 1 2 3 4 5; do
+    local read
+    read=$(config_version "$((operator % 3 + 1))")
+    if patch "$((operator % 3 + 1))" "race-$operator-$round" "$read" \
+      "{\"kinds/k$operator/estimate_ms\": $round}" >/dev/null 2>&1; then
+      echo "race-$operator-$round" >>"$cluster_dir/won-$operator.txt"
+    fi
+  done
+}
+racers=()
+for operator in 1 2 3 4; do
+  race "$operator" &
+  racers+=($!)
+done
+wait "${racers[@]}"
+won=$(cat "$cluster_dir"/won-*.txt | wc -l)
+expected=$((base + won))
+for seat in 1 2 3; do cluster_wait 10 "version $expected" version_is "$seat" "$expected"; done
+for id in $(cat "$cluster_dir"/won-*.txt); do
+  [ "$(cluster_cli 1 config history --limit 500 | grep -c " $id ")" -eq 1 ] || fail "$id has not one version"
+done
+pass "racing operators: $won patches accepted, one version each"
