Process test of request faults: take the mark's time from the history's clock

Cause: the test marked the leaving worker with the machine's uptime, which is not the clock of the history lines; every request looked late. Ruled out: the entries (requests to w4 end within 2 s by the right clock). Conclusion: a fault of the test, check unchanged.

--- a/tests/check_history_main.cc
+++ b/tests/check_history_main.cc
@@ -1,10 +1,19 @@
 // Checks history files: catkinseam-check-history FILE...
+// With --now, prints the time that history lines carry, for marks of a test.
+#include "catkinseam/base/clock.h"
 #include "tests/history_checker.h"
 
 #include <fstream>
 #include <iostream>
 
 int main(int Count, char **Words) {
+  if (Count == 2 && std::string(Words[1]) == "--now") {
+    const auto Now = catkinseam::SystemClock().now().time_since_epoch();
+    std::cout << std::chrono::duration_cast<std::chrono::microseconds>(Now)
+                     .count()
+              << "\n";
+    return 0;
+  }
   catkinseam::testing::HistoryChecker Checker;
   for (int Index = 1; Index < Count; ++Index) {
     std::ifstream Stream(Words[Index]);
--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -65,4 +65,4 @@
     "http://127.0.0.1:$(cluster_port 0)/instances" >/dev/null
 }
 
-now_micros() { awk '{printf "%d", $1 * 1000000}' /proc/uptime; }
+now_micros() { "$bin/catkinseam-check-history" --now; }
