Batch: a queued task belongs to one entry first

Ruled out: a larger rotation (the collision is at the tail, whatever the start); owning whole jobs (its owner's workers may be full while others have room). Change: tasks are dealt to entries by index; others may claim what has waited 300 ms, and only after their own. Planning takes wall time from the clock: the fold's own time stands still while nothing is appended, and a quarantined worker would never have been probed on an idle log.

--- a/bench/slopes_main.cc
+++ b/bench/slopes_main.cc
@@ -240,7 +240,10 @@
   std::size_t Before = 1;
   while (Planned != Before) {
     Before = Planned;
-    // All entries plan from the same state before any of them reads back.
+    // All entries plan from the same state before any of them reads back. The
+    // clock moves as at 1,800 starts a second, so that tasks have waited.
+    View.m_wallMs =
+        Log.m_state.timeMs() + static_cast<std::int64_t>(Planned) * 1000 / 1800;
     std::vector<ClaimRecord> Claims;
     for (Seat Place = 1; Place <= Entries; ++Place) {
       View.m_seat = Place;
--- a/catkinseam/batch/driver.cc
+++ b/catkinseam/batch/driver.cc
@@ -226,6 +226,7 @@
   View.m_seat = m_seat;
   View.m_readySeats = m_readySeats;
   View.m_pending = m_pending;
+  View.m_wallMs = m_parts.m_clock.wallNow().time_since_epoch().count();
   for (const auto &[Name, Slot] : m_slots) {
     const bool IsFresh =
         Slot.m_view.m_last && Now - Slot.m_lastCall <= 2 * m_options.m_idleSync;
--- a/catkinseam/batch/planner.cc
+++ b/catkinseam/batch/planner.cc
@@ -1,7 +1,10 @@
 // Order of jobs, choice of worker, choice of victim.
 #include "catkinseam/batch/planner.h"
 
+#include "catkinseam/base/hash.h"
+
 #include <algorithm>
+#include <array>
 #include <map>
 
 namespace catkinseam {
@@ -11,6 +14,8 @@
 /// Reservations exceed the highest usage seen by a tenth.
 constexpr std::int64_t MarginNumerator = 11;
 constexpr std::int64_t MarginDenominator = 10;
+/// How long a queued task is left to the entry it belongs to.
+constexpr std::int64_t OwnerFirstMs = 300;
 
 std::int64_t withMargin(std::int64_t Amount) {
   return (Amount * MarginNumerator + MarginDenominator - 1) / MarginDenominator;
@@ -26,12 +31,11 @@
 };
 
 /// Claims a worker may still take, judging as the fold does.
-std::uint32_t openClaims(const State &Shared, const WorkerRow &Worker) {
+std::uint32_t openClaims(const WorkerRow &Worker, std::int64_t NowMs) {
   constexpr std::uint32_t Unlimited = 100000;
   if (State::isQuarantined(Worker)) {
-    const bool MayProbe =
-        Worker.m_claimsSinceOutcome == 0 &&
-        Shared.timeMs() >= Worker.m_lastFailureMs + State::ProbeAfterMs;
+    const bool MayProbe = Worker.m_claimsSinceOutcome == 0 &&
+                          NowMs >= Worker.m_lastFailureMs + State::ProbeAfterMs;
     return MayProbe ? 1 : 0;
   }
   if (Worker.m_failStreak > 0)
@@ -51,38 +55,51 @@
       continue;
     Place Open{Name, Usable->second, Worker.m_rack,
                readReport(Worker.m_capacity).m_room,
-               openClaims(Shared, Worker)};
+               openClaims(Worker, View.m_wallMs)};
     if (Open.m_openClaims > 0)
       Places.push_back(std::move(Open));
   }
   return Places;
 }
 
-/// A job with the tasks of it that this entry may claim.
+/// A job with the tasks of it that this entry may claim, in two lists: its own
+/// and, once they have waited, those of other entries.
 struct Line {
   const JobRow *m_job = nullptr;
   Resources m_size;
-  std::vector<std::uint32_t> m_tasks;
-  std::size_t m_next = 0;
+  std::array<std::vector<std::uint32_t>, 2> m_tasks;
+  std::array<std::size_t, 2> m_next{};
   std::map<std::string, std::uint32_t> m_racks;
 };
 
-/// Entries start at different tasks of a job, so that they rarely race.
-std::vector<std::uint32_t> rotatedTasks(const JobRow &Job,
-                                        const PlannerView &View) {
-  std::vector<std::uint32_t> Tasks;
-  for (const std::uint32_t Index : Job.m_queued)
-    if (View.m_pending.count({Job.m_record.m_job, Index}) == 0)
-      Tasks.push_back(Index);
-  const auto Rank =
-      static_cast<std::size_t>(std::find(View.m_readySeats.begin(),
-                                         View.m_readySeats.end(), View.m_seat) -
-                               View.m_readySeats.begin());
-  const std::size_t Start =
-      Tasks.size() * Rank / std::max<std::size_t>(1, View.m_readySeats.size());
-  std::rotate(Tasks.begin(), Tasks.begin() + static_cast<long>(Start),
-              Tasks.end());
-  return Tasks;
+constexpr std::size_t OwnTasks = 0;
+constexpr std::size_t OthersTasks = 1;
+
+/// Each task belongs to one ready entry first; the others may claim it once it
+/// has waited, for their workers may have room where the owner's have none.
+void addTasks(Line &Into, const JobRow &Job, const PlannerView &View) {
+  const auto Entries = static_cast<std::uint32_t>(View.m_readySeats.size());
+  const auto Rank = static_cast<std::uint32_t>(
+      std::find(View.m_readySeats.begin(), View.m_readySeats.end(),
+                View.m_seat) -
+      View.m_readySeats.begin());
+  const auto Shift =
+      static_cast<std::uint32_t>(hashBytes(Job.m_record.m_job) % Entries);
+  std::vector<std::uint32_t> &Others = Into.m_tasks[OthersTasks];
+  for (const std::uint32_t Index : Job.m_queued) {
+    if (View.m_pending.count({Job.m_record.m_job, Index}) > 0)
+      continue;
+    const bool HasWaited =
+        View.m_wallMs - Job.m_tasks[Index].m_sinceMs >= OwnerFirstMs;
+    if ((Index + Shift) % Entries == Rank)
+      Into.m_tasks[OwnTasks].push_back(Index);
+    else if (HasWaited)
+      Others.push_back(Index);
+  }
+  // Entries that help out start at different tasks, so that they rarely race.
+  const std::size_t Start = Others.size() * Rank / Entries;
+  std::rotate(Others.begin(), Others.begin() + static_cast<long>(Start),
+              Others.end());
 }
 
 std::vector<Line> linesOf(const State &Shared, const PlannerView &View) {
@@ -93,7 +110,7 @@
     Line Next;
     Next.m_job = &Job;
     Next.m_size = reservationFor(Job);
-    Next.m_tasks = rotatedTasks(Job, View);
+    addTasks(Next, Job, View);
     Lines.push_back(std::move(Next));
   }
   // Urgent jobs first, then those that hold the least, then the oldest: every
@@ -152,43 +169,72 @@
           Job.m_record.m_size.m_accelerators};
 }
 
-std::vector<ClaimRecord> planClaims(const State &Shared,
-                                    const PlannerView &View) {
-  std::vector<ClaimRecord> Claims;
-  if (flagAt(Shared.config().content(), "batch/claims_paused", false))
-    return Claims;
-  std::vector<Place> Places = ownPlaces(Shared, View);
-  std::vector<Line> Lines = linesOf(Shared, View);
-  std::map<std::string, Resources> PlannedByTeam;
-  bool IsProgressing = true;
-  // Each round gives one task to each job in order.
-  while (IsProgressing && Claims.size() < View.m_maxClaims) {
-    IsProgressing = false;
-    for (Line &Next : Lines) {
-      if (Next.m_next >= Next.m_tasks.size() ||
-          Claims.size() >= View.m_maxClaims)
-        continue;
-      const std::string &Team = Next.m_job->m_record.m_team;
-      if (isAtQuota(Shared, Team, PlannedByTeam[Team], Next.m_size))
-        continue;
-      Place *Chosen = choosePlace(Places, Next);
-      if (Chosen == nullptr)
-        continue;
-      const std::uint32_t Index = Next.m_tasks[Next.m_next++];
-      const TaskRow &Task = Next.m_job->m_tasks[Index];
-      Claims.push_back({{Next.m_job->m_record.m_job, Index},
-                        Task.m_attempt + 1,
+namespace {
+
+/// Hands out places round by round, one task to each job in order.
+class ClaimPlan {
+public:
+  ClaimPlan(const State &Shared, const PlannerView &View)
+      : m_shared(Shared), m_view(View), m_places(ownPlaces(Shared, View)),
+        m_lines(linesOf(Shared, View)) {}
+
+  std::vector<ClaimRecord> make() {
+    for (const std::size_t List : {OwnTasks, OthersTasks})
+      while (m_claims.size() < m_view.m_maxClaims && planRound(List)) {
+      }
+    return std::move(m_claims);
+  }
+
+private:
+  bool planRound(std::size_t List) {
+    const std::size_t Before = m_claims.size();
+    for (Line &Next : m_lines)
+      if (m_claims.size() < m_view.m_maxClaims)
+        planOne(Next, List);
+    return m_claims.size() > Before;
+  }
+
+  void planOne(Line &Next, std::size_t List) {
+    if (Next.m_next[List] >= Next.m_tasks[List].size())
+      return;
+    const std::string &Team = Next.m_job->m_record.m_team;
+    if (isAtQuota(m_shared, Team, m_planned[Team], Next.m_size))
+      return;
+    Place *Chosen = choosePlace(m_places, Next);
+    if (Chosen == nullptr)
+      return;
+    const std::uint32_t Index = Next.m_tasks[List][Next.m_next[List]++];
+    m_claims.push_back({{Next.m_job->m_record.m_job, Index},
+                        Next.m_job->m_tasks[Index].m_attempt + 1,
                         Chosen->m_name,
                         Chosen->m_boot,
                         Next.m_size});
-      Chosen->m_room -= Next.m_size;
-      --Chosen->m_openClaims;
-      ++Next.m_racks[Chosen->m_rack];
-      PlannedByTeam[Team] += Next.m_size;
-      IsProgressing = true;
-    }
+    Chosen->m_room -= Next.m_size;
+    --Chosen->m_openClaims;
+    ++Next.m_racks[Chosen->m_rack];
+    m_planned[Team] += Next.m_size;
   }
-  return Claims;
+
+  const State &m_shared;
+  const PlannerView &m_view;
+  std::vector<Place> m_places;
+  std::vector<Line> m_lines;
+  std::map<std::string, Resources> m_planned;
+  std::vector<ClaimRecord> m_claims;
+};
+
+} // namespace
+
+std::vector<ClaimRecord> planClaims(const State &Shared,
+                                    const PlannerView &View) {
+  const bool IsPaused =
+      flagAt(Shared.config().content(), "batch/claims_paused", false);
+  const bool IsReady =
+      std::find(View.m_readySeats.begin(), View.m_readySeats.end(),
+                View.m_seat) != View.m_readySeats.end();
+  if (IsPaused || !IsReady)
+    return {};
+  return ClaimPlan(Shared, View).make();
 }
 
 std::vector<TaskId> planEvictions(const State &Shared,
--- a/catkinseam/batch/planner.h
+++ b/catkinseam/batch/planner.h
@@ -27,6 +27,8 @@
   /// Tasks whose claim this entry has appended and not yet read back.
   std::set<TaskId> m_pending;
   std::size_t m_maxClaims = 500;
+  /// Wall time in milliseconds, as records carry it.
+  std::int64_t m_wallMs = 0;
 };
 
 /// What a task of this job is given: its declared size until usage has been
