Header time, client faults, split of the entry, fewer bytes to busy workers

Cause: a header sent byte by byte held a connection for ever (POCO bounds each read only); broken answers were refused but untested; server/entry.cc had 552 lines and several jobs; three mains repeated signal handling; a worker with 24 tasks was called five times a second with 5.9 KB each. Ruled out: a parser of our own (the watch sits on POCO's connection filter).

--- a/catkinseam/batch/driver.cc
+++ b/catkinseam/batch/driver.cc
@@ -91,15 +91,21 @@
   return homeOf(Worker, Able.empty() ? m_readySeats : Able) == m_seat;
 }
 
+Duration BatchDriver::busyInterval(std::size_t Tasks) const {
+  const Duration Wanted =
+      m_options.m_syncPerTask * static_cast<std::int64_t>(Tasks);
+  return std::clamp(Wanted, m_options.m_busySync, m_options.m_idleSync);
+}
+
 bool BatchDriver::isDue(const State &Shared, const std::string &Name,
                         const WorkerSlot &Slot, TimePoint Now) const {
   const Duration Since = Now - Slot.m_lastCall;
   if (!Slot.m_view.m_last || Since >= m_options.m_idleSync)
     return Since >= m_options.m_busySync;
   const WorkerRow *Row = Shared.worker(Name);
-  const bool IsBusy = (Row != nullptr && !Row->m_tasks.empty()) ||
-                      !Slot.m_view.m_last->m_attempts.empty();
-  if (IsBusy && Since >= m_options.m_busySync)
+  const std::size_t Known = Slot.m_view.m_last->m_attempts.size();
+  const bool IsBusy = (Row != nullptr && !Row->m_tasks.empty()) || Known > 0;
+  if (IsBusy && Since >= busyInterval(Known))
     return true;
   if (Row == nullptr)
     return false;
@@ -108,7 +114,7 @@
     const bool IsKnown = std::any_of(
         Slot.m_view.m_last->m_attempts.begin(),
         Slot.m_view.m_last->m_attempts.end(),
-        [&](const AttemptStatus &Known) { return Known.m_task == Task; });
+        [&](const AttemptStatus &Each) { return Each.m_task == Task; });
     if (!IsKnown)
       return true;
   }
--- a/catkinseam/batch/driver.h
+++ b/catkinseam/batch/driver.h
@@ -43,8 +43,10 @@
     Milliseconds m_lease{10000};
     /// Between calls to a worker that runs nothing.
     Duration m_idleSync = std::chrono::seconds(2);
-    /// Between calls to a worker that runs tasks.
+    /// Between calls to a worker that runs tasks: at least this, and more with
+    /// many tasks, since each call names them all.
     Duration m_busySync = std::chrono::milliseconds(200);
+    Duration m_syncPerTask = std::chrono::milliseconds(25);
     Duration m_syncTimeout = std::chrono::seconds(1);
   };
 
@@ -84,6 +86,7 @@
   bool isDue(const State &Shared, const std::string &Name,
              const WorkerSlot &Slot, TimePoint Now) const;
   bool isActing(const std::string &Worker) const;
+  Duration busyInterval(std::size_t Tasks) const;
   void beginCall(const std::string &Name, WorkerSlot &Slot, SyncPlan Plan);
   void endCall(const std::string &Name, const Outcome<WorkerStatus> &Answer);
   void submitReleases(std::vector<ReleaseRecord> Releases);
--- a/catkinseam/batch/planner.cc
+++ b/catkinseam/batch/planner.cc
@@ -102,14 +102,26 @@
               Others.end());
 }
 
+/// What the most generous worker leaves to batch, amount by amount.
+Resources largestBatchLimit(const State &Shared) {
+  Resources Most;
+  for (const auto &[Name, Worker] : Shared.workers())
+    Most = larger(Most,
+                  Worker.m_capacity.m_target - Worker.m_capacity.m_protected);
+  return Most;
+}
+
 std::vector<Line> linesOf(const State &Shared, const PlannerView &View) {
   std::vector<Line> Lines;
+  const bool ByDeclared =
+      flagAt(Shared.config().content(), "batch/reserve_declared", false);
+  const Resources Most = largestBatchLimit(Shared);
   for (const auto &[Name, Job] : Shared.jobs()) {
     if (Job.m_phase != JobPhase::Active || Job.m_queued.empty())
       continue;
     Line Next;
     Next.m_job = &Job;
-    Next.m_size = reservationFor(Job);
+    Next.m_size = ByDeclared ? Job.m_record.m_size : reservationFor(Job, Most);
     addTasks(Next, Job, View);
     Lines.push_back(std::move(Next));
   }
@@ -161,12 +173,13 @@
 
 } // namespace
 
-Resources reservationFor(const JobRow &Job) {
+Resources reservationFor(const JobRow &Job, const Resources &Most) {
   if (Job.m_peak.isZero())
     return Job.m_record.m_size;
-  return {withMargin(Job.m_peak.m_milliProcessors),
-          withMargin(Job.m_peak.m_memoryMb),
-          Job.m_record.m_size.m_accelerators};
+  const Resources Observed = {withMargin(Job.m_peak.m_milliProcessors),
+                              withMargin(Job.m_peak.m_memoryMb),
+                              Job.m_record.m_size.m_accelerators};
+  return smaller(Observed, larger(Most, Job.m_record.m_size));
 }
 
 namespace {
--- a/catkinseam/batch/planner.h
+++ b/catkinseam/batch/planner.h
@@ -32,8 +32,9 @@
 };
 
 /// What a task of this job is given: its declared size until usage has been
-/// observed, then what was observed, with a margin.
-Resources reservationFor(const JobRow &Job);
+/// observed, then what was observed, with a margin, but no more than `Most`,
+/// what the largest worker leaves to batch.
+Resources reservationFor(const JobRow &Job, const Resources &Most);
 
 /// Returns claims, best first, that the fold would accept now one by one.
 std::vector<ClaimRecord> planClaims(const State &Shared,
--- a/catkinseam/cli/main.cc
+++ b/catkinseam/cli/main.cc
@@ -1,4 +1,5 @@
 // The shipped binary: the server and its command line.
+#include "catkinseam/base/signals.h"
 #include "catkinseam/cli/command.h"
 #include "catkinseam/cli/operator_commands.h"
 #include "catkinseam/server/entry.h"
@@ -6,7 +7,6 @@
 #include "catkinseam/telemetry/log.h"
 
 #include <Poco/Exception.h>
-#include <csignal>
 #include <iostream>
 
 namespace catkinseam {
@@ -38,25 +38,13 @@
   return ExitCode::Success;
 }
 
-/// Signals that stop the process; blocked in all threads, waited for in one.
-sigset_t stopSignals() {
-  sigset_t Signals;
-  sigemptyset(&Signals);
-  sigaddset(&Signals, SIGTERM);
-  sigaddset(&Signals, SIGINT);
-  return Signals;
-}
-
 Result<ExitCode> serve(const CommandContext &Context) {
   BOOST_LEAF_AUTO(Read, readSettings(Context));
   startLogging(Read.m_logLevel);
-  const sigset_t Signals = stopSignals();
-  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
+  blockStopSignals();
   try {
     Entry Running(Read);
-    int Received = 0;
-    sigwait(&Signals, &Received);
+    waitForStopSignal();
     Running.stop();
   } catch (const Poco::Exception &Fault) {
     return makeError(ErrorCode::Unavailable,
--- a/catkinseam/config/schema.cc
+++ b/catkinseam/config/schema.cc
@@ -38,6 +38,7 @@
     {"request/key_memory_ms", ValueType::Number, 1000, HourMs},
     {"batch/failures_to_park", ValueType::Number, 1, 100},
     {"batch/claims_paused", ValueType::Flag},
+    {"batch/reserve_declared", ValueType::Flag},
 };
 
 const char *const RequiredOfWorker[] = {"processors_milli", "memory_mb", "rack",
--- a/catkinseam/net/http_client.cc
+++ b/catkinseam/net/http_client.cc
@@ -186,6 +186,9 @@
               // A chunked answer that ends with its connection may lack its
               // last chunk: POCO does not tell the two apart.
               : !Active->isQuiet();
+      // The stream swallows a read's timeout and just ends.
+      if (IsShort && TimeLeft() <= Duration::zero())
+        return Fail(CallFailure::TimedOut, "answer stopped halfway");
       if (IsShort)
         return Fail(CallFailure::Broken, "answer is cut short");
     }
--- a/catkinseam/net/http_server.cc
+++ b/catkinseam/net/http_server.cc
@@ -1,6 +1,9 @@
 // HTTP listener: adapts POCO's server to HttpHandler and applies the limits.
 #include "catkinseam/net/http_server.h"
 
+#include "catkinseam/base/ticker.h"
+#include "catkinseam/net/internal/header_watch.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
@@ -18,10 +21,14 @@
 namespace catkinseam {
 
 struct HttpServer::Shared {
+  explicit Shared(const Options &Limits)
+      : m_watch({Limits.m_readTimeout, Limits.m_idleTimeout}) {}
+
   Options m_options;
   HttpHandler m_handler;
   std::atomic<bool> m_closing{false};
   Poco::Net::HTTPServer *m_server = nullptr;
+  HeaderWatch m_watch;
 };
 
 namespace {
@@ -32,6 +39,7 @@
 /// Threads kept for connections that are only told 503.
 constexpr int RefusalThreads = 16;
 constexpr int AcceptBacklog = 1024;
+constexpr Duration ReapEvery = std::chrono::milliseconds(200);
 constexpr int MaxKeepAliveRequests = 0; // No limit.
 
 Poco::Timespan toTimespan(Duration Span) {
@@ -46,11 +54,16 @@
   return Bytes;
 }
 
-/// Reads at most `Limit` bytes; empty when there is more.
-std::optional<std::string> readBody(std::istream &Stream, std::size_t Limit) {
+/// Reads at most `Limit` bytes; empty when there is more. Reading ends, and the
+/// body is cut short, once `LongestTime` has passed.
+std::optional<std::string> readBody(std::istream &Stream, std::size_t Limit,
+                                    Duration LongestTime) {
+  const SystemClock Clock;
+  const TimePoint End = Clock.now() + LongestTime;
   std::string Body;
   char Buffer[8192];
-  while (Stream.read(Buffer, sizeof Buffer), Stream.gcount() > 0) {
+  while (Clock.now() < End &&
+         (Stream.read(Buffer, sizeof Buffer), Stream.gcount() > 0)) {
     Body.append(Buffer, static_cast<std::size_t>(Stream.gcount()));
     if (Body.size() > Limit)
       return std::nullopt;
@@ -73,6 +86,10 @@
          Source.getContentLength64() != static_cast<Poco::Int64>(Body.size());
 }
 
+Poco::Net::StreamSocket socketOf(HTTPServerRequest &Request) {
+  return dynamic_cast<Poco::Net::HTTPServerRequestImpl &>(Request).socket();
+}
+
 class Adapter final : public Poco::Net::HTTPRequestHandler {
 public:
   explicit Adapter(std::shared_ptr<HttpServer::Shared> Shared)
@@ -80,9 +97,12 @@
 
   void handleRequest(HTTPServerRequest &Source,
                      HTTPServerResponse &Target) override {
+    const Poco::Net::StreamSocket Socket = socketOf(Source);
+    m_shared->m_watch.headerRead(Socket);
     bool MustClose = m_shared->m_closing;
-    HttpResponse Response = answer(Source, MustClose);
+    const HttpResponse Response = answer(Source, MustClose);
     send(Response, Target, MustClose || m_shared->m_closing);
+    m_shared->m_watch.answered(Socket);
   }
 
 private:
@@ -107,7 +127,7 @@
       return problemResponse(bodyTooLarge(Limits.m_maxBodyBytes));
     }
     std::optional<std::string> Body =
-        readBody(Source.stream(), Limits.m_maxBodyBytes);
+        readBody(Source.stream(), Limits.m_maxBodyBytes, Limits.m_readTimeout);
     if (!Body) {
       MustClose = true;
       return problemResponse(bodyTooLarge(Limits.m_maxBodyBytes));
@@ -153,6 +173,20 @@
   std::shared_ptr<HttpServer::Shared> m_shared;
 };
 
+/// Lets the watch know of every new connection.
+class WatchFilter final : public Poco::Net::TCPServerConnectionFilter {
+public:
+  explicit WatchFilter(HeaderWatch &Watch) : m_watch(Watch) {}
+
+  bool accept(const Poco::Net::StreamSocket &Socket) override {
+    m_watch.accepted(Socket);
+    return true;
+  }
+
+private:
+  HeaderWatch &m_watch;
+};
+
 class AdapterFactory final : public Poco::Net::HTTPRequestHandlerFactory {
 public:
   explicit AdapterFactory(std::shared_ptr<HttpServer::Shared> Shared)
@@ -160,25 +194,19 @@
 
   Poco::Net::HTTPRequestHandler *
   createRequestHandler(const HTTPServerRequest &Request) override {
-    disableDelay(Request);
+    // The request object only hands out its socket on a mutable reference.
+    socketOf(const_cast<HTTPServerRequest &>(Request)).setNoDelay(true);
     return new Adapter(m_shared);
   }
 
 private:
-  static void disableDelay(const HTTPServerRequest &Request) {
-    // The request object only hands out its socket on a mutable reference.
-    auto &Mutable = const_cast<HTTPServerRequest &>(Request);
-    if (auto *Impl = dynamic_cast<Poco::Net::HTTPServerRequestImpl *>(&Mutable))
-      Impl->socket().setNoDelay(true);
-  }
-
   std::shared_ptr<HttpServer::Shared> m_shared;
 };
 
 } // namespace
 
 HttpServer::HttpServer(const Options &Limits, HttpHandler Handler)
-    : m_shared(std::make_shared<Shared>()) {
+    : m_shared(std::make_shared<Shared>(Limits)) {
   m_shared->m_options = Limits;
   m_shared->m_handler = std::move(Handler);
 
@@ -201,10 +229,14 @@
   m_server = std::make_unique<Poco::Net::HTTPServer>(
       new AdapterFactory(m_shared), *m_threads, Socket, Params);
   m_shared->m_server = m_server.get();
+  m_server->setConnectionFilter(new WatchFilter(m_shared->m_watch));
   m_server->start();
+  m_reaper = std::make_unique<Ticker>(
+      ReapEvery, [this] { m_shared->m_watch.closeLate(); });
 }
 
 HttpServer::~HttpServer() {
+  m_reaper.reset();
   try {
     m_server->stopAll(true);
     m_threads->joinAll();
--- a/catkinseam/net/http_server.h
+++ b/catkinseam/net/http_server.h
@@ -15,6 +15,10 @@
 #include <cstddef>
 #include <memory>
 
+namespace catkinseam {
+class Ticker;
+} // namespace catkinseam
+
 namespace Poco {
 class ThreadPool;
 namespace Net {
@@ -34,7 +38,8 @@
     std::size_t m_maxConnections = 256;
     std::size_t m_maxHeaderBytes = 16 * 1024;
     std::size_t m_maxBodyBytes = 1024 * 1024;
-    /// Longest silence while a request is being read.
+    /// Longest silence while a request is being read, and longest time for
+    /// the whole header of a new connection's first request, and for a body.
     Duration m_readTimeout = std::chrono::seconds(5);
     /// Longest idle time of a kept connection.
     Duration m_idleTimeout = std::chrono::seconds(60);
@@ -65,6 +70,8 @@
   std::shared_ptr<Shared> m_shared;
   std::unique_ptr<Poco::ThreadPool> m_threads;
   std::unique_ptr<Poco::Net::HTTPServer> m_server;
+  /// Closes connections that take too long to send a header.
+  std::unique_ptr<Ticker> m_reaper;
 };
 
 } // namespace catkinseam
--- a/catkinseam/request/key_register.cc
+++ b/catkinseam/request/key_register.cc
@@ -144,7 +144,10 @@
                         Row{Entry.m_id, Entry.m_seat,
                             m_clock.now() - Milliseconds(Entry.m_ageMs)});
   m_syncedFrom[Answer.m_from] = true;
-  if (m_syncedFrom.size() >= m_seating.majority())
+  // Enough other seats that one of them is in any majority that a process on
+  // this seat was part of.
+  const Seat Needed = m_seating.seats() - m_seating.majority() + 1;
+  if (m_syncedFrom.size() >= Needed)
     m_isSynced = true;
 }
 
--- a/catkinseam/request/key_register.h
+++ b/catkinseam/request/key_register.h
@@ -147,7 +147,8 @@
   /// newcomer's view into the membership first.
   KeySync syncAnswer() const;
 
-  /// Takes in one seat's table. Synced once a majority's are in.
+  /// Takes in one seat's table. Synced once those of enough seats are in: as
+  /// many as a majority for an odd number of seats.
   void onSync(const KeySync &Answer);
 
   /// Declares the first entries of a new installation synced: nothing can have
--- a/catkinseam/request/key_register_test.cc
+++ b/catkinseam/request/key_register_test.cc
@@ -174,7 +174,7 @@
 
 /// Runs one random history and returns the network at its end.
 std::unique_ptr<Network> runHistory(Joining How) {
-  const Seat Seats = *rc::gen::element<Seat>(3, 5, 7);
+  const Seat Seats = *rc::gen::element<Seat>(2, 3, 4, 5, 6, 7);
   auto Net = std::make_unique<Network>(Seats, How);
   const int Steps = *rc::gen::inRange(10, 250);
   for (int Step = 0; Step < Steps; ++Step) {
--- a/catkinseam/request/request_core.h
+++ b/catkinseam/request/request_core.h
@@ -85,7 +85,7 @@
     /// Most requests waiting at once.
     std::size_t m_maxWaiting = 2000;
     /// Longest planned wait for a slot, relative to the kind's service time.
-    double m_waitFactor = 0.6;
+    double m_waitFactor = 0.75;
     /// Largest part of the slots for long kinds.
     double m_longShare = 0.5;
     /// Smallest part of the slots that long kinds may use under any load.
--- a/catkinseam/server/entry.cc
+++ b/catkinseam/server/entry.cc
@@ -1,7 +1,6 @@
 // Wiring, threads and life of one entry.
 #include "catkinseam/server/entry.h"
 
-#include "catkinseam/base/codec.h"
 #include "catkinseam/base/hash.h"
 #include "catkinseam/telemetry/log.h"
 
@@ -19,16 +18,11 @@
 constexpr Duration BatchTick = std::chrono::milliseconds(50);
 constexpr Duration KeyTick = std::chrono::milliseconds(100);
 constexpr Duration UpkeepTick = std::chrono::milliseconds(100);
-constexpr Duration LogWait = std::chrono::milliseconds(300);
-constexpr Duration PeerCallTimeout = std::chrono::milliseconds(1000);
-constexpr Duration PullEvery = std::chrono::milliseconds(500);
 /// A newcomer that cannot copy the key claims serves idempotent requests
 /// after this long.
 constexpr Duration KeySyncGrace = std::chrono::seconds(3);
 constexpr Duration FlushTimeout = std::chrono::seconds(2);
-constexpr std::size_t LogPageSize = 500;
 constexpr int WorkerCallThreads = 8;
-constexpr int SnapshotsPerRetention = 4;
 
 std::optional<Endpoint> collectorOf(const Settings &Given) {
   if (Given.m_otlp.empty())
@@ -77,6 +71,10 @@
   return Limits;
 }
 
+LogFollower::Options followerOptions(const Settings &Given) {
+  return {Given.m_logTimeout, Given.m_logRetention};
+}
+
 UpstreamPool::Options poolOptions(const Settings &Given) {
   UpstreamPool::Options Limits;
   Limits.m_idlePerWorker =
@@ -107,15 +105,25 @@
       m_replica(m_writer), m_members(m_clock, memberOptions(Given, m_bootId)),
       m_core(m_clock, makeSlotSharing(Given.m_slotSharing), coreOptions(Given)),
       m_pool(m_clock, poolOptions(Given)),
-      m_keys(m_clock, m_members,
-             {[this](const PeerDatagram &Message) { sendToAll(Message); },
-              [this](Seat Place, const PeerDatagram &Message) {
-                sendTo(Place, Message);
-              },
-              [this](Seat Place, const PeerCall &Call, Duration Timeout) {
-                return callSeat(Place, Call, Timeout);
-              }},
-             {}),
+      m_peers(Given,
+              {[this](const PeerDatagram &Message, const Endpoint &From) {
+                 onDatagram(Message, From);
+               },
+               [this](const PeerCall &Call) { return onCall(Call); }}),
+      m_keys(
+          m_clock, m_members,
+          {[this](const PeerDatagram &Message) { m_peers.sendToAll(Message); },
+           [this](Seat Place, const PeerDatagram &Message) {
+             m_peers.send(Place, Message);
+           },
+           [this](Seat Place, const PeerCall &Call, Duration Timeout) {
+             return m_peers.call(Place, Call, Timeout);
+           }},
+          {}),
+      m_follower({m_clock, *m_log, m_writer, m_replica, m_members, m_peers,
+                  // No request ever ran, so there is no claim to copy.
+                  [this] { m_keys.syncWithoutPeers(); }},
+                 followerOptions(Given)),
       m_requests({m_clock, m_core, m_keys, m_pool, m_metrics, m_spans},
                  serviceOptions(Given)),
       m_batch({m_clock, m_replica, m_writer, m_members, *m_workers, m_metrics,
@@ -128,14 +136,8 @@
                m_metrics, [this] { return unreadiness(); },
                [this] { m_writerTicker->wake(); }},
               adminOptions(Given)),
-      m_addresses(Given.m_peers), m_started(m_clock.now()) {
-  m_link = std::make_unique<PeerLink>(
-      Given.m_peer,
-      PeerLink::Handlers{
-          [this](const std::string &Bytes, const Endpoint &From) {
-            onDatagram(Bytes, From);
-          },
-          [this](const std::string &Bytes) { return onCall(Bytes); }});
+      m_started(m_clock.now()) {
+  m_peers.open();
   startThreads();
   m_operators = std::make_unique<HttpServer>(
       listenOptions(Given, Given.m_admin, Given.m_adminConnections),
@@ -154,28 +156,25 @@
 Entry::~Entry() {
   for (const auto &Each : m_tickers)
     Each->stop();
-  m_link.reset();
+  m_peers.close();
 }
 
 void Entry::startThreads() {
-  auto Start = [this](Duration Interval, void (Entry::*Work)()) {
-    m_tickers.push_back(
-        std::make_unique<Ticker>(Interval, [this, Work] { (this->*Work)(); }));
-    return m_tickers.back().get();
+  const auto Repeat = [this](Duration Interval, std::function<void()> Work) {
+    m_tickers.push_back(std::make_unique<Ticker>(Interval, std::move(Work)));
   };
-  m_writerTicker = Start(WriterTick, &Entry::appendLog);
-  Start(m_settings.m_logPollInterval, &Entry::readLog);
-  Start(BusyBeatInterval, &Entry::beat);
-  Start(m_settings.m_instancesPollInterval, &Entry::pollInstances);
-  Start(UpkeepTick, &Entry::updateReadiness);
-  m_tickers.push_back(
-      std::make_unique<Ticker>(BatchTick, [this] { m_batch.tick(); }));
-  m_tickers.push_back(
-      std::make_unique<Ticker>(KeyTick, [this] { m_keys.tick(); }));
-  m_tickers.push_back(std::make_unique<Ticker>(RequestTick, [this] {
+  Repeat(WriterTick, [this] { m_follower.append(); });
+  m_writerTicker = m_tickers.back().get();
+  Repeat(m_settings.m_logPollInterval, [this] { m_follower.read(); });
+  Repeat(BusyBeatInterval, [this] { beat(); });
+  Repeat(m_settings.m_instancesPollInterval, [this] { pollInstances(); });
+  Repeat(UpkeepTick, [this] { upkeep(); });
+  Repeat(BatchTick, [this] { m_batch.tick(); });
+  Repeat(KeyTick, [this] { m_keys.tick(); });
+  Repeat(RequestTick, [this] {
     m_requests.deliver(
         m_core.with([](RequestCore &Core) { return Core.tick(); }));
-  }));
+  });
 }
 
 void Entry::stop() {
@@ -203,10 +202,10 @@
 std::string Entry::unreadiness() const {
   if (m_isDraining)
     return "entry \"" + m_settings.m_name + "\" is stopping";
-  if (!m_hasState) {
-    const std::lock_guard Lock(m_mutex);
+  if (!m_follower.hasState()) {
+    const std::string Fault = m_follower.fault();
     return "entry \"" + m_settings.m_name + "\" has no copy of the state" +
-           (m_logFault.empty() ? "" : ": " + m_logFault);
+           (Fault.empty() ? "" : ": " + Fault);
   }
   if (m_members.with(
           [](const Membership &Members) { return Members.isSuperseded(); }))
@@ -218,7 +217,7 @@
   return "";
 }
 
-void Entry::updateReadiness() {
+void Entry::upkeep() {
   if (!m_isDraining) {
     const bool IsReady = unreadiness().empty();
     m_members.with([&](Membership &Members) {
@@ -229,80 +228,10 @@
     });
   }
   refreshView();
-  maintainSnapshots();
+  m_follower.maintain();
   updateGauges();
 }
 
-void Entry::readLog() {
-  const Outcome<LogPage> Page = attempt([this] {
-    return m_log->read(m_replica.readFrom(), LogPageSize, LogWait,
-                       m_settings.m_logTimeout);
-  });
-  {
-    const std::lock_guard Lock(m_mutex);
-    m_logFault = Page ? "" : Page.error().m_message;
-  }
-  if (!Page) {
-    followPeers();
-    return;
-  }
-  m_logFirst = Page.value().m_first;
-  if (Page.value().m_first == 0 && Page.value().m_end == 0)
-    m_keys.syncWithoutPeers(); // A new installation: no request ever ran.
-  const PageResult Read = m_replica.applyPage(Page.value());
-  const bool IsAtEnd = m_replica.readFrom() >= Page.value().m_end;
-  if (Read == PageResult::Applied && IsAtEnd)
-    m_hasState = true;
-  if (Read == PageResult::NeedsSnapshot && IsAtEnd)
-    followPeers();
-}
-
-/// Takes a peer's copy of the state when the log cannot give it.
-void Entry::followPeers() {
-  const std::uint64_t Heard = m_members.with(
-      [](const Membership &Members) { return Members.highestOffsetHeard(); });
-  const bool IsBehind = !m_hasState || Heard > m_replica.nextOffset();
-  const TimePoint Now = m_clock.now();
-  if (!IsBehind || Now - m_lastPull < PullEvery)
-    return;
-  m_lastPull = Now;
-  if (pullState())
-    m_hasState = true;
-}
-
-bool Entry::pullState() {
-  const Seat Seats = static_cast<Seat>(m_settings.m_peers.size());
-  for (Seat Place = 1; Place <= Seats; ++Place) {
-    if (Place == static_cast<Seat>(m_settings.m_seat))
-      continue;
-    const std::optional<PeerAnswer> Answer =
-        callSeat(Place, StatePull{m_replica.nextOffset()}, PeerCallTimeout);
-    const auto *Copy = Answer ? std::get_if<StateCopy>(&*Answer) : nullptr;
-    if (Copy == nullptr)
-      continue;
-    const Outcome<bool> Installed =
-        attempt([&] { return m_replica.install(*Copy); });
-    if (Installed && Installed.value()) {
-      logInfo("state.copied", {{"from_seat", std::to_string(Place)}});
-      return true;
-    }
-  }
-  return false;
-}
-
-void Entry::appendLog() {
-  while (const std::optional<std::string> Bytes = m_writer.nextAppend()) {
-    const Outcome<std::uint64_t> Appended =
-        attempt([&] { return m_log->append(*Bytes, m_settings.m_logTimeout); });
-    if (!Appended) {
-      logWarn("log.append_failed", {{"reason", Appended.error().m_message}});
-      return;
-    }
-    if (m_writer.queued() == 0)
-      return;
-  }
-}
-
 void Entry::beat() {
   const auto [Waiting, InFlight] = m_core.with([](const RequestCore &Core) {
     return std::pair(Core.waitingShort(),
@@ -336,7 +265,7 @@
     Filled.m_inFlight = InFlight;
     Filled.m_leaving = Leaving;
     Filled.m_unreachable = Unreachable;
-    sendToAll(Filled);
+    m_peers.sendToAll(Filled);
   }
   lendSlots();
 }
@@ -368,7 +297,7 @@
     return Core.lend(MostWaiting);
   });
   if (!Loan.m_slots.empty())
-    sendTo(Neediest, Loan);
+    m_peers.send(Neediest, Loan);
 }
 
 void Entry::pollInstances() {
@@ -434,35 +363,6 @@
   m_core.with([&](RequestCore &Core) { Core.setLeaving(Leaving); });
 }
 
-bool Entry::isSnapshotDue() {
-  const bool IsMine = m_members.with([](const Membership &Members) {
-    const std::vector<Seat> Ready = Members.readySeats();
-    return !Ready.empty() && Ready.front() == Members.seat();
-  });
-  if (!IsMine || !m_hasState || m_writer.isCircuitOpen())
-    return false;
-  const auto [Last, Next] = m_replica.read([](const State &Shared) {
-    return std::pair(Shared.snapshot(), Shared.nextOffset());
-  });
-  const bool IsMarkPending = m_markOffset > Last.m_nextOffset;
-  if (Next == 0 || IsMarkPending)
-    return false;
-  const std::int64_t Age =
-      m_clock.wallNow().time_since_epoch().count() - Last.m_wallMs;
-  const std::int64_t Limit =
-      m_settings.m_logRetention.count() / SnapshotsPerRetention;
-  return Age > Limit || Last.m_nextOffset < m_logFirst;
-}
-
-void Entry::maintainSnapshots() {
-  if (isSnapshotDue()) {
-    m_markOffset = m_replica.nextOffset();
-    m_writer.submit(SnapshotMarkRecord{randomId()}, nullptr);
-  }
-  for (Record &Part : m_replica.takeSnapshotRecords())
-    m_writer.submit(std::move(Part), nullptr);
-}
-
 void Entry::updateGauges() {
   const auto [Version, Offset, Workers] =
       m_replica.read([](const State &Shared) {
@@ -478,53 +378,17 @@
                      m_writer.isCircuitOpen() ? 0 : 1);
 }
 
-Endpoint Entry::addressOf(Seat Place) const {
-  const std::lock_guard Lock(m_mutex);
-  return m_addresses[Place - 1];
-}
-
-void Entry::sendTo(Seat Place, const PeerDatagram &Message) {
-  if (Place >= 1 && Place <= m_settings.m_peers.size())
-    m_link->send(addressOf(Place), encode(Message));
-}
-
-void Entry::sendToAll(const PeerDatagram &Message) {
-  const std::string Bytes = encode(Message);
-  for (Seat Place = 1; Place <= m_settings.m_peers.size(); ++Place)
-    if (Place != static_cast<Seat>(m_settings.m_seat))
-      m_link->send(addressOf(Place), Bytes);
-}
-
-std::optional<PeerAnswer> Entry::callSeat(Seat Place, const PeerCall &Call,
-                                          Duration Timeout) {
-  if (Place < 1 || Place > m_settings.m_peers.size())
-    return std::nullopt;
-  Outcome<PeerAnswer> Answer = attempt([&]() -> Result<PeerAnswer> {
-    BOOST_LEAF_AUTO(Bytes,
-                    m_link->call(addressOf(Place), encode(Call), Timeout));
-    return decode<PeerAnswer>(Bytes);
-  });
-  if (!Answer)
-    return std::nullopt;
-  return std::move(Answer.value());
-}
-
-void Entry::onDatagram(const std::string &Bytes, const Endpoint &From) {
-  const Outcome<PeerDatagram> Message =
-      attempt([&] { return decode<PeerDatagram>(Bytes); });
-  if (!Message || !m_link)
-    return;
-  if (const auto *Beat = std::get_if<Heartbeat>(&Message.value())) {
+void Entry::onDatagram(const PeerDatagram &Message, const Endpoint &From) {
+  if (const auto *Beat = std::get_if<Heartbeat>(&Message)) {
     const bool IsCurrent = m_members.with(
         [&](Membership &Members) { return Members.onHeartbeat(*Beat); });
-    const std::lock_guard Lock(m_mutex);
     if (IsCurrent)
-      m_addresses[Beat->m_seat - 1] = From;
-  } else if (const auto *Claim = std::get_if<KeyClaim>(&Message.value())) {
+      m_peers.setAddress(Beat->m_seat, From);
+  } else if (const auto *Claim = std::get_if<KeyClaim>(&Message)) {
     m_keys.onClaim(*Claim);
-  } else if (const auto *Ack = std::get_if<KeyAck>(&Message.value())) {
+  } else if (const auto *Ack = std::get_if<KeyAck>(&Message)) {
     m_keys.onAck(*Ack);
-  } else if (const auto *Loan = std::get_if<SlotLoan>(&Message.value())) {
+  } else if (const auto *Loan = std::get_if<SlotLoan>(&Message)) {
     m_requests.deliver(m_core.with([&](RequestCore &Core) {
       Core.borrow(*Loan);
       return Core.tick();
@@ -532,21 +396,17 @@
   }
 }
 
-std::string Entry::onCall(const std::string &Bytes) {
-  const Outcome<PeerCall> Call =
-      attempt([&] { return decode<PeerCall>(Bytes); });
-  PeerAnswer Answer = NoAnswer{};
-  if (!Call)
-    return encode(Answer);
-  if (const auto *Pull = std::get_if<StatePull>(&Call.value())) {
-    if (m_hasState && m_replica.nextOffset() > Pull->m_have)
-      Answer = m_replica.copy();
-  } else if (const auto *Sync = std::get_if<KeySyncPull>(&Call.value())) {
-    Answer = m_keys.syncAnswer(*Sync);
-  } else if (const auto *Query = std::get_if<KeyQuery>(&Call.value())) {
-    Answer = m_keys.queryAnswer(*Query);
+PeerAnswer Entry::onCall(const PeerCall &Call) {
+  if (const auto *Pull = std::get_if<StatePull>(&Call)) {
+    const bool HasNews =
+        m_follower.hasState() && m_replica.nextOffset() > Pull->m_have;
+    return HasNews ? PeerAnswer(m_replica.copy()) : PeerAnswer(NoAnswer{});
   }
-  return encode(Answer);
+  if (const auto *Sync = std::get_if<KeySyncPull>(&Call))
+    return m_keys.syncAnswer(*Sync);
+  if (const auto *Query = std::get_if<KeyQuery>(&Call))
+    return m_keys.queryAnswer(*Query);
+  return NoAnswer{};
 }
 
 } // namespace catkinseam
--- a/catkinseam/server/entry.h
+++ b/catkinseam/server/entry.h
@@ -8,9 +8,10 @@
 
 #include "catkinseam/base/ticker.h"
 #include "catkinseam/net/http_server.h"
-#include "catkinseam/net/peer_link.h"
 #include "catkinseam/server/admin_api.h"
 #include "catkinseam/server/key_service.h"
+#include "catkinseam/server/log_follower.h"
+#include "catkinseam/server/peer_node.h"
 #include "catkinseam/server/request_service.h"
 #include "catkinseam/settings/settings.h"
 
@@ -38,26 +39,14 @@
 
 private:
   void startThreads();
-  void readLog();
-  void followPeers();
-  bool pullState();
-  void appendLog();
   void beat();
   void lendSlots();
   void pollInstances();
   void refreshView();
-  void updateReadiness();
-  void maintainSnapshots();
-  bool isSnapshotDue();
+  void upkeep();
   void updateGauges();
-
-  void onDatagram(const std::string &Bytes, const Endpoint &From);
-  std::string onCall(const std::string &Bytes);
-  void sendTo(Seat Place, const PeerDatagram &Message);
-  void sendToAll(const PeerDatagram &Message);
-  std::optional<PeerAnswer> callSeat(Seat Place, const PeerCall &Call,
-                                     Duration Timeout);
-  Endpoint addressOf(Seat Place) const;
+  void onDatagram(const PeerDatagram &Message, const Endpoint &From);
+  PeerAnswer onCall(const PeerCall &Call);
 
   const Settings m_settings;
   SystemClock m_clock;
@@ -72,30 +61,23 @@
   Guarded<Membership> m_members;
   Guarded<RequestCore> m_core;
   UpstreamPool m_pool;
+  PeerNode m_peers;
   KeyService m_keys;
+  LogFollower m_follower;
   RequestService m_requests;
   BatchDriver m_batch;
   /// After the driver, so that calls in progress end before it goes.
   WorkPool m_workerCalls;
   AdminApi m_admin;
 
-  mutable std::mutex m_mutex;
-  /// Where each seat's last heartbeat came from; settings until then.
-  std::vector<Endpoint> m_addresses;
+  std::mutex m_mutex;
   std::vector<Instance> m_instances;
   std::uint64_t m_viewVersion = 0;
   bool m_isViewStale = true;
-  /// Why reading the log last failed; empty when it did not.
-  std::string m_logFault;
 
-  std::atomic<bool> m_hasState{false};
   std::atomic<bool> m_isDraining{false};
-  std::atomic<std::uint64_t> m_logFirst{0};
-  TimePoint m_started;
-  TimePoint m_lastPull;
-  std::uint64_t m_markOffset = 0;
+  const TimePoint m_started;
 
-  std::unique_ptr<PeerLink> m_link;
   std::unique_ptr<HttpServer> m_callers;
   std::unique_ptr<HttpServer> m_operators;
   std::vector<std::unique_ptr<Ticker>> m_tickers;
--- /dev/null
+++ b/catkinseam/server/log_follower.h
@@ -0,0 +1,80 @@
+// Keeps an entry's replica in step: log, snapshots, or a peer's copy.
+//
+//   LogFollower Follower({Clock, Log, Writer, Copy, Members, Peers}, {});
+//   Follower.read();         // again and again, on one thread
+//   Follower.append();       // again and again, on another
+//   Follower.maintain();     // now and then
+#ifndef CATKINSEAM_SERVER_LOG_FOLLOWER_H
+#define CATKINSEAM_SERVER_LOG_FOLLOWER_H
+
+#include "catkinseam/base/guarded.h"
+#include "catkinseam/platform/log_service.h"
+#include "catkinseam/server/peer_node.h"
+#include "catkinseam/state/log_writer.h"
+#include "catkinseam/state/replica.h"
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <string>
+
+namespace catkinseam {
+
+/// What the follower works with; all outlive it.
+struct FollowerParts {
+  const Clock &m_clock;
+  LogService &m_log;
+  LogWriter &m_writer;
+  Replica &m_replica;
+  Guarded<Membership> &m_members;
+  PeerNode &m_peers;
+  /// Called when the log has never held a record.
+  std::function<void()> m_onNewInstallation;
+};
+
+/// Thread-safe.
+class LogFollower {
+public:
+  struct Options {
+    Duration m_timeout = std::chrono::seconds(1);
+    /// How long the log keeps records; a snapshot is due every quarter of it.
+    Milliseconds m_retention{24 * 3600 * 1000};
+  };
+
+  LogFollower(const FollowerParts &Parts, const Options &Limits);
+
+  /// Reads one page, waiting briefly for it; without the log, takes a peer's
+  /// copy when one is ahead.
+  void read();
+
+  /// Appends what waits.
+  void append();
+
+  /// Starts a snapshot when one is due and this entry is to make it.
+  void maintain();
+
+  /// Whether the replica holds a whole state.
+  bool hasState() const { return m_hasState; }
+
+  /// Why reading the log last failed; empty when it did not.
+  std::string fault() const;
+
+private:
+  void followPeers();
+  bool pullState();
+  bool isSnapshotDue();
+
+  const FollowerParts m_parts;
+  const Options m_options;
+  std::atomic<bool> m_hasState{false};
+  std::atomic<std::uint64_t> m_logFirst{0};
+  mutable std::mutex m_mutex;
+  std::string m_fault;
+  TimePoint m_lastPull;
+  /// Offset at which this entry last asked for a snapshot.
+  std::uint64_t m_markOffset = 0;
+};
+
+} // namespace catkinseam
+
+#endif // CATKINSEAM_SERVER_LOG_FOLLOWER_H
--- a/catkinseam/state/fold.cc
+++ b/catkinseam/state/fold.cc
@@ -12,6 +12,23 @@
 
 RecordOutcome refused(std::string Reason) { return {false, std::move(Reason)}; }
 
+/// What a task would have used: one that reached its limit wanted more, and how
+/// much more its worker could not see.
+std::int64_t wantedBy(std::int64_t Used, std::int64_t Limit) {
+  constexpr std::int64_t SaturatedPercent = 95;
+  constexpr std::int64_t GrowthPercent = 150;
+  const bool IsSaturated = Used * 100 >= Limit * SaturatedPercent;
+  return IsSaturated ? Limit * GrowthPercent / 100 : Used;
+}
+
+/// Only processors can be held back without failing the task.
+Resources wantedBy(const Resources &Used, const Resources &Limit) {
+  if (Used.isZero())
+    return Used;
+  return {wantedBy(Used.m_milliProcessors, Limit.m_milliProcessors),
+          Used.m_memoryMb, Used.m_accelerators};
+}
+
 std::string quoted(const std::string &Name) { return "\"" + Name + "\""; }
 
 } // namespace
@@ -254,6 +271,7 @@
     return refused("task " + quoted(toString(Record.m_task)) +
                    " is not fenced");
   const std::string Worker = Task.m_worker;
+  Job.m_peak = larger(Job.m_peak, wantedBy(Record.m_peak, Task.m_reserved));
   freePlace(Record.m_task, Task, Job);
   settleTask(Record, Task, Job);
   recordOutcomeOnWorker(Record, Worker, Job);
@@ -278,7 +296,6 @@
 }
 
 void State::settleTask(const ReleaseRecord &Record, TaskRow &Row, JobRow &Job) {
-  Job.m_peak = larger(Job.m_peak, Record.m_peak);
   if (Record.m_kind == ReleaseKind::Finished) {
     Row.m_phase = TaskPhase::Finished;
     ++Job.m_finished;
--- a/catkinseam/state/tables.h
+++ b/catkinseam/state/tables.h
@@ -57,8 +57,8 @@
   std::uint16_t m_evictions = 0;
 
   template <class Archive> void serialize(Archive &Target) {
-    Target(m_phase, m_isFenced, m_attempt, m_worker, m_boot, m_reserved, m_checkpoint,
-           m_sinceMs, m_fenceOffset, m_evictions);
+    Target(m_phase, m_isFenced, m_attempt, m_worker, m_boot, m_reserved,
+           m_checkpoint, m_sinceMs, m_fenceOffset, m_evictions);
   }
 };
 
@@ -80,7 +80,7 @@
   std::uint32_t m_evictions = 0;
   /// Workers on which a task of this job failed.
   std::set<std::string> m_failedOn;
-  /// Highest usage that any task of the job was seen at.
+  /// Highest usage that any task of the job wanted, as far as was seen.
   Resources m_peak;
   std::int64_t m_longestRunMs = 0;
 
--- a/standin/platform_main.cc
+++ b/standin/platform_main.cc
@@ -6,6 +6,7 @@
 // POST /instances adds or changes workers; GET /traces counts spans received.
 #include "standin/log_store.h"
 
+#include "catkinseam/base/signals.h"
 #include "catkinseam/net/http_server.h"
 #include "catkinseam/platform/json.h"
 
@@ -13,7 +14,6 @@
 #include <Poco/Exception.h>
 #include <atomic>
 #include <boost/program_options.hpp>
-#include <csignal>
 #include <iostream>
 #include <map>
 #include <sstream>
@@ -183,12 +183,7 @@
     std::cerr << "standin-platform: " << Fault.what() << "\n" << Options;
     return 2;
   }
-  sigset_t Signals;
-  sigemptyset(&Signals);
-  sigaddset(&Signals, SIGTERM);
-  sigaddset(&Signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
+  blockStopSignals();
   Platform Served{Milliseconds(Given["retention-ms"].as<long>())};
   const Outcome<Endpoint> Listen =
       attempt([&] { return parseEndpoint(Given["listen"].as<std::string>()); });
@@ -202,7 +197,6 @@
   const HttpServer Server(Limits, [&](const HttpRequest &Request) {
     return Served.handle(Request);
   });
-  int Received = 0;
-  sigwait(&Signals, &Received);
+  waitForStopSignal();
   return 0;
 }
--- a/standin/workers_main.cc
+++ b/standin/workers_main.cc
@@ -8,6 +8,7 @@
 #include "standin/service.h"
 #include "standin/task_runner.h"
 
+#include "catkinseam/base/signals.h"
 #include "catkinseam/base/ticker.h"
 #include "catkinseam/net/http_client.h"
 #include "catkinseam/net/http_server.h"
@@ -15,7 +16,6 @@
 #include "catkinseam/platform/worker_wire.h"
 
 #include <boost/program_options.hpp>
-#include <csignal>
 #include <iostream>
 #include <memory>
 #include <vector>
@@ -158,12 +158,7 @@
 }
 
 int run(const po::variables_map &Given) {
-  sigset_t Signals;
-  sigemptyset(&Signals);
-  sigaddset(&Signals, SIGTERM);
-  sigaddset(&Signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
+  blockStopSignals();
   standin::HistoryFile History(Given["history"].as<std::string>());
   std::vector<std::unique_ptr<Worker>> Workers;
   for (int Index = 0; Index < Given["count"].as<int>(); ++Index) {
@@ -183,8 +178,7 @@
     for (const auto &Each : Workers)
       Each->tick();
   });
-  int Received = 0;
-  sigwait(&Signals, &Received);
+  waitForStopSignal();
   return 0;
 }
 
