--- a/catkinseam/request/request_core.cc
+++ b/catkinseam/request/request_core.cc
@@ -106,20 +106,11 @@
   Part.m_windowWork += toSeconds(estimateOf(Kind).mean());
 }
 
-std::uint32_t RequestCore::limitOf(const std::string &Name,
-                                   Lasting Needed) const {
-  const TimePoint Now = m_clock.now();
-  const std::uint32_t Slots = Needed == Lasting::Yes
-                                  ? m_sharing->lastingLimitOf(Name, Now)
-                                  : m_sharing->limitOf(Name, Now);
-  return std::min(Slots, m_options.m_connectionsPerWorker);
-}
-
 std::uint32_t RequestCore::openSlots(const std::string &Name,
-                                     const UpstreamRow &Row,
-                                     Lasting Needed) const {
+                                     const UpstreamRow &Row) const {
   const TimePoint Now = m_clock.now();
-  const std::uint32_t Limit = limitOf(Name, Needed);
+  const std::uint32_t Limit =
+      std::min(m_sharing->limitOf(Name, Now), m_options.m_connectionsPerWorker);
   const auto Lingering = static_cast<std::uint32_t>(
       std::count_if(Row.m_lingering.begin(), Row.m_lingering.end(),
                     [&](TimePoint Until) { return Until > Now; }));
@@ -127,17 +118,17 @@
   return Limit > Taken ? Limit - Taken : 0;
 }
 
-std::uint32_t RequestCore::usableSlots(Lasting Needed) const {
+std::uint32_t RequestCore::usableSlots() const {
   const TimePoint Now = m_clock.now();
   std::uint32_t Slots = 0;
   for (const auto &[Name, Row] : m_upstreams)
     if (!Row.m_isLeaving && Row.m_ejectedUntil <= Now)
-      Slots += limitOf(Name, Needed);
+      Slots += m_sharing->limitOf(Name, Now);
   return std::max<std::uint32_t>(Slots, 1);
 }
 
 std::uint32_t RequestCore::longLimit() const {
-  const double Usable = usableSlots(Lasting::Yes);
+  const double Usable = usableSlots();
   const double Least = std::max(1.0, Usable * m_options.m_leastLongShare);
   const double Most = std::max(Least, Usable * m_options.m_longShare);
   const double Left = Usable - m_shortDemand.m_slots * ShortDemandMargin;
@@ -165,11 +156,10 @@
   // Waiting is bounded by less than one service time, so a much slower worker
   // would answer later than the next free slot.
   const bool AvoidsSlow = !Spec.m_kind.m_isLong && hasFastWorker();
-  const Lasting Needed = Spec.m_kind.m_isLong ? Lasting::Yes : Lasting::No;
   std::string Best;
   double BestScore = 0;
   for (const auto &[Name, Row] : m_upstreams) {
-    const std::uint32_t Open = openSlots(Name, Row, Needed);
+    const std::uint32_t Open = openSlots(Name, Row);
     if (Open == 0 || !mayUse(Row, Spec))
       continue;
     if (AvoidsSlow && Row.m_slowness > MostSlownessForShort)
@@ -252,7 +242,7 @@
 
 Duration RequestCore::plannedWait(const KindPolicy &Kind) const {
   const Queue &Line = Kind.m_isLong ? m_longQueue : m_shortQueue;
-  const std::uint32_t Usable = usableSlots(Lasting::No);
+  const std::uint32_t Usable = usableSlots();
   const std::uint32_t Slots =
       Kind.m_isLong ? longLimit()
                     : std::max<std::uint32_t>(
@@ -419,8 +409,7 @@
   const TimePoint Now = m_clock.now();
   for (const auto &[Name, Row] : m_upstreams)
     if (!Row.m_isLeaving && Row.m_ejectedUntil <= Now)
-      if (const std::uint32_t Open = openSlots(Name, Row, Lasting::No);
-          Open > 0)
+      if (const std::uint32_t Open = openSlots(Name, Row); Open > 0)
         Idle[Name] = Open;
   // Half of the idle slots stay for this entry's own next arrivals.
   std::uint32_t IdleTotal = 0;
--- a/catkinseam/request/request_core.h
+++ b/catkinseam/request/request_core.h
@@ -167,13 +167,9 @@
   LatencyEstimate &estimateOf(const KindPolicy &Kind);
   void countDemand(const KindPolicy &Kind);
   void rollDemand(Demand &Part);
-  /// Whether slots that this entry has for a moment only are left out.
-  enum class Lasting { No, Yes };
-
-  std::uint32_t limitOf(const std::string &Name, Lasting Needed) const;
-  std::uint32_t openSlots(const std::string &Name, const UpstreamRow &Row,
-                          Lasting Needed) const;
-  std::uint32_t usableSlots(Lasting Needed) const;
+  std::uint32_t openSlots(const std::string &Name,
+                          const UpstreamRow &Row) const;
+  std::uint32_t usableSlots() const;
   std::uint32_t longLimit() const;
   std::string pickWorker(const RequestSpec &Spec);
   std::string nextInTurn();
--- a/catkinseam/request/slot_sharing.cc
+++ b/catkinseam/request/slot_sharing.cc
@@ -92,14 +92,10 @@
 public:
   std::uint32_t limitOf(const std::string &Worker,
                         TimePoint Now) const override {
-    return lastingLimitOf(Worker, Now) + open(m_borrowed, Worker, Now);
-  }
-
-  std::uint32_t lastingLimitOf(const std::string &Worker,
-                               TimePoint Now) const override {
     const std::uint32_t Own = StaticSharing::limitOf(Worker, Now);
     const std::uint32_t Lent = open(m_lent, Worker, Now);
-    return Own > Lent ? Own - Lent : 0;
+    const std::uint32_t Kept = Own > Lent ? Own - Lent : 0;
+    return Kept + open(m_borrowed, Worker, Now);
   }
 
   SlotLoan lend(const std::map<std::string, std::uint32_t> &Idle,
--- a/catkinseam/request/slot_sharing.h
+++ b/catkinseam/request/slot_sharing.h
@@ -53,13 +53,6 @@
   virtual std::uint32_t limitOf(const std::string &Worker,
                                 TimePoint Now) const = 0;
 
-  /// Same without slots that this entry has for a moment only: what a long
-  /// request may take.
-  virtual std::uint32_t lastingLimitOf(const std::string &Worker,
-                                       TimePoint Now) const {
-    return limitOf(Worker, Now);
-  }
-
   /// Returns whether the limit guards the slots at all; false for the
   /// baseline, which sends everything on at once.
   virtual bool isLimiting() const { return true; }
