--- a/catkinseam/settings/settings.h
+++ b/catkinseam/settings/settings.h
@@ -53,7 +53,7 @@
 
   // [request]
   std::int64_t m_connectionsPerWorker = 8;
-  std::string m_slotSharing = "lending";
+  std::string m_slotSharing = "static";
   Milliseconds m_drainWait{1000};
 
   // [batch]
--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -13,7 +13,7 @@
 
 # Extra lines for the entries' settings, and extra arguments of the stand-ins.
 : "${CLUSTER_SETTINGS:=}" "${CLUSTER_PLATFORM_ARGS:=}" "${CLUSTER_WORKER_ARGS:=}"
-: "${CLUSTER_SLOT_SHARING:=lending}" "${CLUSTER_LEASE_MS:=10000}"
+: "${CLUSTER_SLOT_SHARING:=static}" "${CLUSTER_LEASE_MS:=10000}"
 declare -A cluster_pids=()
 
 cluster_port() { echo $((cluster_base + $1)); }
