--- a/catkinseam/batch/planner.cc
+++ b/catkinseam/batch/planner.cc
@@ -5,9 +5,7 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <map>
-#include <tuple>
 
 namespace catkinseam {
 
@@ -68,32 +66,15 @@
 /// and, once they have waited, those of other entries.
 struct Line {
   const JobRow *m_job = nullptr;
-  /// How long its tasks run, as a power of RunTimeStep.
-  int m_runClass = 0;
   Resources m_size;
   std::array<std::vector<std::uint32_t>, 2> m_tasks;
   std::array<std::size_t, 2> m_next{};
   std::map<std::string, std::uint32_t> m_racks;
 };
 
-/// Jobs whose run times differ by less than this are treated alike.
-constexpr double RunTimeStep = 1.5;
-
 constexpr std::size_t OwnTasks = 0;
 constexpr std::size_t OthersTasks = 1;
 
-/// Longest run seen of a task: finished, or still going on.
-int runClassOf(const JobRow &Job, std::int64_t NowMs) {
-  std::int64_t Longest = Job.m_longestRunMs;
-  for (const TaskRow &Task : Job.m_tasks)
-    if (Task.m_phase == TaskPhase::Claimed)
-      Longest = std::max(Longest, NowMs - Task.m_sinceMs);
-  const double Seconds = static_cast<double>(Longest) / 1000;
-  return Seconds <= 1
-             ? 0
-             : static_cast<int>(std::log(Seconds) / std::log(RunTimeStep));
-}
-
 /// Each task belongs to one ready entry first; the others may claim it once it
 /// has waited, for their workers may have room where the owner's have none.
 void addTasks(Line &Into, const JobRow &Job, const PlannerView &View) {
@@ -141,21 +122,20 @@
     Line Next;
     Next.m_job = &Job;
     Next.m_size = ByDeclared ? Job.m_record.m_size : reservationFor(Job, Most);
-    Next.m_runClass = runClassOf(Job, View.m_wallMs);
     addTasks(Next, Job, View);
     Lines.push_back(std::move(Next));
   }
-  // Urgent jobs first; then those whose tasks turn out to run longest, because
-  // they end last; then those that hold the least; then the oldest. A round
-  // gives each job one task, so nobody starves behind the first.
+  // Urgent jobs first, then those that hold the least, then the oldest: every
+  // job progresses, and a short one does not wait for a long one's tasks.
   std::sort(Lines.begin(), Lines.end(),
             [](const Line &Left, const Line &Right) {
-              const auto Rank = [](const Line &Each) {
-                const JobRow &Job = *Each.m_job;
-                return std::tuple(!Job.m_record.m_isUrgent, -Each.m_runClass,
-                                  Job.m_claimed, Job.m_submittedMs);
-              };
-              return Rank(Left) < Rank(Right);
+              const JobRow &A = *Left.m_job;
+              const JobRow &B = *Right.m_job;
+              if (A.m_record.m_isUrgent != B.m_record.m_isUrgent)
+                return A.m_record.m_isUrgent;
+              if (A.m_claimed != B.m_claimed)
+                return A.m_claimed < B.m_claimed;
+              return A.m_submittedMs < B.m_submittedMs;
             });
   return Lines;
 }
