--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -169,11 +169,12 @@
 cluster_stop() {
   local name
   for name in "${!cluster_pids[@]}"; do
-    kill -s CONT "${cluster_pids[$name]}" 2>/dev/null
-    kill -s TERM "${cluster_pids[$name]}" 2>/dev/null
+    # One that has ended must not keep the others from being stopped.
+    kill -s CONT "${cluster_pids[$name]}" 2>/dev/null || true
+    kill -s TERM "${cluster_pids[$name]}" 2>/dev/null || true
   done
   for name in "${!cluster_pids[@]}"; do
-    wait "${cluster_pids[$name]}" 2>/dev/null
+    wait "${cluster_pids[$name]}" 2>/dev/null || true
   done
   cluster_pids=()
 }
