Format and lint clean

Cause: tests/ had not been formatted and two places broke a clang-tidy rule. Change: formatting; a string built in one expression; a value returned by move.

--- a/catkinseam/batch/testing/colocation_bench.cc
+++ b/catkinseam/batch/testing/colocation_bench.cc
@@ -292,7 +292,7 @@
   if (m_callFate == 3)
     m_delayed.emplace_back(Worker, Commands);
   Node.m_lastCaller = Entry;
-  const WorkerStatus Status = Node.m_tasks->sync(Commands);
+  WorkerStatus Status = Node.m_tasks->sync(Commands);
   if (m_callFate == 2)
     return makeError(ErrorCode::OutcomeUnknown, "the answer was lost");
   return Status;
--- a/catkinseam/config/schema.cc
+++ b/catkinseam/config/schema.cc
@@ -135,12 +135,11 @@
 } // namespace
 
 std::string checkValue(const std::string &Path, const std::string &Value) {
+  std::string Fault = "unknown path";
   for (const Rule &Known : Rules)
-    if (matches(Path, Known.m_pattern)) {
-      const std::string Fault = checkType(Known, Value);
-      return Fault.empty() ? "" : Path + ": " + Fault;
-    }
-  return Path + ": unknown path";
+    if (matches(Path, Known.m_pattern))
+      Fault = checkType(Known, Value);
+  return Fault.empty() ? Fault : Path + ": " + Fault;
 }
 
 std::string entityOf(const std::string &Path) {
--- a/tests/check_history_main.cc
+++ b/tests/check_history_main.cc
@@ -9,9 +9,9 @@
 int main(int Count, char **Words) {
   if (Count == 2 && std::string(Words[1]) == "--now") {
     const auto Now = catkinseam::SystemClock().now().time_since_epoch();
-    std::cout << std::chrono::duration_cast<std::chrono::microseconds>(Now)
-                     .count()
-              << "\n";
+    std::cout
+        << std::chrono::duration_cast<std::chrono::microseconds>(Now).count()
+        << "\n";
     return 0;
   }
   catkinseam::testing::HistoryChecker Checker;
--- a/tests/history_checker.h
+++ b/tests/history_checker.h
@@ -5,9 +5,9 @@
 //   Checker.read(Stream);   // workers' file, callers' file, in any order
 //   for (const std::string &Fault : Checker.faults()) ...
 //
-// Lines are those of standin/history.h. Events used: request_start, request_end,
-// task_start, task_end, task_overcommit (workers), told (callers), leaving (the
-// test, when it marks a worker as leaving).
+// Lines are those of standin/history.h. Events used: request_start,
+// request_end, task_start, task_end, task_overcommit (workers), told (callers),
+// leaving (the test, when it marks a worker as leaving).
 #ifndef TESTS_HISTORY_CHECKER_H
 #define TESTS_HISTORY_CHECKER_H
 
