A test for a lapse that comes right after its fence

Ruled out: that the wait is needless (with the holder not first in hash order the others have found the worker silent long before, and the fence comes 1.2 s after the holder is cut off). Change: a test of just that.

--- a/catkinseam/batch/lease_test.cc
+++ b/catkinseam/batch/lease_test.cc
@@ -95,6 +95,26 @@
   BOOST_TEST(Bench.runningNow() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(CutOffHolderKeepsItsPlaceUntilItsLeaseIsOver) {
+  // Only the holder reaches the first worker. When it is cut off, the others
+  // have long found that worker silent, but the last lease still runs.
+  ColocationBench Bench(3, 2);
+  Bench.submitJob("j", 2, "run_ms=60000;use_milli=100");
+  Bench.runFor(4s);
+  // Not the entry that acts first: it and the third find the worker silent.
+  const std::size_t Holder = (Bench.actingEntry(0) + 1) % 3;
+  for (std::size_t Entry = 0; Entry < 3; ++Entry)
+    Bench.cutFromWorker(Entry, 0, Entry != Holder);
+  Bench.runFor(15s);
+  BOOST_TEST(Bench.starts() == 2U);
+  BOOST_TEST(Bench.actingEntry(0) == Holder);
+  Bench.cutFromLog(Holder, true);
+  Bench.cutFromPeers(Holder, true);
+  Bench.runFor(100s);
+  BOOST_TEST(Bench.faults().empty());
+  BOOST_TEST(Bench.starts() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(RaisedHeadroomEvictsAndResumesFromTheCheckpoint) {
   ColocationBench Bench(3, 2);
   Bench.submitJob("j", 12, "run_ms=20000;use_milli=100");
