--- /dev/null
+++ b/catkinseam/aio/http_caller.cc
@@ -0,0 +1,261 @@
+// Kept HTTP connections to one server, on Boost.Beast.
+#include "catkinseam/aio/http_caller.h"
+
+#include <algorithm>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+
+namespace catkinseam {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+/// Replies carry at most the store's page of 1 MB in base64, and its read of
+/// 2 MB of records.
+constexpr std::uint64_t MaxReplyBytes = 4ULL << 20;
+
+std::string requestText(const HttpCall &Call, const std::string &Host) {
+  std::string Text;
+  Text.reserve(192 + Call.m_body.size());
+  Text += Call.m_method;
+  Text += ' ';
+  Text += Call.m_target;
+  Text += " HTTP/1.1\r\nHost: ";
+  Text += Host;
+  Text += "\r\n";
+  for (const auto &[Name, Value] : Call.m_headers) {
+    Text += Name;
+    Text += ": ";
+    Text += Value;
+    Text += "\r\n";
+  }
+  if (Call.m_method != "GET") {
+    Text += "Content-Length: ";
+    Text += std::to_string(Call.m_body.size());
+    Text += "\r\n";
+  }
+  Text += "\r\n";
+  Text += Call.m_body;
+  return Text;
+}
+
+} // namespace
+
+/// One connection; lives as long as an operation of it is under way.
+class HttpCaller::Connection
+    : public std::enable_shared_from_this<HttpCaller::Connection> {
+public:
+  Connection(HttpCaller &Owner, EventLoop &Loop)
+      : m_owner(&Owner), m_loop(Loop), m_socket(Loop.context()),
+        m_deadline(Loop.context()) {}
+
+  void run(HttpCall Call, HttpReplyHandler Handler, TimePoint Deadline) {
+    m_handler = std::move(Handler);
+    m_text = requestText(Call, toString(m_owner->m_server));
+    m_isHead = Call.m_method == "HEAD";
+    m_outcome = CallOutcome::NotSent;
+    armDeadline(Deadline);
+    if (m_socket.is_open())
+      write();
+    else
+      connect();
+  }
+
+  /// Forgets the owner; whatever is under way ends without a call back.
+  void abandon() {
+    m_owner = nullptr;
+    m_handler = nullptr;
+    close();
+  }
+
+  void close() {
+    error_code Ignored;
+    m_socket.close(Ignored);
+    m_deadline.cancel();
+  }
+
+  TimePoint idleSince() const { return m_idleSince; }
+  bool isOpen() const { return m_socket.is_open(); }
+
+private:
+  void armDeadline(TimePoint Deadline) {
+    m_deadline.expires_after(Deadline - m_loop.now());
+    m_deadline.async_wait(
+        [Self = shared_from_this(), Call = ++m_calls](const error_code &Fault) {
+          if (!Fault && Call == Self->m_calls)
+            Self->fail();
+        });
+  }
+
+  void connect() {
+    error_code Fault;
+    const auto Address =
+        asio::ip::make_address(m_owner->m_server.m_host, Fault);
+    if (Fault)
+      return asio::post(m_loop.context(),
+                        [Self = shared_from_this()] { Self->fail(); });
+    ++m_owner->m_opened;
+    m_socket.async_connect(
+        asio::ip::tcp::endpoint(Address, m_owner->m_server.m_port),
+        [Self = shared_from_this(), Call = m_calls](const error_code &Failed) {
+          if (!Self->m_handler || Call != Self->m_calls)
+            return;
+          if (Failed)
+            return Self->fail();
+          error_code Ignored;
+          Self->m_socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+          Self->write();
+        });
+  }
+
+  void write() {
+    m_outcome = CallOutcome::Lost;
+    asio::async_write(m_socket, asio::buffer(m_text),
+                      [Self = shared_from_this(),
+                       Call = m_calls](const error_code &Fault, std::size_t) {
+                        if (!Self->m_handler || Call != Self->m_calls)
+                          return;
+                        if (Fault)
+                          return Self->fail();
+                        Self->read();
+                      });
+  }
+
+  void read() {
+    m_parser.emplace();
+    m_parser->body_limit(MaxReplyBytes);
+    if (m_isHead)
+      m_parser->skip(true);
+    http::async_read(m_socket, m_buffer, *m_parser,
+                     [Self = shared_from_this(),
+                      Call = m_calls](const error_code &Fault, std::size_t) {
+                       if (!Self->m_handler || Call != Self->m_calls)
+                         return;
+                       if (Fault)
+                         return Self->fail();
+                       Self->finish();
+                     });
+  }
+
+  void finish() {
+    ++m_calls;
+    m_deadline.cancel();
+    HttpReply Reply;
+    Reply.m_outcome = CallOutcome::Answered;
+    Reply.m_status = static_cast<int>(m_parser->get().result_int());
+    Reply.m_body = std::move(m_parser->get().body());
+    const bool IsReusable = m_parser->get().keep_alive();
+    if (!IsReusable)
+      close();
+    m_idleSince = m_loop.now();
+    deliver(Reply, IsReusable);
+  }
+
+  void fail() {
+    ++m_calls;
+    close();
+    m_buffer.clear();
+    HttpReply Reply;
+    Reply.m_outcome = m_outcome;
+    deliver(Reply, false);
+  }
+
+  void deliver(const HttpReply &Reply, bool IsReusable) {
+    HttpReplyHandler Handler = std::move(m_handler);
+    m_handler = nullptr;
+    if (m_owner)
+      m_owner->release(shared_from_this(), IsReusable);
+    if (Handler)
+      Handler(Reply);
+  }
+
+  HttpCaller *m_owner;
+  EventLoop &m_loop;
+  asio::ip::tcp::socket m_socket;
+  asio::steady_timer m_deadline;
+  HttpReplyHandler m_handler;
+  std::string m_text;
+  boost::beast::flat_buffer m_buffer;
+  std::optional<http::response_parser<http::string_body>> m_parser;
+  CallOutcome m_outcome = CallOutcome::NotSent;
+  TimePoint m_idleSince;
+  /// Calls begun and ended; tells a late handler that its call is over.
+  std::uint64_t m_calls = 0;
+  bool m_isHead = false;
+};
+
+HttpCaller::HttpCaller(EventLoop &Loop, Endpoint Server, const Options &Limits)
+    : m_loop(Loop), m_server(std::move(Server)), m_options(Limits),
+      m_queueTimer(Loop) {}
+
+HttpCaller::~HttpCaller() {
+  for (const auto &Each : m_idle)
+    Each->abandon();
+  for (const auto &Each : m_busy)
+    Each->abandon();
+}
+
+void HttpCaller::call(HttpCall Call, HttpReplyHandler Handler) {
+  const TimePoint Deadline = m_loop.now() + Call.m_timeout;
+  m_waiting.push_back({std::move(Call), std::move(Handler), Deadline});
+  startNext();
+}
+
+void HttpCaller::startNext() {
+  while (!m_waiting.empty() && m_busy.size() < m_options.m_maxConnections) {
+    Waiting Next = std::move(m_waiting.front());
+    m_waiting.pop_front();
+    std::shared_ptr<Connection> Chosen;
+    while (!m_idle.empty() && !Chosen) {
+      std::shared_ptr<Connection> Last = m_idle.back();
+      m_idle.pop_back();
+      if (m_loop.now() - Last->idleSince() < m_options.m_idleLimit)
+        Chosen = std::move(Last);
+      else
+        Last->close();
+    }
+    if (!Chosen)
+      Chosen = std::make_shared<Connection>(*this, m_loop);
+    m_busy.push_back(Chosen);
+    Chosen->run(std::move(Next.m_call), std::move(Next.m_handler),
+                Next.m_deadline);
+  }
+  if (m_waiting.empty())
+    return m_queueTimer.cancel();
+  const Duration Left = m_waiting.front().m_deadline - m_loop.now();
+  m_queueTimer.start(std::max(Left, Duration::zero()), [this] {
+    const TimePoint Now = m_loop.now();
+    std::vector<HttpReplyHandler> Expired;
+    for (auto Each = m_waiting.begin(); Each != m_waiting.end();) {
+      if (Each->m_deadline <= Now) {
+        Expired.push_back(std::move(Each->m_handler));
+        Each = m_waiting.erase(Each);
+      } else {
+        ++Each;
+      }
+    }
+    for (const HttpReplyHandler &Each : Expired)
+      m_loop.post([Each] { Each(HttpReply{}); });
+    startNext();
+  });
+}
+
+void HttpCaller::release(const std::shared_ptr<Connection> &Done,
+                         bool IsReusable) {
+  std::erase(m_busy, Done);
+  if (IsReusable)
+    m_idle.push_back(Done);
+  if (!m_waiting.empty())
+    startNext();
+}
+
+} // namespace catkinseam
--- /dev/null
+++ b/catkinseam/aio/http_listener.cc
@@ -0,0 +1,208 @@
+// HTTP server sessions, on Boost.Beast.
+#include "catkinseam/aio/http_listener.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+
+namespace catkinseam {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr int ListenBacklog = 256;
+/// After a failed accept, for example for want of descriptors.
+constexpr Milliseconds AcceptRetryDelay{50};
+
+const char *reasonOf(int Status) {
+  const auto Known = http::int_to_status(static_cast<unsigned>(Status));
+  return Known == http::status::unknown ? "Unknown"
+                                        : http::obsolete_reason(Known).data();
+}
+
+std::string responseText(const HttpResponse &Answer, bool IsKept) {
+  std::string Text = "HTTP/1.1 " + std::to_string(Answer.m_status) + " " +
+                     reasonOf(Answer.m_status) + "\r\n";
+  for (const auto &[Name, Value] : Answer.m_headers)
+    Text += Name + ": " + Value + "\r\n";
+  Text += "Content-Length: " + std::to_string(Answer.m_body.size()) + "\r\n";
+  if (!IsKept)
+    Text += "Connection: close\r\n";
+  return Text + "\r\n" + Answer.m_body;
+}
+
+HttpRequest toRequest(http::request<http::string_body> &Parsed) {
+  HttpRequest Request;
+  Request.m_method = std::string(Parsed.method_string());
+  const std::string Target(Parsed.target());
+  const std::size_t Mark = Target.find('?');
+  Request.m_path = Target.substr(0, Mark);
+  if (Mark != std::string::npos)
+    Request.m_query = Target.substr(Mark + 1);
+  for (const auto &Field : Parsed)
+    Request.m_headers.emplace_back(std::string(Field.name_string()),
+                                   std::string(Field.value()));
+  Request.m_body = std::move(Parsed.body());
+  return Request;
+}
+
+} // namespace
+
+struct HttpListener::Shared {
+  Shared(EventLoop &Loop, const Options &Limits, AsyncHttpHandler Handler)
+      : m_loop(Loop), m_options(Limits), m_handler(std::move(Handler)),
+        m_acceptor(Loop.context()), m_retry(Loop) {}
+
+  EventLoop &m_loop;
+  Options m_options;
+  AsyncHttpHandler m_handler;
+  asio::ip::tcp::acceptor m_acceptor;
+  Timer m_retry;
+  std::size_t m_connections = 0;
+  std::size_t m_inProgress = 0;
+  bool m_isClosed = false;
+  bool m_closesAfterAnswers = false;
+};
+
+class HttpListener::Session
+    : public std::enable_shared_from_this<HttpListener::Session> {
+public:
+  Session(std::shared_ptr<Shared> State, asio::ip::tcp::socket Socket)
+      : m_shared(std::move(State)), m_stream(std::move(Socket)) {
+    ++m_shared->m_connections;
+  }
+  ~Session() { --m_shared->m_connections; }
+
+  void read() {
+    if (m_shared->m_isClosed)
+      return;
+    m_parser.emplace();
+    m_parser->header_limit(m_shared->m_options.m_headerBytes);
+    m_parser->body_limit(m_shared->m_options.m_bodyBytes);
+    m_stream.expires_after(m_shared->m_options.m_idleTimeout);
+    http::async_read(
+        m_stream, m_buffer, *m_parser,
+        [Self = shared_from_this()](const error_code &Fault, std::size_t) {
+          Self->onRead(Fault);
+        });
+  }
+
+private:
+  void onRead(const error_code &Fault) {
+    m_stream.expires_never();
+    if (Fault == http::error::body_limit)
+      return refuse(413);
+    if (Fault == http::error::header_limit)
+      return refuse(431);
+    if (Fault)
+      return;
+    m_isKept = m_parser->keep_alive();
+    ++m_shared->m_inProgress;
+    auto Answer = [Self = shared_from_this(),
+                   IsOpen = std::make_shared<bool>(true)](HttpResponse Sent) {
+      if (!*IsOpen)
+        return;
+      *IsOpen = false;
+      Self->write(Sent);
+    };
+    m_shared->m_handler(toRequest(m_parser->get()), std::move(Answer));
+  }
+
+  void refuse(int Status) {
+    m_isKept = false;
+    ++m_shared->m_inProgress;
+    write({Status, {}, ""});
+  }
+
+  void write(const HttpResponse &Answer) {
+    m_isKept = m_isKept && !m_shared->m_closesAfterAnswers;
+    m_text = responseText(Answer, m_isKept);
+    asio::async_write(
+        m_stream.socket(), asio::buffer(m_text),
+        [Self = shared_from_this()](const error_code &Fault, std::size_t) {
+          --Self->m_shared->m_inProgress;
+          if (!Fault && Self->m_isKept)
+            Self->read();
+        });
+  }
+
+  std::shared_ptr<Shared> m_shared;
+  beast::tcp_stream m_stream;
+  beast::flat_buffer m_buffer;
+  std::optional<http::request_parser<http::string_body>> m_parser;
+  std::string m_text;
+  bool m_isKept = true;
+};
+
+HttpListener::HttpListener(std::shared_ptr<Shared> State)
+    : m_shared(std::move(State)) {}
+
+HttpListener::~HttpListener() {
+  m_shared->m_isClosed = true;
+  error_code Ignored;
+  m_shared->m_acceptor.close(Ignored);
+  m_shared->m_retry.cancel();
+}
+
+Result<std::unique_ptr<HttpListener>>
+HttpListener::open(EventLoop &Loop, const Endpoint &Address,
+                   const Options &Limits, AsyncHttpHandler Handler) {
+  auto State = std::make_shared<Shared>(Loop, Limits, std::move(Handler));
+  error_code Fault;
+  const auto Host = asio::ip::make_address(Address.m_host, Fault);
+  const asio::ip::tcp::endpoint Where(Host, Address.m_port);
+  if (!Fault)
+    State->m_acceptor.open(Where.protocol(), Fault);
+  if (!Fault)
+    State->m_acceptor.set_option(asio::socket_base::reuse_address(true), Fault);
+  if (!Fault)
+    State->m_acceptor.bind(Where, Fault);
+  if (!Fault)
+    State->m_acceptor.listen(ListenBacklog, Fault);
+  if (Fault)
+    return makeError(ErrorCode::Unavailable, "cannot listen on " +
+                                                 toString(Address) + ": " +
+                                                 Fault.message());
+  accept(State);
+  return std::unique_ptr<HttpListener>(new HttpListener(std::move(State)));
+}
+
+void HttpListener::accept(const std::shared_ptr<Shared> &State) {
+  State->m_acceptor.async_accept([State](const error_code &Fault,
+                                         asio::ip::tcp::socket Socket) {
+    if (State->m_isClosed)
+      return;
+    if (Fault)
+      return State->m_retry.start(AcceptRetryDelay, [State] { accept(State); });
+    if (State->m_connections < State->m_options.m_maxConnections) {
+      error_code Ignored;
+      Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+      std::make_shared<Session>(State, std::move(Socket))->read();
+    }
+    accept(State);
+  });
+}
+
+void HttpListener::setLimits(std::uint32_t HeaderBytes, std::uint64_t BodyBytes,
+                             Milliseconds IdleTimeout) {
+  m_shared->m_options.m_headerBytes = HeaderBytes;
+  m_shared->m_options.m_bodyBytes = BodyBytes;
+  m_shared->m_options.m_idleTimeout = IdleTimeout;
+}
+
+void HttpListener::closeAfterAnswers() {
+  m_shared->m_closesAfterAnswers = true;
+}
+
+std::size_t HttpListener::inProgress() const { return m_shared->m_inProgress; }
+
+} // namespace catkinseam
--- a/catkinseam/base/clock.cc
+++ b/catkinseam/base/clock.cc
@@ -1,6 +1,8 @@
 // Clocks: the machine's own, and one that tests drive by hand.
 #include "catkinseam/base/clock.h"
 
+#include <ctime>
+
 namespace catkinseam {
 
 TimePoint SystemClock::now() const {
@@ -13,6 +15,15 @@
       std::chrono::system_clock::now());
 }
 
+TimePoint SuspendAwareClock::now() const {
+  timespec Read{};
+  clock_gettime(CLOCK_BOOTTIME, &Read);
+  return TimePoint(std::chrono::seconds(Read.tv_sec) +
+                   std::chrono::nanoseconds(Read.tv_nsec));
+}
+
+WallTime SuspendAwareClock::wallNow() const { return SystemClock().wallNow(); }
+
 TimePoint ManualClock::now() const {
   // Starts at one hour so that "long ago" can be expressed.
   return TimePoint(std::chrono::hours(1) + Duration(m_elapsed.load()));
--- a/catkinseam/base/clock.h
+++ b/catkinseam/base/clock.h
@@ -42,6 +42,14 @@
   WallTime wallNow() const override;
 };
 
+/// The machine's clocks, where the monotonic one also counts the time that the
+/// machine was suspended.
+class SuspendAwareClock final : public Clock {
+public:
+  TimePoint now() const override;
+  WallTime wallNow() const override;
+};
+
 /// A clock that stands still until told to advance. Thread-safe.
 class ManualClock final : public Clock {
 public:
--- a/catkinseam/cli/main.cc
+++ b/catkinseam/cli/main.cc
@@ -2,6 +2,7 @@
 #include "catkinseam/base/signals.h"
 #include "catkinseam/cli/command.h"
 #include "catkinseam/cli/operator_commands.h"
+#include "catkinseam/node/node_command.h"
 #include "catkinseam/server/entry.h"
 #include "catkinseam/settings/settings.h"
 #include "catkinseam/telemetry/log.h"
@@ -60,6 +61,11 @@
   static const std::vector<Command> All = [] {
     std::vector<Command> List = {
         {"serve", "run one entry", addSettingsOption, {"settings"}, serve},
+        {"node",
+         "run one node on the users' platform",
+         addNodeOptions,
+         {},
+         runNode},
         {"check",
          "check a settings file",
          addSettingsOption,
--- /dev/null
+++ b/catkinseam/front/front.cc
@@ -0,0 +1,144 @@
+// Storing what customers ask, and answering from the ledger.
+#include "catkinseam/front/front.h"
+
+#include "catkinseam/base/codec.h"
+
+namespace catkinseam {
+
+const char *submitOutcomeName(SubmitOutcome Outcome) {
+  switch (Outcome) {
+  case SubmitOutcome::Accepted:
+    return "accepted";
+  case SubmitOutcome::NotAccepted:
+    return "not_accepted";
+  case SubmitOutcome::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
+const char *cancelOutcomeName(CancelOutcome Outcome) {
+  switch (Outcome) {
+  case CancelOutcome::Cancelled:
+    return "cancelled";
+  case CancelOutcome::NoSuchJob:
+    return "no_such_job";
+  case CancelOutcome::NotCancelled:
+    return "not_cancelled";
+  case CancelOutcome::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
+struct Front::Write {
+  KeyedRecord m_record;
+  TimePoint m_deadline;
+  WriteDone m_done;
+  /// An attempt was sent and not answered: it may take effect at any time.
+  bool m_isInDoubt = false;
+};
+
+Front::Front(Runtime &Host, KeyedLog &Log, const Ledger &Jobs,
+             const Options &Values)
+    : m_host(Host), m_log(Log), m_jobs(Jobs), m_options(Values) {}
+
+Front::~Front() { *m_isAlive = false; }
+
+void Front::write(KeyedRecord Record, Milliseconds Budget, WriteDone Done) {
+  auto Pending = std::make_shared<Write>();
+  Pending->m_record = std::move(Record);
+  Pending->m_deadline = m_host.now() + Budget - m_options.m_answerTime;
+  Pending->m_done = std::move(Done);
+  attemptWrite(Pending);
+}
+
+void Front::attemptWrite(const std::shared_ptr<Write> &Pending) {
+  m_log.append(LogTopic::Jobs, {Pending->m_record}, std::nullopt,
+               m_options.m_appendTimeout,
+               [this, Pending, IsAlive = m_isAlive](const AppendReply &Reply) {
+                 if (*IsAlive)
+                   onWritten(Pending, Reply.m_outcome);
+               });
+}
+
+void Front::onWritten(const std::shared_ptr<Write> &Pending,
+                      LogOutcome Outcome) {
+  if (Outcome == LogOutcome::Done)
+    return Pending->m_done(LogOutcome::Done);
+  if (Outcome == LogOutcome::Unknown)
+    Pending->m_isInDoubt = true;
+  // Once in doubt, only a success can settle it; the record may be appended
+  // twice, which is the same as once.
+  if (!Pending->m_isInDoubt)
+    return Pending->m_done(LogOutcome::Refused);
+  if (m_host.now() + m_options.m_appendRetry >= Pending->m_deadline)
+    return Pending->m_done(LogOutcome::Unknown);
+  m_host.schedule(m_options.m_appendRetry,
+                  [this, Pending, IsAlive = m_isAlive] {
+                    if (*IsAlive)
+                      attemptWrite(Pending);
+                  });
+}
+
+void Front::submit(const QueueTerms &Terms, const std::string &Id,
+                   const JobSpec &Spec, Milliseconds Budget,
+                   std::function<void(SubmitOutcome)> Done) {
+  if (m_jobs.find(Id) || m_accepted.contains(Id))
+    return Done(SubmitOutcome::Accepted);
+  Submission Job;
+  Job.m_id = Id;
+  Job.m_terms = Terms;
+  Job.m_acceptedMs = m_host.clock().wallNow().time_since_epoch().count();
+  Job.m_spec = Spec;
+  write({submissionKey(Id), encode(Job)}, Budget,
+        [this, Id, Done = std::move(Done)](LogOutcome Outcome) {
+          if (Outcome == LogOutcome::Done) {
+            if (!m_jobs.find(Id))
+              m_accepted.insert(Id);
+            return Done(SubmitOutcome::Accepted);
+          }
+          Done(Outcome == LogOutcome::Unknown ? SubmitOutcome::Unknown
+                                              : SubmitOutcome::NotAccepted);
+        });
+}
+
+void Front::cancel(const std::string &Id, Milliseconds Budget,
+                   std::function<void(CancelOutcome)> Done) {
+  if (stateOf(Id))
+    return storeCancel(Id, Budget, std::move(Done));
+  // Another node may have accepted it a moment ago.
+  m_host.schedule(
+      m_options.m_visibility,
+      [this, Id, Budget, Done = std::move(Done), IsAlive = m_isAlive] {
+        if (!*IsAlive)
+          return;
+        if (!stateOf(Id))
+          return Done(CancelOutcome::NoSuchJob);
+        storeCancel(Id, Budget - m_options.m_visibility, Done);
+      });
+}
+
+void Front::storeCancel(const std::string &Id, Milliseconds Budget,
+                        std::function<void(CancelOutcome)> Done) {
+  if (const std::optional<JobState> State = stateOf(Id);
+      State && isFinal(*State))
+    return Done(CancelOutcome::Cancelled);
+  write({cancelKey(Id), std::string("1")}, Budget,
+        [Done = std::move(Done)](LogOutcome Outcome) {
+          if (Outcome == LogOutcome::Done)
+            return Done(CancelOutcome::Cancelled);
+          Done(Outcome == LogOutcome::Unknown ? CancelOutcome::Unknown
+                                              : CancelOutcome::NotCancelled);
+        });
+}
+
+std::optional<JobState> Front::stateOf(const std::string &Id) const {
+  if (const LedgerJob *Found = m_jobs.find(Id))
+    return Found->state();
+  if (m_accepted.contains(Id))
+    return JobState::Queued;
+  return std::nullopt;
+}
+
+} // namespace catkinseam
--- /dev/null
+++ b/catkinseam/front/front.h
@@ -0,0 +1,91 @@
+// What customers ask of any node: submit, cancel and look up jobs.
+//
+//   Front Desk(Host, Log, Jobs, {});
+//   Desk.submit(Terms, Id, Spec, Budget, [](SubmitOutcome Outcome) { ... });
+#ifndef CATKINSEAM_FRONT_FRONT_H
+#define CATKINSEAM_FRONT_FRONT_H
+
+#include "catkinseam/base/runtime.h"
+#include "catkinseam/ledger/keyed_log.h"
+#include "catkinseam/ledger/ledger.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace catkinseam {
+
+enum class SubmitOutcome {
+  Accepted,    ///< Stored; it will run.
+  NotAccepted, ///< Nothing has been stored, or ever will be by this call.
+  Unknown,     ///< May have been stored, or may be yet.
+};
+
+enum class CancelOutcome {
+  Cancelled, ///< Stored; nothing of it is started any more.
+  NoSuchJob,
+  NotCancelled, ///< Nothing has been stored.
+  Unknown,      ///< May have been stored, or may be yet.
+};
+
+const char *submitOutcomeName(SubmitOutcome Outcome);
+const char *cancelOutcomeName(CancelOutcome Outcome);
+
+/// Not thread-safe.
+class Front {
+public:
+  struct Options {
+    /// An append that is not answered by then is repeated.
+    Milliseconds m_appendTimeout{700};
+    Milliseconds m_appendRetry{100};
+    /// Kept of the caller's time for the answer to travel.
+    Milliseconds m_answerTime{100};
+    /// How long the records of other nodes may take to be read here.
+    Milliseconds m_visibility{80};
+  };
+
+  Front(Runtime &Host, KeyedLog &Log, const Ledger &Jobs,
+        const Options &Values);
+  ~Front();
+
+  /// `Budget`: how long the caller waits.
+  void submit(const QueueTerms &Terms, const std::string &Id,
+              const JobSpec &Spec, Milliseconds Budget,
+              std::function<void(SubmitOutcome)> Done);
+
+  void cancel(const std::string &Id, Milliseconds Budget,
+              std::function<void(CancelOutcome)> Done);
+
+  /// None when no such job is known here.
+  std::optional<JobState> stateOf(const std::string &Id) const;
+
+  std::size_t pendingIn(const std::string &Queue) const {
+    return m_jobs.pendingIn(Queue);
+  }
+
+private:
+  struct Write;
+  using WriteDone = std::function<void(LogOutcome)>;
+
+  /// Appends until it is known to be done, known not to be, or out of time.
+  void write(KeyedRecord Record, Milliseconds Budget, WriteDone Done);
+  void attemptWrite(const std::shared_ptr<Write> &Pending);
+  void onWritten(const std::shared_ptr<Write> &Pending, LogOutcome Outcome);
+  void storeCancel(const std::string &Id, Milliseconds Budget,
+                   std::function<void(CancelOutcome)> Done);
+
+  Runtime &m_host;
+  KeyedLog &m_log;
+  const Ledger &m_jobs;
+  const Options m_options;
+  /// Accepted here and perhaps not yet read back.
+  std::unordered_set<std::string> m_accepted;
+  std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+};
+
+} // namespace catkinseam
+
+#endif // CATKINSEAM_FRONT_FRONT_H
--- /dev/null
+++ b/catkinseam/ledger/keyed_log.cc
@@ -0,0 +1,40 @@
+// Names of the log's values, for logs.
+#include "catkinseam/ledger/keyed_log.h"
+
+namespace catkinseam {
+
+const char *logTopicName(LogTopic Topic) {
+  switch (Topic) {
+  case LogTopic::Jobs:
+    return "jobs";
+  case LogTopic::Operator:
+    return "operator";
+  case LogTopic::Workers:
+    return "workers";
+  case LogTopic::Status:
+    return "status";
+  }
+  return "unknown";
+}
+
+const char *logOutcomeName(LogOutcome Outcome) {
+  switch (Outcome) {
+  case LogOutcome::Done:
+    return "done";
+  case LogOutcome::Refused:
+    return "refused";
+  case LogOutcome::Fenced:
+    return "fenced";
+  case LogOutcome::OutOfOrder:
+    return "out_of_order";
+  case LogOutcome::Invalid:
+    return "invalid";
+  case LogOutcome::Unknown:
+    return "unknown";
+  case LogOutcome::HistoryGone:
+    return "history_gone";
+  }
+  return "unknown";
+}
+
+} // namespace catkinseam
--- /dev/null
+++ b/catkinseam/ledger/ledger.cc
@@ -0,0 +1,120 @@
+// Applies the jobs' records.
+#include "catkinseam/ledger/ledger.h"
+
+#include "catkinseam/base/codec.h"
+#include "catkinseam/telemetry/log.h"
+
+namespace catkinseam {
+
+bool Ledger::apply(std::int64_t Offset, const std::string &Key,
+                   const std::optional<std::string> &Value) {
+  std::string Id;
+  const RecordKind Kind = kindOfKey(Key, Id);
+  if (Kind == RecordKind::Foreign) {
+    logWarn("ledger.key_unknown", {{"key", Key}});
+    return false;
+  }
+  if (Kind == RecordKind::Owner) {
+    if (Value)
+      applyOwner(*Value);
+    return true;
+  }
+  if (!Value) {
+    const auto Found = m_jobs.find(Id);
+    if (Kind == RecordKind::Submission && Found != m_jobs.end()) {
+      if (Found->second.m_isSubmitted &&
+          Found->second.state() == JobState::Queued)
+        --m_pending[Found->second.m_submission.m_terms.m_queue];
+      m_jobs.erase(Found);
+    }
+    return Kind == RecordKind::Progress;
+  }
+  if (Kind == RecordKind::Submission) {
+    applySubmission(Id, *Value);
+    return false;
+  }
+  LedgerJob &Job = m_jobs[Id];
+  if (Kind == RecordKind::Cancel) {
+    applyCancel(Job);
+    return false;
+  }
+  applyProgress(Offset, Job, *Value);
+  return true;
+}
+
+void Ledger::applyOwner(const std::string &Value) {
+  auto Read = attempt([&] { return decode<OwnerRecord>(Value); });
+  if (!Read) {
+    logWarn("ledger.owner_unreadable", {{"fault", Read.error().m_message}});
+    return;
+  }
+  const OwnerRecord &Next = Read.value();
+  // Of two records of one epoch the first decides who the owner is.
+  if (Next.m_epoch > m_owner.m_epoch ||
+      (Next.m_epoch == m_owner.m_epoch && Next.m_boot == m_owner.m_boot))
+    m_owner = Next;
+}
+
+void Ledger::applySubmission(const std::string &Id, const std::string &Value) {
+  LedgerJob &Job = m_jobs[Id];
+  if (Job.m_isSubmitted)
+    return;
+  auto Read = attempt([&] { return decode<Submission>(Value); });
+  if (!Read) {
+    logWarn("ledger.job_unreadable",
+            {{"job", Id}, {"fault", Read.error().m_message}});
+    return;
+  }
+  Job.m_submission = std::move(Read.value());
+  Job.m_isSubmitted = true;
+  if (Job.state() == JobState::Queued)
+    ++m_pending[Job.m_submission.m_terms.m_queue];
+  if (m_observer)
+    m_observer->onSubmitted(Job);
+}
+
+void Ledger::applyProgress(std::int64_t Offset, LedgerJob &Job,
+                           const std::string &Value) {
+  if (Offset <= Job.m_progressOffset)
+    return;
+  auto State = attempt([&] { return decodeState(Value); });
+  if (!State) {
+    logWarn("ledger.progress_unreadable", {{"offset", std::to_string(Offset)}});
+    return;
+  }
+  const JobState Before = Job.state();
+  Job.m_progressOffset = Offset;
+  Job.m_recorded = State.value();
+  Job.m_progress = Value;
+  recount(Job, Before);
+}
+
+void Ledger::applyCancel(LedgerJob &Job) {
+  if (Job.m_isCancelled)
+    return;
+  const JobState Before = Job.state();
+  Job.m_isCancelled = true;
+  recount(Job, Before);
+  if (m_observer && Job.m_isSubmitted)
+    m_observer->onCancelled(Job);
+}
+
+void Ledger::recount(const LedgerJob &Job, JobState Before) {
+  if (!Job.m_isSubmitted || Before != JobState::Queued ||
+      Job.state() == JobState::Queued)
+    return;
+  --m_pending[Job.m_submission.m_terms.m_queue];
+}
+
+const LedgerJob *Ledger::find(const std::string &Id) const {
+  const auto Found = m_jobs.find(Id);
+  return Found == m_jobs.end() || !Found->second.m_isSubmitted ? nullptr
+                                                               : &Found->second;
+}
+
+std::size_t Ledger::pendingIn(const std::string &Queue) const {
+  const auto Found = m_pending.find(Queue);
+  return Found == m_pending.end() ? 0 : Found->second;
+}
+
+} // namespace catkinseam
--- /dev/null
+++ b/catkinseam/ledger/records.cc
@@ -0,0 +1,74 @@
+// Keys and encodings of the jobs' records.
+#include "catkinseam/ledger/records.h"
+
+#include "catkinseam/base/codec.h"
+
+namespace catkinseam {
+
+const char *const OwnerKey = "owner";
+
+namespace {
+
+constexpr char SubmissionPrefix = 'j';
+constexpr char ProgressPrefix = 's';
+constexpr char CancelPrefix = 'c';
+
+std::string keyOf(char Prefix, const std::string &Job) {
+  std::string Key(1, Prefix);
+  Key += Job;
+  return Key;
+}
+
+} // namespace
+
+std::string encodeProgress(const JobProgress &Progress) {
+  std::string Value(1, static_cast<char>(Progress.m_state));
+  Value += encode(Progress);
+  return Value;
+}
+
+Result<JobState> decodeState(const std::string &Value) {
+  if (Value.empty() || static_cast<unsigned char>(Value[0]) >
+                           static_cast<unsigned char>(JobState::Cancelled))
+    return makeError(ErrorCode::Invalid, "record holds no job state");
+  return static_cast<JobState>(Value[0]);
+}
+
+Result<JobProgress> decodeProgress(const std::string &Value) {
+  BOOST_LEAF_AUTO(State, decodeState(Value));
+  BOOST_LEAF_AUTO(Progress, decode<JobProgress>(Value.substr(1)));
+  Progress.m_state = State;
+  return Progress;
+}
+
+std::string submissionKey(const std::string &Job) {
+  return keyOf(SubmissionPrefix, Job);
+}
+
+std::string progressKey(const std::string &Job) {
+  return keyOf(ProgressPrefix, Job);
+}
+
+std::string cancelKey(const std::string &Job) {
+  return keyOf(CancelPrefix, Job);
+}
+
+RecordKind kindOfKey(const std::string &Key, std::string &Job) {
+  if (Key == OwnerKey)
+    return RecordKind::Owner;
+  if (Key.empty())
+    return RecordKind::Foreign;
+  Job = Key.substr(1);
+  switch (Key[0]) {
+  case SubmissionPrefix:
+    return RecordKind::Submission;
+  case ProgressPrefix:
+    return RecordKind::Progress;
+  case CancelPrefix:
+    return RecordKind::Cancel;
+  default:
+    return RecordKind::Foreign;
+  }
+}
+
+} // namespace catkinseam
--- /dev/null
+++ b/catkinseam/node/node_command.cc
@@ -0,0 +1,65 @@
+// Runs a node: settings, signals, loop.
+#include "catkinseam/node/node_command.h"
+
+#include "catkinseam/node/node.h"
+#include "catkinseam/platform/environment.h"
+#include "catkinseam/telemetry/log.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+
+namespace catkinseam {
+
+namespace {
+
+namespace po = boost::program_options;
+using boost::system::error_code;
+
+void waitForSignals(boost::asio::signal_set &Signals, Node &Running,
+                    const std::string &Path) {
+  Signals.async_wait(
+      [&Signals, &Running, Path](const error_code &Fault, int Signal) {
+        if (Fault)
+          return;
+        if (Signal == SIGHUP) {
+          const LoadedNodeSettings Loaded = loadNodeSettings(Path);
+          for (const SettingsFault &Each : Loaded.m_faults)
+            logWarn("settings.fault", {{"fault", toString(Each)}});
+          if (Loaded.m_faults.empty())
+            Running.reload(Loaded.m_settings);
+        } else {
+          Running.stop();
+        }
+        waitForSignals(Signals, Running, Path);
+      });
+}
+
+} // namespace
+
+void addNodeOptions(po::options_description &Options) {
+  Options.add_options()(
+      "settings", po::value<std::string>()->default_value(nodeSettingsPath()),
+      "TOML settings file");
+}
+
+Result<ExitCode> runNode(const CommandContext &Context) {
+  const std::string Path = Context.m_options["settings"].as<std::string>();
+  const LoadedNodeSettings Loaded = loadNodeSettings(Path);
+  for (const SettingsFault &Each : Loaded.m_faults)
+    Context.m_err << Path << ": " << toString(Each) << "\n";
+  if (!Loaded.m_faults.empty())
+    return makeError(ErrorCode::Invalid,
+                     "settings have " + std::to_string(Loaded.m_faults.size()) +
+                         " faults");
+  startLogging(Loaded.m_settings.m_logLevel, LogStream::StandardOutput);
+  std::signal(SIGPIPE, SIG_IGN);
+  EventLoop Loop;
+  boost::asio::signal_set Signals(Loop.context(), SIGTERM, SIGINT, SIGHUP);
+  Node Running(Loop, Loaded.m_settings);
+  BOOST_LEAF_CHECK(Running.start());
+  waitForSignals(Signals, Running, Path);
+  Loop.run();
+  return ExitCode::Success;
+}
+
+} // namespace catkinseam
--- /dev/null
+++ b/catkinseam/ownership/ownership.cc
@@ -0,0 +1,34 @@
+// The owner's silence, seen by one entry.
+#include "catkinseam/ownership/ownership.h"
+
+#include "catkinseam/base/hash.h"
+
+namespace catkinseam {
+
+Ownership::Ownership(const Clock &Time, const Options &Values,
+                     const std::string &Entry)
+    : m_clock(Time), m_options(Values),
+      m_offset(static_cast<Milliseconds::rep>(
+          hashBytes(Entry) %
+          static_cast<std::uint64_t>(Values.m_spread.count() + 1))),
+      m_lastActivity(Time.now()) {}
+
+void Ownership::onCampaignFailed() {
+  m_notBefore = m_clock.now() + m_options.m_pause;
+}
+
+void Ownership::onOwnerChanged() {
+  m_isLeaving = false;
+  m_lastActivity = m_clock.now();
+}
+
+bool Ownership::shouldCampaign() const {
+  const TimePoint Now = m_clock.now();
+  if (Now < m_notBefore || Now - m_lastRead > m_options.m_freshness)
+    return false;
+  if (m_isLeaving)
+    return Now - m_lastActivity >= m_offset / 4;
+  return Now - m_lastActivity >= m_options.m_silence + m_offset;
+}
+
+} // namespace catkinseam
--- /dev/null
+++ b/catkinseam/ownership/ownership.h
@@ -0,0 +1,66 @@
+// When an entry should try to become the owner, who alone schedules.
+//
+//   Ownership Seat(Clock, {}, "edge-1");
+//   Seat.onOwnerSeen(Record);
+//   if (Seat.shouldCampaign()) ...
+//
+// The owner's records in the jobs' topic are its heartbeat. An entry campaigns
+// when none has come for a while although it has been reading that topic. The
+// log decides between rivals: of two records that claim one epoch the first
+// counts, and an epoch that has been claimed shuts out the appends of all
+// lower ones.
+#ifndef CATKINSEAM_OWNERSHIP_OWNERSHIP_H
+#define CATKINSEAM_OWNERSHIP_OWNERSHIP_H
+
+#include "catkinseam/base/clock.h"
+#include "catkinseam/ledger/records.h"
+
+#include <string>
+
+namespace catkinseam {
+
+class Ownership {
+public:
+  struct Options {
+    /// Silence of the owner after which others campaign.
+    Milliseconds m_silence{1100};
+    /// Added to it, different for each entry, so that one goes first.
+    Milliseconds m_spread{400};
+    /// A reading older than this does not show that the owner is silent.
+    Milliseconds m_freshness{400};
+    /// Pause after a campaign that failed.
+    Milliseconds m_pause{500};
+  };
+
+  Ownership(const Clock &Time, const Options &Values, const std::string &Entry);
+
+  /// Records of the jobs' topic were read up to its end.
+  void onRead() { m_lastRead = m_clock.now(); }
+
+  /// A record came that only an owner writes.
+  void onOwnerActivity() { m_lastActivity = m_clock.now(); }
+
+  /// The newest owner has said that it is leaving.
+  void onOwnerLeaving() { m_isLeaving = true; }
+
+  /// The epoch was claimed by another, or the campaign came to nothing.
+  void onCampaignFailed();
+
+  /// The silence began anew, with another owner.
+  void onOwnerChanged();
+
+  bool shouldCampaign() const;
+
+private:
+  const Clock &m_clock;
+  const Options m_options;
+  const Milliseconds m_offset;
+  TimePoint m_lastRead;
+  TimePoint m_lastActivity;
+  TimePoint m_notBefore;
+  bool m_isLeaving = false;
+};
+
+} // namespace catkinseam
+
+#endif // CATKINSEAM_OWNERSHIP_OWNERSHIP_H
--- /dev/null
+++ b/catkinseam/platform/job_body.cc
@@ -0,0 +1,129 @@
+// Wire form of jobs and of answers about them.
+#include "catkinseam/platform/job_body.h"
+
+#include "catkinseam/platform/fast_json.h"
+
+namespace catkinseam {
+
+namespace {
+
+constexpr std::size_t MaxPayloadBytes = 4000;
+/// Bounds the memory that one job can take.
+constexpr std::int64_t MaxTasksOfStep = 100000;
+
+const char *stateWord(JobState State) {
+  switch (State) {
+  case JobState::Queued:
+    return "queued";
+  case JobState::InProgress:
+    return "in_progress";
+  case JobState::Completed:
+    return "completed";
+  case JobState::Failed:
+    return "failed";
+  case JobState::Cancelled:
+    return "cancelled";
+  }
+  return "queued";
+}
+
+auto invalid(const std::string &Field, const std::string &Fault) {
+  return makeError(ErrorCode::Invalid, "field \"" + Field + "\" " + Fault);
+}
+
+/// A count that must fit the store's 32 bits.
+Result<std::uint32_t> smallCount(const JsonValue &Item, const char *Name) {
+  BOOST_LEAF_AUTO(Count, countMember(Item, Name));
+  if (Count < 0 || Count > MaxTasksOfStep)
+    return invalid(Name, "is out of range");
+  return static_cast<std::uint32_t>(Count);
+}
+
+Result<void> readAfter(const JsonValue &Item, std::size_t Number,
+                       StepSpec &Step) {
+  const JsonValue *After = memberOf(Item, "after");
+  if (!After || After->is_null())
+    return {};
+  if (!After->is_array())
+    return invalid("after", "is no list");
+  for (const JsonValue &Each : After->get_array()) {
+    boost::system::error_code Fault;
+    const auto Earlier = Each.to_number<std::int64_t>(Fault);
+    if (Fault || Earlier < 0 || Earlier >= static_cast<std::int64_t>(Number))
+      return invalid("after", "names no earlier step");
+    Step.m_after.push_back(static_cast<std::uint32_t>(Earlier));
+  }
+  return {};
+}
+
+Result<void> readRequest(const JsonValue &Item, Resources &Request) {
+  BOOST_LEAF_ASSIGN(Request.m_milliProcessors, countMember(Item, "cpu"));
+  BOOST_LEAF_ASSIGN(Request.m_memoryMb, countMember(Item, "memMb"));
+  BOOST_LEAF_ASSIGN(Request.m_accelerators, countMember(Item, "gpu"));
+  if (Request.m_milliProcessors < 0)
+    return invalid("cpu", "is negative");
+  if (Request.m_memoryMb < 0)
+    return invalid("memMb", "is negative");
+  if (Request.m_accelerators < 0)
+    return invalid("gpu", "is negative");
+  return {};
+}
+
+Result<StepSpec> readStep(const JsonValue &Item, std::size_t Number) {
+  if (!Item.is_object())
+    return invalid("steps", "holds something that is no object");
+  StepSpec Step;
+  BOOST_LEAF_ASSIGN(Step.m_count, smallCount(Item, "count"));
+  if (Step.m_count == 0)
+    return invalid("count", "is missing");
+  BOOST_LEAF_CHECK(readRequest(Item, Step.m_request));
+  BOOST_LEAF_AUTO(Estimate, countMember(Item, "estimatedMs"));
+  Step.m_estimate = Milliseconds(std::max<std::int64_t>(Estimate, 0));
+  BOOST_LEAF_CHECK(readAfter(Item, Number, Step));
+  BOOST_LEAF_ASSIGN(Step.m_savesCheckpoints, flagMember(Item, "checkpointing"));
+  BOOST_LEAF_ASSIGN(Step.m_isGang, flagMember(Item, "gang"));
+  BOOST_LEAF_ASSIGN(Step.m_isRackLocal, flagMember(Item, "rackLocal"));
+  BOOST_LEAF_ASSIGN(Step.m_isSpeculative, flagMember(Item, "speculative"));
+  BOOST_LEAF_ASSIGN(Step.m_isService, flagMember(Item, "longRunning"));
+  BOOST_LEAF_ASSIGN(Step.m_isFiller, flagMember(Item, "fills"));
+  BOOST_LEAF_ASSIGN(Step.m_requiredLabel, textMember(Item, "requirements"));
+  BOOST_LEAF_ASSIGN(Step.m_dataRack, textMember(Item, "dataRack"));
+  BOOST_LEAF_ASSIGN(Step.m_image, textMember(Item, "image"));
+  BOOST_LEAF_ASSIGN(Step.m_maxPerWorker, smallCount(Item, "antiAffinity"));
+  BOOST_LEAF_ASSIGN(Step.m_maxUnavailable, smallCount(Item, "optional"));
+  BOOST_LEAF_AUTO(Target, numberMember(Item, "targetMs"));
+  Step.m_targetTail = Milliseconds(static_cast<std::int64_t>(Target));
+  return Step;
+}
+
+} // namespace
+
+Result<JobSpec> readJobBody(const std::string &Text) {
+  BOOST_LEAF_AUTO(Body, parseBody(Text));
+  JobSpec Job;
+  BOOST_LEAF_ASSIGN(Job.m_payload, textMember(Body, "spec"));
+  if (Job.m_payload.size() > MaxPayloadBytes)
+    return invalid("spec", "is over 4000 bytes");
+  const JsonValue *Steps = memberOf(Body, "steps");
+  if (!Steps || !Steps->is_array() || Steps->get_array().empty())
+    return invalid("steps", "is missing");
+  for (const JsonValue &Item : Steps->get_array()) {
+    BOOST_LEAF_AUTO(Step, readStep(Item, Job.m_steps.size()));
+    Job.m_steps.push_back(std::move(Step));
+  }
+  BOOST_LEAF_ASSIGN(Job.m_occurrences, smallCount(Body, "repetitions"));
+  BOOST_LEAF_ASSIGN(Job.m_firstDueMs, countMember(Body, "firstRunMs"));
+  BOOST_LEAF_AUTO(Interval, countMember(Body, "intervalMs"));
+  Job.m_interval = Milliseconds(Interval);
+  return Job;
+}
+
+std::string jobStateBody(JobState State) {
+  return std::string("{\"state\":\"") + stateWord(State) + "\"}";
+}
+
+std::string pendingBody(std::size_t Pending) {
+  return "{\"pending\":" + std::to_string(Pending) + "}";
+}
+
+} // namespace catkinseam
--- /dev/null
+++ b/catkinseam/platform/store.h
@@ -0,0 +1,40 @@
+// The platform's log service over HTTP.
+//
+//   PlatformStore Records(Loop, Address, {});
+//   Records.append(LogTopic::Jobs, {{"j1", "..."}}, {}, Milliseconds(700),
+//                  [](const AppendReply &Reply) { ... });
+#ifndef CATKINSEAM_PLATFORM_STORE_H
+#define CATKINSEAM_PLATFORM_STORE_H
+
+#include "catkinseam/aio/http_caller.h"
+#include "catkinseam/ledger/keyed_log.h"
+
+namespace catkinseam {
+
+/// Not thread-safe.
+class PlatformStore final : public KeyedLog {
+public:
+  struct Options {
+    std::size_t m_connections = 8;
+  };
+
+  PlatformStore(EventLoop &Loop, const Endpoint &Address,
+                const Options &Limits);
+
+  void append(LogTopic Topic, const std::vector<KeyedRecord> &Records,
+              const std::optional<ProducerMark> &Mark, Milliseconds Timeout,
+              std::function<void(const AppendReply &)> Done) override;
+  void read(LogTopic Topic, std::int64_t From, Milliseconds Wait,
+            Milliseconds Timeout,
+            std::function<void(const ReadReply &)> Done) override;
+  void newest(LogTopic Topic, const std::string &AfterKey, Milliseconds Timeout,
+              std::function<void(const NewestReply &)> Done) override;
+
+private:
+  HttpCaller m_writes;
+  HttpCaller m_reads;
+};
+
+} // namespace catkinseam
+
+#endif // CATKINSEAM_PLATFORM_STORE_H
--- /dev/null
+++ b/catkinseam/platform/worker_orders.h
@@ -0,0 +1,44 @@
+// Orders to one life of a worker: start, stop, pace, hold.
+//
+//   WorkerOrders Orders(Loop, Address, WorkerId);
+//   Orders.start({...}, [](const OrderReply &Reply) { ... });
+#ifndef CATKINSEAM_PLATFORM_WORKER_ORDERS_H
+#define CATKINSEAM_PLATFORM_WORKER_ORDERS_H
+
+#include "catkinseam/aio/http_caller.h"
+#include "catkinseam/scheduler/orders.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace catkinseam {
+
+/// Not thread-safe.
+class WorkerOrders final : public WorkerLink {
+public:
+  WorkerOrders(EventLoop &Loop, const Endpoint &Address, std::string Worker);
+
+  void start(const StartOrder &Order, std::uint64_t FencingToken,
+             std::function<void(const OrderReply &)> Done) override;
+  void stop(const StopOrder &Order, std::uint64_t FencingToken,
+            std::function<void(const OrderReply &)> Done) override;
+  void pace(const PaceOrder &Order, std::uint64_t FencingToken,
+            std::function<void(const OrderReply &)> Done) override;
+  void hold(const HoldOrder &Order, std::uint64_t FencingToken,
+            std::function<void(const HoldReply &)> Done) override;
+
+private:
+  HttpCall makeCall(const char *Path, std::string Body,
+                    Milliseconds Timeout) const;
+
+  const std::string m_worker;
+  /// Orders and looks have connections of their own: a look waits at the
+  /// worker for seconds.
+  HttpCaller m_orders;
+  HttpCaller m_holds;
+};
+
+} // namespace catkinseam
+
+#endif // CATKINSEAM_PLATFORM_WORKER_ORDERS_H
--- /dev/null
+++ b/catkinseam/scheduler/placement.cc
@@ -0,0 +1,143 @@
+// Placement: rules that a place must keep, and a cost that ranks the rest.
+#include "catkinseam/scheduler/placement.h"
+
+#include <algorithm>
+
+namespace catkinseam {
+
+namespace {
+
+/// A worker whose services are above this share of their target tail is left
+/// to recover before it gets another filler.
+constexpr double BusyTail = 0.75;
+/// A filler is placed where it gets at least this share of what it asks for.
+constexpr double LeastFillerShare = 0.6;
+
+constexpr double AvoidCost = 100.0;
+constexpr double UnprovenCost = 10.0;
+constexpr double RemoteDataCost = 2.0;
+constexpr double SameStepCost = 0.25;
+
+std::uint32_t runsOfStepOn(const StepRow &Step, const WorkerRow &Worker) {
+  std::uint32_t Count = 0;
+  for (const RunRef &Each : Worker.m_runs)
+    if (Each.m_task->m_step == &Step)
+      ++Count;
+  return Count;
+}
+
+double shareUsed(const WorkerRow &Worker) {
+  const Resources &Capacity = Worker.m_report.m_capacity;
+  const double Processors =
+      static_cast<double>(Worker.m_reserved.m_milliProcessors) /
+      static_cast<double>(
+          std::max<std::int64_t>(1, Capacity.m_milliProcessors));
+  const double Memory =
+      static_cast<double>(Worker.m_reserved.m_memoryMb) /
+      static_cast<double>(std::max<std::int64_t>(1, Capacity.m_memoryMb));
+  return std::max(Processors, Memory);
+}
+
+/// Lower is better. What is common to all kinds of tasks.
+double riskOf(const TaskRow &Task, const WorkerRow &Worker, TimePoint Now) {
+  constexpr Milliseconds ProvenFor{10000};
+  double Cost = 0.0;
+  if (std::find(Task.m_avoid.begin(), Task.m_avoid.end(),
+                Worker.m_report.m_id) != Task.m_avoid.end())
+    Cost += AvoidCost;
+  Cost += static_cast<double>(Worker.m_failuresInRow);
+  const bool IsProven = Worker.m_hasDone && Now - Worker.m_lastDone < ProvenFor;
+  if (Task.m_failures > 0 && (!IsProven || Worker.m_failuresInRow > 0))
+    Cost += UnprovenCost;
+  const StepSpec &Spec = *Task.m_step->m_spec;
+  if (!Spec.m_dataRack.empty() && !Worker.hasLabel(Spec.m_dataRack))
+    Cost += RemoteDataCost;
+  return Cost;
+}
+
+double fillerCost(const TaskRow &Task, const WorkerRow &Worker) {
+  const double Request = static_cast<double>(std::max<std::int64_t>(
+      1, Task.m_step->m_spec->m_request.m_milliProcessors));
+  const double Spare = static_cast<double>(spareProcessors(Worker));
+  const double Tail = Worker.m_worstTail;
+  return Tail - Spare / (4.0 * Request);
+}
+
+double serviceCost(const TaskRow &Task, const WorkerRow &Worker) {
+  return shareUsed(Worker) + SameStepCost * runsOfStepOn(*Task.m_step, Worker) +
+         0.05 * Worker.m_fillers;
+}
+
+bool hasFillerRoom(const TaskRow &Task, const WorkerRow &Worker) {
+  if (Worker.m_worstTail > BusyTail || Worker.m_fillerPace < 100)
+    return false;
+  const auto Request =
+      static_cast<double>(Task.m_step->m_spec->m_request.m_milliProcessors);
+  return static_cast<double>(spareProcessors(Worker)) >=
+         LeastFillerShare * Request;
+}
+
+} // namespace
+
+bool isOpen(const WorkerRow &Worker, TimePoint Now) {
+  return Worker.m_isListed && Worker.m_isHeld && Worker.m_isReachable &&
+         !Worker.m_report.m_isDraining && Worker.m_hasClock &&
+         Worker.m_fullUntil <= Now && Worker.m_shunnedUntil <= Now;
+}
+
+bool isAllowed(const TaskRow &Task, const WorkerRow &Worker) {
+  const StepSpec &Spec = *Task.m_step->m_spec;
+  if (!Spec.m_requiredLabel.empty() && !Worker.hasLabel(Spec.m_requiredLabel))
+    return false;
+  Resources Needed = Spec.m_request;
+  if (Spec.m_isFiller)
+    Needed.m_milliProcessors = 0;
+  if (!(Worker.m_reserved + Needed).fitsIn(Worker.m_report.m_capacity))
+    return false;
+  if (Spec.m_maxPerWorker > 0 &&
+      runsOfStepOn(*Task.m_step, Worker) >= Spec.m_maxPerWorker)
+    return false;
+  // Copies of one task are of use on different workers only.
+  for (const RunRow &Each : Task.m_runs)
+    if (Each.m_worker == &Worker)
+      return false;
+  return true;
+}
+
+std::int64_t spareProcessors(const WorkerRow &Worker) {
+  std::int64_t Services = 0;
+  for (const RunRef &Each : Worker.m_runs) {
+    const StepSpec &Spec = *Each.m_task->m_step->m_spec;
+    if (Spec.m_isService)
+      Services += Spec.m_request.m_milliProcessors;
+  }
+  const std::int64_t Others = Worker.m_reserved.m_milliProcessors - Services;
+  return Worker.m_report.m_capacity.m_milliProcessors - Others -
+         static_cast<std::int64_t>(Worker.m_serviceLoad *
+                                   static_cast<double>(Services)) -
+         Worker.m_fillerProcessors;
+}
+
+WorkerRow *chooseWorker(const TaskRow &Task,
+                        const std::vector<WorkerRow *> &Candidates,
+                        TimePoint Now) {
+  const StepSpec &Spec = *Task.m_step->m_spec;
+  WorkerRow *Best = nullptr;
+  double BestCost = 0.0;
+  for (WorkerRow *Each : Candidates) {
+    if (!isOpen(*Each, Now) || !isAllowed(Task, *Each))
+      continue;
+    if (Spec.m_isFiller && !hasFillerRoom(Task, *Each))
+      continue;
+    const double Cost =
+        riskOf(Task, *Each, Now) +
+        (Spec.m_isFiller ? fillerCost(Task, *Each) : serviceCost(Task, *Each));
+    if (!Best || Cost < BestCost) {
+      Best = Each;
+      BestCost = Cost;
+    }
+  }
+  return Best;
+}
+
+} // namespace catkinseam
--- /dev/null
+++ b/catkinseam/scheduler/placement.h
@@ -0,0 +1,31 @@
+// Chooses the worker of a task.
+//
+//   WorkerRow *Chosen = chooseWorker(Task, Candidates, Clock.now());
+#ifndef CATKINSEAM_SCHEDULER_PLACEMENT_H
+#define CATKINSEAM_SCHEDULER_PLACEMENT_H
+
+#include "catkinseam/scheduler/tables.h"
+
+#include <string>
+#include <vector>
+
+namespace catkinseam {
+
+/// Whether a worker may be sent starts at all.
+bool isOpen(const WorkerRow &Worker, TimePoint Now);
+
+/// Whether this task may run there, by rules and by room.
+bool isAllowed(const TaskRow &Task, const WorkerRow &Worker);
+
+/// The processors that a worker's fillers can still be given, in thousandths,
+/// by what its other tasks are thought to use.
+std::int64_t spareProcessors(const WorkerRow &Worker);
+
+/// The best worker that is open and allowed, or null.
+WorkerRow *chooseWorker(const TaskRow &Task,
+                        const std::vector<WorkerRow *> &Candidates,
+                        TimePoint Now);
+
+} // namespace catkinseam
+
+#endif // CATKINSEAM_SCHEDULER_PLACEMENT_H
--- /dev/null
+++ b/catkinseam/scheduler/scheduler.cc
@@ -0,0 +1,336 @@
+// Decisions: which waiting tasks go where, which runs are stopped or paced.
+#include "catkinseam/scheduler/scheduler.h"
+
+#include "catkinseam/telemetry/log.h"
+
+#include <algorithm>
+
+namespace catkinseam {
+
+const char *orderOutcomeName(OrderOutcome Outcome) {
+  switch (Outcome) {
+  case OrderOutcome::Done:
+    return "done";
+  case OrderOutcome::Fenced:
+    return "fenced";
+  case OrderOutcome::OldRun:
+    return "old_run";
+  case OrderOutcome::Late:
+    return "late";
+  case OrderOutcome::NoRoom:
+    return "no_room";
+  case OrderOutcome::OtherLife:
+    return "other_life";
+  case OrderOutcome::Refused:
+    return "refused";
+  case OrderOutcome::Invalid:
+    return "invalid";
+  case OrderOutcome::NotSent:
+    return "not_sent";
+  case OrderOutcome::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
+namespace {
+
+/// A stop that was not answered is sent again after this time.
+constexpr Milliseconds StopRetry{400};
+/// A stop that was answered but shows no end is sent again after this time.
+constexpr Milliseconds StopRepeat{2000};
+/// decide() runs at least this often while runs or tasks are open.
+constexpr Milliseconds IdleWake{250};
+
+} // namespace
+
+Scheduler::Scheduler(const Clock &Time, const Options &Values)
+    : m_clock(Time), m_options(Values), m_pacing({}) {}
+
+Scheduler::~Scheduler() = default;
+
+void Scheduler::setServices(std::set<std::string> Standby) {
+  m_standby = std::move(Standby);
+}
+
+Scheduler::StepOrder Scheduler::orderOf(const StepRow &Step) {
+  const JobRow &Job = *Step.m_occurrence->m_job;
+  const std::int64_t Delay =
+      Step.m_occurrence->m_dueMs - Job.m_submission.m_acceptedMs;
+  return {Job.terms().m_priority, Job.m_objectiveMs + Delay,
+          Job.m_submission.m_id, Step.m_occurrence->m_number, Step.m_number};
+}
+
+Decisions Scheduler::decide() {
+  Decisions Next;
+  openDueOccurrences();
+  placeWaiting(Next);
+  for (const std::string &Id : m_dirty) {
+    const auto Found = m_jobs.find(Id);
+    if (Found == m_jobs.end())
+      continue;
+    Found->second->m_isDirty = false;
+    Next.m_progress.emplace_back(Id, progressOf(*Found->second));
+  }
+  m_dirty.clear();
+  Next.m_ends = std::move(m_takenEnds);
+  m_takenEnds.clear();
+  forgetOldJobs(Next);
+  return Next;
+}
+
+const std::vector<WorkerRow *> &
+Scheduler::workersOf(const std::string &Service) {
+  return m_byService[Service];
+}
+
+void Scheduler::placeWaiting(Decisions &Next) {
+  m_byService.clear();
+  for (const auto &[Id, Row] : m_workers)
+    if (isOpen(*Row, m_clock.now()))
+      m_byService[Row->m_report.m_service].push_back(Row.get());
+  std::vector<StepRow *> Order;
+  Order.reserve(m_toPlace.size());
+  for (const auto &[Key, Step] : m_toPlace)
+    Order.push_back(Step);
+  for (StepRow *Step : Order) {
+    if (Step->m_spec->m_isGang) {
+      placeGang(*Step, Next);
+      continue;
+    }
+    const std::vector<TaskRow *> Waiting = Step->m_waiting;
+    for (TaskRow *Task : Waiting) {
+      if (Task->m_notBefore > m_clock.now())
+        continue;
+      if (!placeTask(*Task, Next))
+        break;
+    }
+  }
+}
+
+bool Scheduler::placeTask(TaskRow &Task, Decisions &Next) {
+  const std::string &Service =
+      Task.m_step->m_occurrence->m_job->terms().m_service;
+  WorkerRow *Chosen = chooseWorker(Task, workersOf(Service), m_clock.now());
+  if (!Chosen)
+    return false;
+  leaveWaiting(Task);
+  ++Task.m_lastRun;
+  addRun(Task, Task.m_lastRun, *Chosen, RunPhase::Recording);
+  Next.m_starts.push_back({keyOf(Task), Task.m_lastRun});
+  JobRow &Job = *Task.m_step->m_occurrence->m_job;
+  if (Job.m_state == JobState::Queued)
+    Job.m_state = JobState::InProgress;
+  markDirty(Job);
+  return true;
+}
+
+bool Scheduler::placeGang(StepRow &Step, Decisions &Next) {
+  // All members or none, under one run number.
+  if (Step.m_waiting.size() != Step.m_tasks.size())
+    return false;
+  const std::size_t Begin = Next.m_starts.size();
+  RunNumber Last = 0;
+  for (TaskRow &Each : Step.m_tasks) {
+    if (!Each.m_runs.empty() || Each.m_notBefore > m_clock.now())
+      return false;
+    Last = std::max(Last, Each.m_lastRun);
+  }
+  for (TaskRow &Each : Step.m_tasks)
+    Each.m_lastRun = Last;
+  std::size_t Placed = 0;
+  for (TaskRow &Each : Step.m_tasks) {
+    if (!placeTask(Each, Next))
+      break;
+    ++Placed;
+  }
+  if (Placed == Step.m_tasks.size())
+    return true;
+  Next.m_starts.resize(Begin);
+  for (std::size_t At = 0; At < Placed; ++At) {
+    TaskRow &Task = Step.m_tasks[At];
+    removeRun(Task, Task.m_lastRun);
+    waitAgain(Task, Duration::zero());
+  }
+  return false;
+}
+
+std::vector<StartOrder> Scheduler::release(const Decisions &Stored) {
+  for (const Decisions::TakenEnd &Each : Stored.m_ends) {
+    const auto Found = m_workers.find(Each.m_worker);
+    if (Found == m_workers.end() ||
+        Found->second->m_report.m_bornMs != Each.m_bornMs)
+      continue;
+    WorkerRow &Worker = *Found->second;
+    Worker.m_storedEnd = std::max(Worker.m_storedEnd, Each.m_number);
+  }
+  std::vector<StartOrder> Starts;
+  for (const Decisions::PlannedStart &Each : Stored.m_starts) {
+    TaskRow *Task = findTask(Each.m_task);
+    RunRow *Run = Task ? findRun(*Task, Each.m_run) : nullptr;
+    if (!Run || Run->m_phase != RunPhase::Recording)
+      continue;
+    WorkerRow &Worker = *Run->m_worker;
+    if (!isOpen(Worker, m_clock.now())) {
+      voidRun(*Task, Each.m_run, Duration::zero());
+      continue;
+    }
+    Run->m_phase = RunPhase::Starting;
+    Run->m_since = m_clock.now();
+    StartOrder Order{
+        .m_worker = Worker.m_report.m_id,
+        .m_task = Each.m_task,
+        .m_run = Each.m_run,
+        .m_payload =
+            Task->m_step->m_occurrence->m_job->m_submission.m_spec.m_payload,
+        .m_checkpoint = Task->m_checkpoint,
+        .m_expires = leaseExpiry(Worker)};
+    noteLease(Worker, Order.m_expires);
+    Starts.push_back(std::move(Order));
+  }
+  return Starts;
+}
+
+void Scheduler::requestStop(TaskRow &Task, RunRow &Run) {
+  if (Run.m_phase == RunPhase::Stopping)
+    return;
+  if (Run.m_phase == RunPhase::Recording)
+    return voidRun(Task, Run.m_number, Duration::zero());
+  Run.m_phase = RunPhase::Stopping;
+  Run.m_since = m_clock.now();
+  Run.m_stopSentAt = TimePoint();
+  Run.m_isStopAnswered = false;
+}
+
+void Scheduler::stopAllRuns(TaskRow &Task) {
+  std::vector<RunNumber> Numbers;
+  for (const RunRow &Each : Task.m_runs)
+    Numbers.push_back(Each.m_number);
+  for (const RunNumber Each : Numbers)
+    if (RunRow *Run = findRun(Task, Each))
+      requestStop(Task, *Run);
+}
+
+Controls Scheduler::control() {
+  lapseSilentWorkers();
+  leaveDrainingWorkers();
+  Controls Next;
+  Next.m_stops = std::move(m_foreignStops);
+  m_foreignStops.clear();
+  for (const auto &[Id, Worker] : m_workers) {
+    if (!Worker->m_isHeld)
+      continue;
+    for (const RunRef &Ref : Worker->m_runs) {
+      RunRow *Run = findRun(*Ref.m_task, Ref.m_run);
+      if (Run && Run->m_phase == RunPhase::Stopping)
+        collectStop(*Worker, Ref, *Run, Next);
+      else if (Run && Run->m_phase == RunPhase::Running)
+        collectPace(*Worker, Ref, *Run, Next);
+    }
+  }
+  return Next;
+}
+
+void Scheduler::collectStop(const WorkerRow &Worker, const RunRef &Ref,
+                            RunRow &Run, Controls &Next) const {
+  const Duration Pause = Run.m_isStopAnswered ? StopRepeat : StopRetry;
+  if (m_clock.now() - Run.m_stopSentAt < Pause)
+    return;
+  Run.m_stopSentAt = m_clock.now();
+  Next.m_stops.push_back({Worker.m_report.m_id, keyOf(*Ref.m_task), Ref.m_run});
+}
+
+void Scheduler::collectPace(const WorkerRow &Worker, const RunRef &Ref,
+                            RunRow &Run, Controls &Next) const {
+  if (!Ref.m_task->m_step->m_spec->m_isFiller || Run.m_isPaceUnderWay ||
+      Run.m_paceSent == Worker.m_fillerPace)
+    return;
+  Run.m_isPaceUnderWay = true;
+  Next.m_paces.push_back({Worker.m_report.m_id, keyOf(*Ref.m_task), Ref.m_run,
+                          Worker.m_fillerPace});
+}
+
+void Scheduler::onStart(const StartOrder &Order, const OrderReply &Reply) {
+  WorkerRow &Worker = workerRow(Order.m_worker);
+  if (Reply.m_clock)
+    noteClock(Worker, *Reply.m_clock);
+  if (Reply.m_outcome != OrderOutcome::Done)
+    logInfo("run.not_started",
+            {{"task", toString(Order.m_task)},
+             {"run", std::to_string(Order.m_run)},
+             {"worker", Order.m_worker},
+             {"outcome", orderOutcomeName(Reply.m_outcome)}});
+  TaskRow *Task = findTask(Order.m_task);
+  RunRow *Run = Task ? findRun(*Task, Order.m_run) : nullptr;
+  if (!Run)
+    return;
+  constexpr Milliseconds FullPause{150};
+  constexpr Milliseconds RefusedPause{1000};
+  switch (Reply.m_outcome) {
+  case OrderOutcome::Done:
+    if (Run->m_phase == RunPhase::Starting) {
+      Run->m_phase = RunPhase::Running;
+      Run->m_confirmedAt = m_clock.now();
+    }
+    return;
+  case OrderOutcome::Unknown:
+    // Stopping bars the run there, whether the start is still under way or
+    // has been carried out.
+    if (Run->m_phase == RunPhase::Starting)
+      requestStop(*Task, *Run);
+    return;
+  case OrderOutcome::OldRun:
+  case OrderOutcome::Late:
+  case OrderOutcome::OtherLife:
+  case OrderOutcome::Fenced:
+    break;
+  case OrderOutcome::NoRoom:
+    Worker.m_fullUntil = m_clock.now() + FullPause;
+    break;
+  case OrderOutcome::Refused:
+  case OrderOutcome::Invalid:
+  case OrderOutcome::NotSent:
+    Worker.m_fullUntil = m_clock.now() + RefusedPause;
+    Task->m_avoid.push_back(Order.m_worker);
+    break;
+  }
+  if (Run->m_phase == RunPhase::Starting || Run->m_phase == RunPhase::Stopping)
+    voidRun(*Task, Order.m_run, Duration::zero());
+}
+
+void Scheduler::onStop(const StopOrder &Order, const OrderReply &Reply) {
+  WorkerRow &Worker = workerRow(Order.m_worker);
+  if (Reply.m_clock)
+    noteClock(Worker, *Reply.m_clock);
+  TaskRow *Task = findTask(Order.m_task);
+  RunRow *Run = Task ? findRun(*Task, Order.m_run) : nullptr;
+  if (!Run || Run->m_phase != RunPhase::Stopping)
+    return;
+  if (Reply.m_outcome == OrderOutcome::Done) {
+    Run->m_isStopAnswered = true;
+    Run->m_stopAnsweredAt = m_clock.now();
+  } else if (Reply.m_outcome == OrderOutcome::OtherLife) {
+    voidRun(*Task, Order.m_run, Duration::zero());
+  }
+}
+
+void Scheduler::onPace(const PaceOrder &Order, const OrderReply &Reply) {
+  TaskRow *Task = findTask(Order.m_task);
+  RunRow *Run = Task ? findRun(*Task, Order.m_run) : nullptr;
+  if (!Run)
+    return;
+  Run->m_isPaceUnderWay = false;
+  if (Reply.m_outcome == OrderOutcome::Done)
+    Run->m_paceSent = Order.m_percent;
+}
+
+TimePoint Scheduler::nextWake() const { return m_clock.now() + IdleWake; }
+
+std::size_t Scheduler::waitingTasks() const {
+  std::size_t Count = 0;
+  for (const auto &[Key, Step] : m_toPlace)
+    Count += Step->m_waiting.size();
+  return Count;
+}
+
+} // namespace catkinseam
--- /dev/null
+++ b/catkinseam/scheduler/scheduler.h
@@ -0,0 +1,223 @@
+// Decides what runs where: a pure module, events in, orders out.
+//
+//   Scheduler Plan(Clock, {});
+//   Plan.updateWorker(Report);
+//   Plan.addJob(Submission, nullptr);
+//   Decisions Next = Plan.decide();
+//   // store Next.m_progress; once that is durable:
+//   for (const StartOrder &Each : Plan.release(Next)) send(Each);
+//
+// Safety rests on three rules. A run is recorded before its start is sent, so
+// that a successor knows where a task may be. A task runs again only after its
+// earlier run is proven over: the worker listed its end, or did not list it
+// after a stop or a new token was answered, or began a new life, or its lease
+// has ended for certain. An end is stored before the worker may forget it.
+#ifndef CATKINSEAM_SCHEDULER_SCHEDULER_H
+#define CATKINSEAM_SCHEDULER_SCHEDULER_H
+
+#include "catkinseam/ledger/records.h"
+#include "catkinseam/scheduler/orders.h"
+#include "catkinseam/scheduler/pacing.h"
+#include "catkinseam/scheduler/placement.h"
+#include "catkinseam/scheduler/tables.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace catkinseam {
+
+/// Orders that need no storing first.
+struct Controls {
+  std::vector<StopOrder> m_stops;
+  std::vector<PaceOrder> m_paces;
+};
+
+/// What is to be stored, and the starts that wait for that.
+struct Decisions {
+  std::vector<std::pair<std::string, JobProgress>> m_progress;
+  /// Jobs whose records are to be dropped.
+  std::vector<std::string> m_forgotten;
+
+  bool needsStoring() const {
+    return !m_progress.empty() || !m_forgotten.empty() || !m_ends.empty();
+  }
+
+private:
+  friend class Scheduler;
+  struct PlannedStart {
+    TaskKey m_task;
+    RunNumber m_run = 0;
+  };
+  struct TakenEnd {
+    std::string m_worker;
+    std::int64_t m_bornMs = 0;
+    std::uint64_t m_number = 0;
+  };
+  std::vector<PlannedStart> m_starts;
+  std::vector<TakenEnd> m_ends;
+};
+
+/// Not thread-safe.
+class Scheduler {
+public:
+  struct Options {
+    /// Length of the leases that holds and starts grant.
+    Milliseconds m_lease{4500};
+    /// The same while the store cannot be reached; the longest that workers
+    /// grant.
+    Milliseconds m_longLease{6000};
+    /// After a takeover, how long runs may live on workers that an earlier
+    /// owner still reaches.
+    Milliseconds m_foreignLease{9500};
+    /// After the first look under this owner's token: leases granted before
+    /// have ended by then.
+    Milliseconds m_heldLease{6500};
+    /// How long a look may wait at the worker.
+    Milliseconds m_lookWait{1500};
+    /// The same where services and fillers share the worker.
+    Milliseconds m_sharedLookWait{500};
+    /// A stop takes at most this long at the worker.
+    Milliseconds m_stopTime{400};
+    /// How long a job's end is remembered.
+    Milliseconds m_memory{180000};
+  };
+
+  Scheduler(const Clock &Time, const Options &Values);
+  ~Scheduler();
+
+  // What becomes known.
+
+  /// `Services`: those that the configuration names, with what their queues
+  /// may be sent to.
+  void setServices(std::set<std::string> Standby);
+  /// `Recorded`: what an earlier owner stored; null for a new job.
+  void addJob(const Submission &Job, const JobProgress *Recorded);
+  void cancelJob(const std::string &Id);
+  void updateWorker(const WorkerReport &Report);
+  void removeWorker(const std::string &Id);
+  void setStoreReachable(bool IsReachable) { m_isStoreReachable = IsReachable; }
+
+  void onStart(const StartOrder &Order, const OrderReply &Reply);
+  void onStop(const StopOrder &Order, const OrderReply &Reply);
+  void onPace(const PaceOrder &Order, const OrderReply &Reply);
+  void onHold(const HoldOrder &Order, TimePoint SentAt, const HoldReply &Reply);
+
+  // What is decided.
+
+  /// Ends what is over by the time, and collects stops and paces to send.
+  Controls control();
+
+  /// Places what fits and collects all that changed since the last call.
+  Decisions decide();
+
+  /// The decisions are durable: returns the starts that still stand.
+  std::vector<StartOrder> release(const Decisions &Stored);
+
+  /// The next look at a worker; none while one need not be held.
+  std::optional<HoldOrder> nextHold(const std::string &Worker);
+
+  /// Workers to be held.
+  std::vector<std::string> workersToHold() const;
+  const WorkerRow *findWorker(const std::string &Id) const;
+
+  /// When decide() is due even though nothing became known.
+  TimePoint nextWake() const;
+
+  /// For metrics.
+  std::size_t liveJobs() const { return m_liveJobs; }
+  std::size_t waitingTasks() const;
+
+private:
+  friend class SchedulerInspector;
+
+  // Jobs.
+  void openOccurrence(OccurrenceRow &Occurrence);
+  void beginReadySteps(OccurrenceRow &Occurrence);
+  void beginStep(StepRow &Step);
+  void restore(JobRow &Job, const JobProgress &Recorded);
+  void restoreTask(TaskRow &Task, const TaskRecord &Recorded);
+  void markDirty(JobRow &Job);
+  void finishStepTask(TaskRow &Task);
+  void endJob(JobRow &Job, JobState State);
+  void waitAgain(TaskRow &Task, Duration Delay);
+  void leaveWaiting(TaskRow &Task);
+  JobProgress progressOf(const JobRow &Job) const;
+  void openDueOccurrences();
+  void forgetOldJobs(Decisions &Next);
+
+  // Runs.
+  TaskRow *findTask(const TaskKey &Key);
+  static RunRow *findRun(TaskRow &Task, RunNumber Number);
+  RunRow &addRun(TaskRow &Task, RunNumber Number, WorkerRow &Worker,
+                 RunPhase Phase);
+  void removeRun(TaskRow &Task, RunNumber Number);
+  void takeEnd(TaskRow &Task, RunNumber Number, RunEnd End,
+               const std::string &Checkpoint);
+  /// The run is over and has done nothing that counts.
+  void voidRun(TaskRow &Task, RunNumber Number, Duration Delay);
+  void requestStop(TaskRow &Task, RunRow &Run);
+  void stopAllRuns(TaskRow &Task);
+  static TaskKey keyOf(const TaskRow &Task);
+
+  // Workers.
+  WorkerRow &workerRow(const std::string &Id);
+  void beginLife(WorkerRow &Worker, std::int64_t BornMs);
+  void voidRunsOf(WorkerRow &Worker, const char *Reason);
+  void noteClock(WorkerRow &Worker, Milliseconds Clock);
+  void noteLease(WorkerRow &Worker, Milliseconds Expires);
+  Milliseconds leaseExpiry(const WorkerRow &Worker) const;
+  void takeLook(WorkerRow &Worker, TimePoint SentAt, const WorkerLook &Look);
+  void takeActive(WorkerRow &Worker, TimePoint SentAt, const WorkerLook &Look);
+  void stopForeign(WorkerRow &Worker, const ActiveRun &Active);
+  void lapseSilentWorkers();
+  void leaveDrainingWorkers();
+  void noteFailure(WorkerRow &Worker, const std::string &Job);
+  void noteDone(WorkerRow &Worker);
+
+  // Decisions.
+  void placeWaiting(Decisions &Next);
+  bool placeTask(TaskRow &Task, Decisions &Next);
+  const std::vector<WorkerRow *> &workersOf(const std::string &Service);
+  bool placeGang(StepRow &Step, Decisions &Next);
+  void collectStop(const WorkerRow &Worker, const RunRef &Ref, RunRow &Run,
+                   Controls &Next) const;
+  void collectPace(const WorkerRow &Worker, const RunRef &Ref, RunRow &Run,
+                   Controls &Next) const;
+
+  const Clock &m_clock;
+  const Options m_options;
+  Pacing m_pacing;
+  bool m_isStoreReachable = true;
+  std::set<std::string> m_standby;
+  std::unordered_map<std::string, std::unique_ptr<JobRow>> m_jobs;
+  std::unordered_map<std::string, std::unique_ptr<WorkerRow>> m_workers;
+  /// Steps with tasks to place, in the order in which they get room: by
+  /// priority, then by the job's objective.
+  struct StepOrder {
+    std::int64_t m_priority;
+    std::int64_t m_objectiveMs;
+    std::string m_job;
+    std::uint32_t m_occurrence;
+    std::uint32_t m_step;
+    auto operator<=>(const StepOrder &) const = default;
+  };
+  static StepOrder orderOf(const StepRow &Step);
+  std::map<StepOrder, StepRow *> m_toPlace;
+  /// Rows by service; rebuilt by each decide().
+  std::map<std::string, std::vector<WorkerRow *>> m_byService;
+  std::set<std::string> m_dirty;
+  std::vector<Decisions::TakenEnd> m_takenEnds;
+  /// Runs to stop that belong to no job known here.
+  std::vector<StopOrder> m_foreignStops;
+  std::map<std::string, TimePoint> m_foreignStopSent;
+  std::size_t m_liveJobs = 0;
+};
+
+} // namespace catkinseam
+
+#endif // CATKINSEAM_SCHEDULER_SCHEDULER_H
--- /dev/null
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -0,0 +1,438 @@
+// Jobs: how steps and occurrences begin and end, and what is stored of them.
+#include "catkinseam/scheduler/scheduler.h"
+
+#include "catkinseam/telemetry/log.h"
+
+#include <algorithm>
+
+namespace catkinseam {
+
+namespace {
+
+/// Workers that a task remembers to keep away from.
+constexpr std::size_t MaxAvoided = 4;
+/// A service's task that ended waits this long before it runs again.
+constexpr Milliseconds ServiceRestartDelay{0};
+
+/// The sum of estimates along the longest chain of steps.
+Milliseconds longestChain(const JobSpec &Spec) {
+  std::vector<Milliseconds> Ends;
+  Milliseconds Longest{0};
+  for (const StepSpec &Step : Spec.m_steps) {
+    Milliseconds Begin{0};
+    for (const std::uint32_t Earlier : Step.m_after)
+      Begin = std::max(Begin, Ends[Earlier]);
+    Ends.push_back(Begin + Step.m_estimate);
+    Longest = std::max(Longest, Ends.back());
+  }
+  return Longest;
+}
+
+} // namespace
+
+TaskKey Scheduler::keyOf(const TaskRow &Task) {
+  const OccurrenceRow &Occurrence = *Task.m_step->m_occurrence;
+  return {Occurrence.m_job->m_submission.m_id, Occurrence.m_number,
+          Task.m_step->m_number, Task.m_index};
+}
+
+TaskRow *Scheduler::findTask(const TaskKey &Key) {
+  const auto Found = m_jobs.find(Key.m_job);
+  if (Found == m_jobs.end())
+    return nullptr;
+  for (OccurrenceRow &Each : Found->second->m_occurrences) {
+    if (Each.m_number != Key.m_occurrence)
+      continue;
+    if (Key.m_step >= Each.m_steps.size())
+      return nullptr;
+    StepRow &Step = Each.m_steps[Key.m_step];
+    return Key.m_index < Step.m_tasks.size() ? &Step.m_tasks[Key.m_index]
+                                             : nullptr;
+  }
+  return nullptr;
+}
+
+RunRow *Scheduler::findRun(TaskRow &Task, RunNumber Number) {
+  for (RunRow &Each : Task.m_runs)
+    if (Each.m_number == Number)
+      return &Each;
+  return nullptr;
+}
+
+void Scheduler::addJob(const Submission &Job, const JobProgress *Recorded) {
+  if (m_jobs.contains(Job.m_id))
+    return;
+  auto Made = std::make_unique<JobRow>();
+  JobRow &Row = *Made;
+  Row.m_submission = Job;
+  const auto Chain = static_cast<double>(longestChain(Job.m_spec).count());
+  Row.m_objectiveMs = Job.m_acceptedMs +
+                      static_cast<std::int64_t>(Job.m_terms.m_stretch * Chain) +
+                      Job.m_terms.m_slack.count();
+  m_jobs.emplace(Job.m_id, std::move(Made));
+  if (Recorded)
+    Row.m_state = Recorded->m_state;
+  if (isFinal(Row.m_state)) {
+    Row.m_endedAt = m_clock.now();
+    return;
+  }
+  ++m_liveJobs;
+  const std::uint32_t First = Recorded ? Recorded->m_firstOpen : 0;
+  const std::uint32_t Count = std::max(1U, Job.m_spec.m_occurrences);
+  for (std::uint32_t Number = First; Number < Count; ++Number) {
+    OccurrenceRow &Occurrence = Row.m_occurrences.emplace_back();
+    Occurrence.m_job = &Row;
+    Occurrence.m_number = Number;
+    Occurrence.m_dueMs =
+        Job.m_spec.m_occurrences == 0
+            ? Job.m_acceptedMs
+            : Job.m_spec.m_firstDueMs + Number * Job.m_spec.m_interval.count();
+  }
+  if (Recorded)
+    restore(Row, *Recorded);
+  if (Job.m_spec.m_occurrences == 0 && !Row.m_occurrences.empty())
+    openOccurrence(Row.m_occurrences.front());
+}
+
+void Scheduler::openDueOccurrences() {
+  const std::int64_t NowMs = m_clock.wallNow().time_since_epoch().count();
+  for (const auto &[Id, Job] : m_jobs) {
+    if (Job->m_submission.m_spec.m_occurrences == 0 || isFinal(Job->m_state))
+      continue;
+    for (OccurrenceRow &Each : Job->m_occurrences) {
+      if (Each.m_dueMs > NowMs)
+        break;
+      openOccurrence(Each);
+    }
+  }
+}
+
+void Scheduler::openOccurrence(OccurrenceRow &Occurrence) {
+  if (Occurrence.m_isOpen)
+    return;
+  Occurrence.m_isOpen = true;
+  const JobSpec &Spec = Occurrence.m_job->m_submission.m_spec;
+  if (Occurrence.m_steps.empty()) {
+    Occurrence.m_steps.resize(Spec.m_steps.size());
+    for (std::uint32_t At = 0; At < Spec.m_steps.size(); ++At) {
+      StepRow &Step = Occurrence.m_steps[At];
+      Step.m_spec = &Spec.m_steps[At];
+      Step.m_occurrence = &Occurrence;
+      Step.m_number = At;
+    }
+  }
+  beginReadySteps(Occurrence);
+}
+
+void Scheduler::beginReadySteps(OccurrenceRow &Occurrence) {
+  for (StepRow &Step : Occurrence.m_steps) {
+    if (Step.m_hasBegun)
+      continue;
+    const bool IsReady =
+        std::all_of(Step.m_spec->m_after.begin(), Step.m_spec->m_after.end(),
+                    [&](std::uint32_t Earlier) {
+                      const StepRow &Other = Occurrence.m_steps[Earlier];
+                      return Other.m_done == Other.m_spec->m_count;
+                    });
+    if (IsReady)
+      beginStep(Step);
+  }
+}
+
+void Scheduler::beginStep(StepRow &Step) {
+  Step.m_hasBegun = true;
+  Step.m_tasks.resize(Step.m_spec->m_count);
+  for (std::uint32_t At = 0; At < Step.m_tasks.size(); ++At) {
+    TaskRow &Task = Step.m_tasks[At];
+    Task.m_step = &Step;
+    Task.m_index = At;
+    waitAgain(Task, Duration::zero());
+  }
+}
+
+void Scheduler::restore(JobRow &Job, const JobProgress &Recorded) {
+  for (const OccurrenceRecord &Each : Recorded.m_occurrences) {
+    const auto Found =
+        std::find_if(Job.m_occurrences.begin(), Job.m_occurrences.end(),
+                     [&](const OccurrenceRow &Row) {
+                       return Row.m_number == Each.m_number;
+                     });
+    if (Found == Job.m_occurrences.end())
+      continue;
+    OccurrenceRow &Occurrence = *Found;
+    const JobSpec &Spec = Job.m_submission.m_spec;
+    Occurrence.m_isOpen = true;
+    Occurrence.m_steps.resize(Spec.m_steps.size());
+    for (std::uint32_t At = 0; At < Spec.m_steps.size(); ++At) {
+      StepRow &Step = Occurrence.m_steps[At];
+      Step.m_spec = &Spec.m_steps[At];
+      Step.m_occurrence = &Occurrence;
+      Step.m_number = At;
+    }
+    const std::size_t Steps =
+        std::min(Each.m_steps.size(), Occurrence.m_steps.size());
+    for (std::size_t At = 0; At < Steps; ++At) {
+      StepRow &Step = Occurrence.m_steps[At];
+      const std::vector<TaskRecord> &Tasks = Each.m_steps[At].m_tasks;
+      if (Tasks.size() != Step.m_spec->m_count)
+        continue;
+      Step.m_hasBegun = true;
+      Step.m_tasks.resize(Tasks.size());
+      for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index) {
+        Step.m_tasks[Index].m_step = &Step;
+        Step.m_tasks[Index].m_index = Index;
+      }
+      for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index)
+        restoreTask(Step.m_tasks[Index], Tasks[Index]);
+      if (Step.m_done == Step.m_spec->m_count)
+        ++Occurrence.m_stepsDone;
+    }
+    beginReadySteps(Occurrence);
+  }
+}
+
+void Scheduler::restoreTask(TaskRow &Task, const TaskRecord &Recorded) {
+  Task.m_isDone = Recorded.m_isDone;
+  Task.m_failures = Recorded.m_failures;
+  Task.m_lastRun = Recorded.m_lastRun;
+  Task.m_checkpoint = Recorded.m_checkpoint;
+  if (Task.m_isDone) {
+    ++Task.m_step->m_done;
+    return;
+  }
+  for (const RunRecord &Each : Recorded.m_runs) {
+    WorkerRow &Worker = workerRow(Each.m_worker);
+    // Another life has begun there since: nothing of this run is left.
+    if (Worker.m_report.m_bornMs > Each.m_workerBornMs)
+      continue;
+    Worker.m_report.m_bornMs = Each.m_workerBornMs;
+    addRun(Task, Each.m_run, Worker, RunPhase::Adopted);
+  }
+  if (Task.m_runs.empty())
+    waitAgain(Task, Duration::zero());
+}
+
+void Scheduler::cancelJob(const std::string &Id) {
+  const auto Found = m_jobs.find(Id);
+  if (Found == m_jobs.end() || isFinal(Found->second->m_state))
+    return;
+  endJob(*Found->second, JobState::Cancelled);
+}
+
+void Scheduler::endJob(JobRow &Job, JobState State) {
+  Job.m_state = State;
+  Job.m_endedAt = m_clock.now();
+  --m_liveJobs;
+  for (OccurrenceRow &Occurrence : Job.m_occurrences)
+    for (StepRow &Step : Occurrence.m_steps)
+      for (TaskRow &Task : Step.m_tasks) {
+        leaveWaiting(Task);
+        stopAllRuns(Task);
+      }
+  markDirty(Job);
+  logInfo("job.ended", {{"job", Job.m_submission.m_id},
+                        {"queue", Job.terms().m_queue},
+                        {"state", std::to_string(static_cast<int>(State))}});
+}
+
+void Scheduler::markDirty(JobRow &Job) {
+  if (Job.m_isDirty)
+    return;
+  Job.m_isDirty = true;
+  m_dirty.insert(Job.m_submission.m_id);
+}
+
+void Scheduler::waitAgain(TaskRow &Task, Duration Delay) {
+  StepRow &Step = *Task.m_step;
+  if (Task.m_isWaiting || Task.m_isDone ||
+      isFinal(Step.m_occurrence->m_job->m_state))
+    return;
+  Task.m_isWaiting = true;
+  Task.m_notBefore = m_clock.now() + Delay;
+  Step.m_waiting.push_back(&Task);
+  m_toPlace[orderOf(Step)] = &Step;
+}
+
+void Scheduler::leaveWaiting(TaskRow &Task) {
+  if (!Task.m_isWaiting)
+    return;
+  Task.m_isWaiting = false;
+  StepRow &Step = *Task.m_step;
+  std::erase(Step.m_waiting, &Task);
+  if (Step.m_waiting.empty())
+    m_toPlace.erase(orderOf(Step));
+}
+
+RunRow &Scheduler::addRun(TaskRow &Task, RunNumber Number, WorkerRow &Worker,
+                          RunPhase Phase) {
+  RunRow Run;
+  Run.m_number = Number;
+  Run.m_phase = Phase;
+  Run.m_worker = &Worker;
+  Run.m_since = m_clock.now();
+  Run.m_percentChangedAt = m_clock.now();
+  Task.m_runs.push_back(Run);
+  Worker.m_runs.push_back({&Task, Number});
+  const StepSpec &Spec = *Task.m_step->m_spec;
+  Resources Held = Spec.m_request;
+  if (Spec.m_isFiller) {
+    Worker.m_fillerProcessors += Held.m_milliProcessors;
+    ++Worker.m_fillers;
+    Held.m_milliProcessors = 0;
+  }
+  if (Spec.m_isService)
+    ++Worker.m_services;
+  Worker.m_reserved += Held;
+  ++Task.m_step->m_occurrence->m_job->m_liveRuns;
+  return Task.m_runs.back();
+}
+
+void Scheduler::removeRun(TaskRow &Task, RunNumber Number) {
+  RunRow *Run = findRun(Task, Number);
+  WorkerRow &Worker = *Run->m_worker;
+  const StepSpec &Spec = *Task.m_step->m_spec;
+  Resources Held = Spec.m_request;
+  if (Spec.m_isFiller) {
+    Worker.m_fillerProcessors -= Held.m_milliProcessors;
+    --Worker.m_fillers;
+    Held.m_milliProcessors = 0;
+  }
+  if (Spec.m_isService)
+    --Worker.m_services;
+  Worker.m_reserved -= Held;
+  std::erase(Worker.m_runs, RunRef{&Task, Number});
+  std::erase_if(Task.m_runs, [Number](const RunRow &Each) {
+    return Each.m_number == Number;
+  });
+  --Task.m_step->m_occurrence->m_job->m_liveRuns;
+}
+
+void Scheduler::voidRun(TaskRow &Task, RunNumber Number, Duration Delay) {
+  removeRun(Task, Number);
+  markDirty(*Task.m_step->m_occurrence->m_job);
+  if (Task.m_avoid.size() > MaxAvoided)
+    Task.m_avoid.erase(Task.m_avoid.begin());
+  if (Task.m_step->m_spec->m_isGang)
+    for (TaskRow &Each : Task.m_step->m_tasks)
+      stopAllRuns(Each);
+  if (Task.m_runs.empty())
+    waitAgain(Task, Delay);
+}
+
+void Scheduler::takeEnd(TaskRow &Task, RunNumber Number, RunEnd End,
+                        const std::string &Checkpoint) {
+  StepRow &Step = *Task.m_step;
+  JobRow &Job = *Step.m_occurrence->m_job;
+  RunRow *Run = findRun(Task, Number);
+  WorkerRow &Worker = *Run->m_worker;
+  const Duration RanFor = m_clock.now() - Run->m_since;
+  if (!Checkpoint.empty())
+    Task.m_checkpoint = Checkpoint;
+  if (End == RunEnd::Done) {
+    removeRun(Task, Number);
+    noteDone(Worker);
+    Step.m_doneTimes.push_back(RanFor);
+    return finishStepTask(Task);
+  }
+  if (End == RunEnd::Failed) {
+    ++Task.m_failures;
+    noteFailure(Worker, Job.m_submission.m_id);
+    Task.m_avoid.push_back(Worker.m_report.m_id);
+  }
+  logInfo("run.ended", {{"task", toString(keyOf(Task))},
+                        {"run", std::to_string(Number)},
+                        {"worker", Worker.m_report.m_id},
+                        {"end", runEndName(End)},
+                        {"failures", std::to_string(Task.m_failures)}});
+  voidRun(Task, Number, ServiceRestartDelay);
+  const bool IsSpent =
+      Task.m_failures >= Job.terms().m_maxAttempts && !Step.m_spec->m_isService;
+  if (IsSpent && Task.m_runs.empty() && !isFinal(Job.m_state))
+    endJob(Job, JobState::Failed);
+}
+
+void Scheduler::finishStepTask(TaskRow &Task) {
+  StepRow &Step = *Task.m_step;
+  OccurrenceRow &Occurrence = *Step.m_occurrence;
+  JobRow &Job = *Occurrence.m_job;
+  markDirty(Job);
+  if (Step.m_spec->m_isService) {
+    // A service runs until it is cancelled, however a run ends.
+    if (Task.m_runs.empty())
+      waitAgain(Task, ServiceRestartDelay);
+    return;
+  }
+  const auto Finish = [&](TaskRow &Each) {
+    leaveWaiting(Each);
+    stopAllRuns(Each);
+    if (!Each.m_isDone) {
+      Each.m_isDone = true;
+      ++Step.m_done;
+    }
+  };
+  if (Step.m_spec->m_isGang)
+    std::for_each(Step.m_tasks.begin(), Step.m_tasks.end(), Finish);
+  else
+    Finish(Task);
+  if (Step.m_done < Step.m_spec->m_count || isFinal(Job.m_state))
+    return;
+  ++Occurrence.m_stepsDone;
+  if (Occurrence.m_stepsDone < Occurrence.m_steps.size())
+    return beginReadySteps(Occurrence);
+  const bool IsLast = std::all_of(
+      Job.m_occurrences.begin(), Job.m_occurrences.end(),
+      [](const OccurrenceRow &Each) {
+        return Each.m_isOpen && Each.m_stepsDone == Each.m_steps.size();
+      });
+  if (IsLast)
+    endJob(Job, JobState::Completed);
+}
+
+JobProgress Scheduler::progressOf(const JobRow &Job) const {
+  JobProgress Progress;
+  Progress.m_state = Job.m_state;
+  if (isFinal(Job.m_state))
+    return Progress;
+  Progress.m_firstOpen =
+      Job.m_occurrences.empty() ? 0 : Job.m_occurrences.front().m_number;
+  for (const OccurrenceRow &Occurrence : Job.m_occurrences) {
+    if (!Occurrence.m_isOpen)
+      continue;
+    OccurrenceRecord &Record = Progress.m_occurrences.emplace_back();
+    Record.m_number = Occurrence.m_number;
+    for (const StepRow &Step : Occurrence.m_steps) {
+      StepRecord &StepTo = Record.m_steps.emplace_back();
+      if (!Step.m_hasBegun)
+        continue;
+      for (const TaskRow &Task : Step.m_tasks) {
+        TaskRecord &To = StepTo.m_tasks.emplace_back();
+        To.m_isDone = Task.m_isDone;
+        To.m_failures = Task.m_failures;
+        To.m_lastRun = Task.m_lastRun;
+        if (Task.m_isDone)
+          continue;
+        To.m_checkpoint = Task.m_checkpoint;
+        for (const RunRow &Run : Task.m_runs)
+          To.m_runs.push_back({Run.m_number, Run.m_worker->m_report.m_id,
+                               Run.m_worker->m_report.m_bornMs});
+      }
+    }
+  }
+  return Progress;
+}
+
+void Scheduler::forgetOldJobs(Decisions &Next) {
+  const TimePoint Now = m_clock.now();
+  for (auto Each = m_jobs.begin(); Each != m_jobs.end();) {
+    const JobRow &Job = *Each->second;
+    if (isFinal(Job.m_state) && Job.m_liveRuns == 0 && !Job.m_isDirty &&
+        Now - Job.m_endedAt > m_options.m_memory) {
+      Next.m_forgotten.push_back(Each->first);
+      Each = m_jobs.erase(Each);
+    } else {
+      ++Each;
+    }
+  }
+}
+
+} // namespace catkinseam
--- /dev/null
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -0,0 +1,303 @@
+// Workers: their leases, looks, lives and health.
+#include "catkinseam/scheduler/scheduler.h"
+
+#include "catkinseam/telemetry/log.h"
+
+#include <algorithm>
+
+namespace catkinseam {
+
+namespace {
+
+/// The slowest that a worker's clock may run against this one.
+constexpr double SlowestClock = 0.98;
+/// Beyond the end of a lease by reckoning.
+constexpr Milliseconds LeaseMargin{300};
+/// So many looks in a row without an answer and nothing new is sent there.
+constexpr std::uint32_t MaxUnanswered = 1;
+/// Failures in a row, of different jobs, that put a worker aside.
+constexpr std::size_t MaxFailedJobs = 2;
+constexpr Milliseconds ShunTime{2500};
+/// A run of no known job is stopped again after this time.
+constexpr Milliseconds ForeignStopRepeat{1000};
+
+} // namespace
+
+WorkerRow &Scheduler::workerRow(const std::string &Id) {
+  std::unique_ptr<WorkerRow> &Row = m_workers[Id];
+  if (!Row) {
+    Row = std::make_unique<WorkerRow>();
+    Row->m_report.m_id = Id;
+    Row->m_leaseEnd = m_clock.now() + m_options.m_foreignLease;
+  }
+  return *Row;
+}
+
+const WorkerRow *Scheduler::findWorker(const std::string &Id) const {
+  const auto Found = m_workers.find(Id);
+  return Found == m_workers.end() ? nullptr : Found->second.get();
+}
+
+void Scheduler::updateWorker(const WorkerReport &Report) {
+  WorkerRow &Worker = workerRow(Report.m_id);
+  // An entry of an earlier life that arrives late.
+  if (Report.m_bornMs < Worker.m_report.m_bornMs)
+    return;
+  if (Report.m_bornMs > Worker.m_report.m_bornMs)
+    beginLife(Worker, Report.m_bornMs);
+  if (Report.m_isDraining && !Worker.m_report.m_isDraining)
+    logInfo("worker.draining",
+            {{"worker", Report.m_id},
+             {"remaining_ms", std::to_string(Report.m_remaining.count())}});
+  Worker.m_report = Report;
+  if (!Worker.m_isListed)
+    logInfo("worker.listed", {{"worker", Report.m_id},
+                              {"service", Report.m_service},
+                              {"address", toString(Report.m_address)}});
+  Worker.m_isListed = true;
+}
+
+void Scheduler::removeWorker(const std::string &Id) {
+  const auto Found = m_workers.find(Id);
+  if (Found == m_workers.end() || !Found->second->m_isListed)
+    return;
+  Found->second->m_isListed = false;
+  logInfo("worker.unlisted", {{"worker", Id}});
+}
+
+void Scheduler::beginLife(WorkerRow &Worker, std::int64_t BornMs) {
+  if (Worker.m_report.m_bornMs != 0) {
+    logInfo("worker.new_life", {{"worker", Worker.m_report.m_id},
+                                {"born", std::to_string(BornMs)}});
+    voidRunsOf(Worker, "new_life");
+    Worker.m_leaseEnd = m_clock.now();
+  }
+  Worker.m_report.m_bornMs = BornMs;
+  Worker.m_isHeld = false;
+  Worker.m_hasClock = false;
+  Worker.m_lastEnd = 0;
+  Worker.m_storedEnd = 0;
+  Worker.m_failedJobs.clear();
+  Worker.m_failuresInRow = 0;
+  Worker.m_hasDone = false;
+  Worker.m_shunnedUntil = TimePoint();
+}
+
+void Scheduler::voidRunsOf(WorkerRow &Worker, const char *Reason) {
+  const std::vector<RunRef> Runs = Worker.m_runs;
+  for (const RunRef &Each : Runs) {
+    if (!findRun(*Each.m_task, Each.m_run))
+      continue;
+    logInfo("run.over", {{"task", toString(keyOf(*Each.m_task))},
+                         {"run", std::to_string(Each.m_run)},
+                         {"worker", Worker.m_report.m_id},
+                         {"reason", Reason}});
+    voidRun(*Each.m_task, Each.m_run, Duration::zero());
+  }
+}
+
+void Scheduler::noteClock(WorkerRow &Worker, Milliseconds Clock) {
+  Worker.m_clock = Clock;
+  Worker.m_clockAt = m_clock.now();
+  Worker.m_hasClock = true;
+}
+
+void Scheduler::noteLease(WorkerRow &Worker, Milliseconds Expires) {
+  const double Left = static_cast<double>((Expires - Worker.m_clock).count());
+  const Milliseconds Longest(static_cast<std::int64_t>(Left / SlowestClock));
+  Worker.m_leaseEnd = std::max<TimePoint>(
+      Worker.m_leaseEnd, Worker.m_clockAt + Longest + LeaseMargin);
+}
+
+Milliseconds Scheduler::leaseExpiry(const WorkerRow &Worker) const {
+  const Milliseconds Since = toMilliseconds(m_clock.now() - Worker.m_clockAt);
+  return Worker.m_clock + Since +
+         (m_isStoreReachable ? m_options.m_lease : m_options.m_longLease);
+}
+
+std::optional<HoldOrder> Scheduler::nextHold(const std::string &Id) {
+  WorkerRow &Worker = workerRow(Id);
+  if (!Worker.m_isListed && Worker.m_runs.empty())
+    return std::nullopt;
+  HoldOrder Order;
+  Order.m_worker = Id;
+  Order.m_observed = Worker.m_storedEnd;
+  Worker.m_lastHoldSent = m_clock.now();
+  if (!Worker.m_hasClock || !Worker.m_isHeld)
+    return Order;
+  Order.m_expires = leaseExpiry(Worker);
+  noteLease(Worker, *Order.m_expires);
+  // Ends that are not yet stored would be listed again at once.
+  if (Worker.m_lastEnd > Worker.m_storedEnd)
+    return Order;
+  const bool IsShared = Worker.m_services > 0 && Worker.m_fillers > 0;
+  Order.m_wait = IsShared ? m_options.m_sharedLookWait : m_options.m_lookWait;
+  return Order;
+}
+
+std::vector<std::string> Scheduler::workersToHold() const {
+  std::vector<std::string> Ids;
+  for (const auto &[Id, Worker] : m_workers)
+    if (Worker->m_isListed || !Worker->m_runs.empty())
+      Ids.push_back(Id);
+  return Ids;
+}
+
+void Scheduler::onHold(const HoldOrder &Order, TimePoint SentAt,
+                       const HoldReply &Reply) {
+  WorkerRow &Worker = workerRow(Order.m_worker);
+  if (Reply.m_outcome != OrderOutcome::Done) {
+    ++Worker.m_unanswered;
+    if (Worker.m_isReachable && Worker.m_unanswered >= MaxUnanswered) {
+      Worker.m_isReachable = false;
+      logWarn("worker.unreachable",
+              {{"worker", Order.m_worker},
+               {"outcome", orderOutcomeName(Reply.m_outcome)}});
+    }
+    return;
+  }
+  if (Reply.m_look.m_bornMs < Worker.m_report.m_bornMs)
+    return;
+  if (Reply.m_look.m_bornMs > Worker.m_report.m_bornMs)
+    beginLife(Worker, Reply.m_look.m_bornMs);
+  if (!Worker.m_isReachable)
+    logInfo("worker.reachable", {{"worker", Order.m_worker}});
+  Worker.m_isReachable = true;
+  Worker.m_unanswered = 0;
+  Worker.m_lastAnswer = m_clock.now();
+  noteClock(Worker, Reply.m_look.m_clock);
+  takeLook(Worker, SentAt, Reply.m_look);
+  if (!Worker.m_isHeld)
+    Worker.m_leaseEnd =
+        std::min(Worker.m_leaseEnd, m_clock.now() + m_options.m_heldLease);
+  Worker.m_isHeld = true;
+  m_pacing.adjust(Worker, m_clock.now());
+}
+
+void Scheduler::takeLook(WorkerRow &Worker, TimePoint SentAt,
+                         const WorkerLook &Look) {
+  for (const EndedRun &Each : Look.m_ended) {
+    if (Each.m_number <= Worker.m_lastEnd)
+      continue;
+    Worker.m_lastEnd = Each.m_number;
+    if (TaskRow *Task = findTask(Each.m_task);
+        Task && findRun(*Task, Each.m_run))
+      takeEnd(*Task, Each.m_run, Each.m_end, Each.m_checkpoint);
+  }
+  if (Worker.m_lastEnd > Worker.m_storedEnd)
+    m_takenEnds.push_back(
+        {Worker.m_report.m_id, Worker.m_report.m_bornMs, Worker.m_lastEnd});
+  takeActive(Worker, SentAt, Look);
+}
+
+void Scheduler::takeActive(WorkerRow &Worker, TimePoint SentAt,
+                           const WorkerLook &Look) {
+  std::set<RunRef> Listed;
+  for (const ActiveRun &Each : Look.m_active) {
+    TaskRow *Task = findTask(Each.m_task);
+    RunRow *Run = Task ? findRun(*Task, Each.m_run) : nullptr;
+    if (!Run || Run->m_worker != &Worker) {
+      stopForeign(Worker, Each);
+      continue;
+    }
+    Listed.insert({Task, Each.m_run});
+    if (Run->m_phase == RunPhase::Starting ||
+        Run->m_phase == RunPhase::Adopted) {
+      Run->m_phase = RunPhase::Running;
+      Run->m_confirmedAt = m_clock.now();
+    }
+    if (!Each.m_checkpoint.empty())
+      Task->m_checkpoint = Each.m_checkpoint;
+    if (Run->m_percent != Each.m_percent)
+      Run->m_percentChangedAt = m_clock.now();
+    Run->m_percent = Each.m_percent;
+    Run->m_figure = Each.m_figure;
+  }
+  if (!Look.m_isWhole)
+    return;
+  const std::vector<RunRef> Runs = Worker.m_runs;
+  for (const RunRef &Each : Runs) {
+    if (Listed.contains(Each))
+      continue;
+    RunRow *Run = findRun(*Each.m_task, Each.m_run);
+    if (!Run)
+      continue;
+    // Under this owner's token nothing that an earlier one sent begins any
+    // more, and after an answered stop this run does not.
+    const bool IsOver =
+        Run->m_phase == RunPhase::Adopted ||
+        (Run->m_phase == RunPhase::Stopping && Run->m_isStopAnswered &&
+         Run->m_stopAnsweredAt <= SentAt) ||
+        (Run->m_phase == RunPhase::Running && Run->m_confirmedAt <= SentAt);
+    if (!IsOver)
+      continue;
+    logInfo("run.over", {{"task", toString(keyOf(*Each.m_task))},
+                         {"run", std::to_string(Each.m_run)},
+                         {"worker", Worker.m_report.m_id},
+                         {"reason", "not_listed"}});
+    voidRun(*Each.m_task, Each.m_run, Duration::zero());
+  }
+}
+
+void Scheduler::stopForeign(WorkerRow &Worker, const ActiveRun &Active) {
+  const std::string Name = toString(Active.m_task) + "#" +
+                           std::to_string(Active.m_run) + "@" +
+                           Worker.m_report.m_id;
+  TimePoint &SentAt = m_foreignStopSent[Name];
+  if (SentAt != TimePoint() && m_clock.now() - SentAt < ForeignStopRepeat)
+    return;
+  SentAt = m_clock.now();
+  logInfo("run.foreign", {{"task", toString(Active.m_task)},
+                          {"run", std::to_string(Active.m_run)},
+                          {"worker", Worker.m_report.m_id}});
+  m_foreignStops.push_back({Worker.m_report.m_id, Active.m_task, Active.m_run});
+}
+
+void Scheduler::lapseSilentWorkers() {
+  const TimePoint Now = m_clock.now();
+  std::vector<std::string> Gone;
+  for (const auto &[Id, Worker] : m_workers) {
+    if (!Worker->m_runs.empty() && !Worker->m_isReachable &&
+        Worker->m_leaseEnd <= Now)
+      voidRunsOf(*Worker, "lease_over");
+    if (!Worker->m_isListed && Worker->m_runs.empty())
+      Gone.push_back(Id);
+  }
+  for (const std::string &Each : Gone)
+    m_workers.erase(Each);
+}
+
+void Scheduler::leaveDrainingWorkers() {
+  for (const auto &[Id, Worker] : m_workers) {
+    if (!Worker->m_report.m_isDraining || !Worker->m_isReachable)
+      continue;
+    const std::vector<RunRef> Runs = Worker->m_runs;
+    for (const RunRef &Each : Runs) {
+      const StepSpec &Spec = *Each.m_task->m_step->m_spec;
+      RunRow *Run = findRun(*Each.m_task, Each.m_run);
+      const bool MovesWell = Spec.m_isService || Spec.m_savesCheckpoints;
+      if (Run && MovesWell && Run->m_phase == RunPhase::Running)
+        requestStop(*Each.m_task, *Run);
+    }
+  }
+}
+
+void Scheduler::noteFailure(WorkerRow &Worker, const std::string &Job) {
+  ++Worker.m_failuresInRow;
+  Worker.m_failedJobs.insert(Job);
+  if (Worker.m_failedJobs.size() < MaxFailedJobs)
+    return;
+  Worker.m_shunnedUntil = m_clock.now() + ShunTime;
+  logWarn("worker.shunned",
+          {{"worker", Worker.m_report.m_id},
+           {"failures", std::to_string(Worker.m_failuresInRow)}});
+}
+
+void Scheduler::noteDone(WorkerRow &Worker) {
+  Worker.m_failuresInRow = 0;
+  Worker.m_failedJobs.clear();
+  Worker.m_lastDone = m_clock.now();
+  Worker.m_hasDone = true;
+}
+
+} // namespace catkinseam
--- /dev/null
+++ b/catkinseam/scheduler/tables.h
@@ -0,0 +1,169 @@
+// The scheduler's entities: jobs with their tasks and runs, and workers.
+//
+// Rows refer to one another by pointer; a job's rows live as long as the job.
+#ifndef CATKINSEAM_SCHEDULER_TABLES_H
+#define CATKINSEAM_SCHEDULER_TABLES_H
+
+#include "catkinseam/scheduler/model.h"
+
+#include <deque>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace catkinseam {
+
+struct JobRow;
+struct OccurrenceRow;
+struct StepRow;
+struct TaskRow;
+struct WorkerRow;
+
+enum class RunPhase {
+  Recording, ///< Its record is on the way to the store; not sent.
+  Starting,  ///< Sent, not answered.
+  Running,   ///< The worker has said that it runs.
+  Stopping,  ///< A stop is to be sent, or was; no end seen yet.
+  Adopted,   ///< Recorded by an earlier owner; the worker has not been heard.
+};
+
+struct RunRow {
+  RunNumber m_number = 0;
+  RunPhase m_phase = RunPhase::Recording;
+  WorkerRow *m_worker = nullptr;
+  TimePoint m_since;
+  /// When the worker first listed it or answered its start.
+  TimePoint m_confirmedAt;
+  /// Stopping: when the stop was last sent and when it was answered.
+  TimePoint m_stopSentAt;
+  TimePoint m_stopAnsweredAt;
+  bool m_isStopAnswered = false;
+  std::int64_t m_percent = 0;
+  std::int64_t m_figure = 0;
+  /// The share of its work that the worker was last told to let it do.
+  int m_paceSent = 100;
+  bool m_isPaceUnderWay = false;
+  /// Progress watch: the last change of percent.
+  TimePoint m_percentChangedAt;
+};
+
+struct TaskRow {
+  StepRow *m_step = nullptr;
+  std::uint32_t m_index = 0;
+  bool m_isDone = false;
+  std::uint32_t m_failures = 0;
+  RunNumber m_lastRun = 0;
+  std::string m_checkpoint;
+  std::vector<RunRow> m_runs;
+  /// Workers on which it failed or that refused it, newest last.
+  std::vector<std::string> m_avoid;
+  TimePoint m_notBefore;
+  /// In the step's list of tasks to place.
+  bool m_isWaiting = false;
+};
+
+struct StepRow {
+  const StepSpec *m_spec = nullptr;
+  OccurrenceRow *m_occurrence = nullptr;
+  std::uint32_t m_number = 0;
+  std::vector<TaskRow> m_tasks;
+  std::uint32_t m_done = 0;
+  bool m_hasBegun = false;
+  /// Tasks to place, by index.
+  std::vector<TaskRow *> m_waiting;
+  /// Run times of tasks that are done, for stragglers.
+  std::vector<Duration> m_doneTimes;
+};
+
+struct OccurrenceRow {
+  JobRow *m_job = nullptr;
+  std::uint32_t m_number = 0;
+  /// Milliseconds since 1970.
+  std::int64_t m_dueMs = 0;
+  std::vector<StepRow> m_steps;
+  std::uint32_t m_stepsDone = 0;
+  bool m_isOpen = false;
+};
+
+struct JobRow {
+  Submission m_submission;
+  JobState m_state = JobState::Queued;
+  std::deque<OccurrenceRow> m_occurrences;
+  /// Changed since its progress was last handed out to be stored.
+  bool m_isDirty = false;
+  /// Runs of all its tasks that may still be somewhere.
+  std::size_t m_liveRuns = 0;
+  TimePoint m_endedAt;
+  /// When the longest chain, stretched, is over; milliseconds since 1970.
+  std::int64_t m_objectiveMs = 0;
+
+  const QueueTerms &terms() const { return m_submission.m_terms; }
+};
+
+/// A run by task; the run itself stands in the task.
+struct RunRef {
+  TaskRow *m_task = nullptr;
+  RunNumber m_run = 0;
+
+  auto operator<=>(const RunRef &) const = default;
+};
+
+struct WorkerRow {
+  WorkerReport m_report;
+  /// Present in the registry.
+  bool m_isListed = false;
+  /// Has answered a look under this owner's token in this life.
+  bool m_isHeld = false;
+  /// Has answered and has not failed to since.
+  bool m_isReachable = false;
+  std::vector<RunRef> m_runs;
+
+  /// Sums over m_runs; processors of fillers are counted apart.
+  Resources m_reserved;
+  std::int64_t m_fillerProcessors = 0;
+  std::uint32_t m_services = 0;
+  std::uint32_t m_fillers = 0;
+
+  /// The worker's clock and the local time at which it was read.
+  Milliseconds m_clock{0};
+  TimePoint m_clockAt;
+  bool m_hasClock = false;
+  /// All that runs there has ended by then, as long as no lease is granted.
+  TimePoint m_leaseEnd;
+  TimePoint m_lastAnswer;
+  TimePoint m_lastHoldSent;
+  std::uint32_t m_unanswered = 0;
+
+  /// Ends that were taken in, and ends whose effect is stored.
+  std::uint64_t m_lastEnd = 0;
+  std::uint64_t m_storedEnd = 0;
+
+  /// Health by what it did: failures in a row, of which jobs.
+  std::set<std::string> m_failedJobs;
+  std::uint32_t m_failuresInRow = 0;
+  TimePoint m_lastDone;
+  bool m_hasDone = false;
+  TimePoint m_shunnedUntil;
+  std::uint32_t m_shunnedTimes = 0;
+
+  /// Worst tail of its services over their targets, as last seen.
+  double m_worstTail = 0.0;
+  TimePoint m_pacedAt;
+  int m_fillerPace = 100;
+  /// The share of their processors that services are thought to use.
+  double m_serviceLoad = 0.5;
+  TimePoint m_fullUntil;
+
+  bool hasLabel(const std::string &Label) const {
+    for (const std::string &Each : m_report.m_labels)
+      if (Each == Label)
+        return true;
+    return false;
+  }
+};
+
+} // namespace catkinseam
+
+#endif // CATKINSEAM_SCHEDULER_TABLES_H
--- a/catkinseam/settings/settings.h
+++ b/catkinseam/settings/settings.h
@@ -11,6 +11,7 @@
 
 #include "catkinseam/base/clock.h"
 #include "catkinseam/net/endpoint.h"
+#include "catkinseam/settings/fault.h"
 
 #include <cstdint>
 #include <string>
@@ -66,13 +67,6 @@
   std::int64_t m_tracedPerThousand = 1000;
 };
 
-/// One thing wrong with a settings file. Line 0: the key is missing.
-struct SettingsFault {
-  std::string m_key;
-  std::int64_t m_line = 0;
-  std::string m_message;
-};
-
 struct LoadedSettings {
   Settings m_settings;
   /// Every fault found, in the order of the file; empty when usable.
@@ -85,9 +79,6 @@
 /// Same, from text.
 LoadedSettings parseSettings(const std::string &Text);
 
-/// Returns "line 12: limits.body_bytes: must be from 1024 to 67108864".
-std::string toString(const SettingsFault &Fault);
-
 } // namespace catkinseam
 
 #endif // CATKINSEAM_SETTINGS_SETTINGS_H
--- a/catkinseam/telemetry/log.cc
+++ b/catkinseam/telemetry/log.cc
@@ -37,13 +37,17 @@
 
 } // namespace
 
-void startLogging(const std::string &Level) {
+void startLogging(const std::string &Level, LogStream Stream) {
   log4cplus::initialize();
-  log4cplus::SharedAppenderPtr Console(
-      new log4cplus::ConsoleAppender(/*logToStdErr=*/true));
+  log4cplus::SharedAppenderPtr Console(new log4cplus::ConsoleAppender(
+      /*logToStdErr=*/Stream == LogStream::StandardError));
   Console->setLayout(std::make_unique<log4cplus::PatternLayout>(Pattern));
   logger().addAppender(Console);
   logger().setAdditivity(false);
+  setLogLevel(Level);
+}
+
+void setLogLevel(const std::string &Level) {
   if (Level == "debug")
     logger().setLogLevel(log4cplus::DEBUG_LOG_LEVEL);
   else if (Level == "warn")
--- a/catkinseam/telemetry/log.h
+++ b/catkinseam/telemetry/log.h
@@ -13,9 +13,15 @@
 
 using LogField = std::pair<const char *, std::string>;
 
+enum class LogStream { StandardError, StandardOutput };
+
 /// Sends records of `Level` ("debug", "info", "warn", "error") and above to
-/// standard error. Call once, before the first record.
-void startLogging(const std::string &Level);
+/// `Stream`. Call once, before the first record.
+void startLogging(const std::string &Level,
+                  LogStream Stream = LogStream::StandardError);
+
+/// Changes the least level that is written.
+void setLogLevel(const std::string &Level);
 
 /// Writes one record. Thread-safe. `Event` names what happened, dotted.
 void logDebug(const char *Event, std::initializer_list<LogField> Fields);
