Try: factors start from an assumption and fade slowly

Cause: factors faded toward zero when the pair was no longer seen, and were tried again; tails cut off at 4 hid strong ones. Change: prior 4, half-life 60 s, cut at 10, only causes or unknown ones are slowed.

--- a/catkinseam/scheduler/interference.cc
+++ b/catkinseam/scheduler/interference.cc
@@ -44,7 +44,7 @@
   if (Of.m_products.size() == Size)
     return;
   Of.m_products.resize(Size, 0.0);
-  Of.m_factors.resize(Size, 0.0);
+  Of.m_factors.resize(Size, m_options.m_assumed);
   Of.m_squares.resize(Size);
   for (std::vector<double> &Row : Of.m_squares)
     Row.resize(Size, 0.0);
@@ -94,12 +94,16 @@
 }
 
 void Interference::solve(Fit &Of) const {
-  // Gauss-Jordan elimination; the ridge keeps the pivots away from zero.
+  // Gauss-Jordan elimination; the assumed weights keep pivots from zero.
   const std::size_t Size = Of.m_products.size();
   std::vector<std::vector<double>> Rows = Of.m_squares;
   std::vector<double> Right = Of.m_products;
-  for (std::size_t At = 0; At < Size; ++At)
-    Rows[At][At] += m_options.m_ridge;
+  Rows[0][0] += m_options.m_assumedWeight;
+  Right[0] += m_options.m_assumedWeight * m_options.m_usualBase;
+  for (std::size_t At = 1; At < Size; ++At) {
+    Rows[At][At] += m_options.m_assumedWeight;
+    Right[At] += m_options.m_assumedWeight * m_options.m_assumed;
+  }
   for (std::size_t At = 0; At < Size; ++At) {
     for (std::size_t Other = 0; Other < Size; ++Other) {
       if (Other == At || Rows[At][At] == 0.0)
@@ -122,10 +126,21 @@
   const auto Index = m_fillers.find(Filler);
   if (Found == m_services.end() || Index == m_fillers.end() ||
       Index->second >= Found->second.m_factors.size())
-    return 0.0;
+    return m_options.m_assumed;
   return Found->second.m_factors[Index->second];
 }
 
+bool Interference::isKnown(const std::string &Service,
+                           const std::string &Filler) const {
+  const auto Found = m_services.find(Service);
+  const auto Index = m_fillers.find(Filler);
+  if (Found == m_services.end() || Index == m_fillers.end() ||
+      Index->second >= Found->second.m_factors.size())
+    return false;
+  return Found->second.m_squares[Index->second][Index->second] >=
+         m_options.m_knownWeight;
+}
+
 double Interference::share(const WorkerRow &Worker, const std::string &Service,
                            const TaskRow &Filler, const RunRow &Run) const {
   return factor(Service, Filler.m_step->m_spec->m_image) *
--- a/catkinseam/scheduler/interference.h
+++ b/catkinseam/scheduler/interference.h
@@ -23,13 +23,17 @@
 public:
   struct Options {
     /// After this time a report counts half.
-    Milliseconds m_halfLife{15000};
+    Milliseconds m_halfLife{60000};
     /// Factors are fitted anew after this time.
     Milliseconds m_fitInterval{250};
-    /// Weight of the assumption that a factor is zero.
-    double m_ridge = 0.004;
+    /// A factor without reports, and the weight of assuming it: one filler of
+    /// usual size is let try, several at once are not.
+    double m_assumed = 4.0;
+    double m_assumedWeight = 0.004;
+    /// From this weight of reports on a factor counts as known.
+    double m_knownWeight = 0.03;
     /// Tails are cut off here: far beyond the target the model does not hold.
-    double m_mostTail = 4.0;
+    double m_mostTail = 10.0;
     /// A service is expected to reach this share of its target by itself.
     double m_usualBase = 0.5;
   };
@@ -42,6 +46,9 @@
   /// Tail over target that a full worker's share of this filler would add.
   double factor(const std::string &Service, const std::string &Filler) const;
 
+  /// Whether enough reports stand behind the factor.
+  bool isKnown(const std::string &Service, const std::string &Filler) const;
+
   /// What a run of a filler adds to a service's tail over target now.
   double share(const WorkerRow &Worker, const std::string &Service,
                const TaskRow &Filler, const RunRow &Run) const;
--- a/catkinseam/scheduler/pacing.h
+++ b/catkinseam/scheduler/pacing.h
@@ -5,8 +5,9 @@
 //
 // Workers report each service's tail latency over the last half second. While
 // one is above its target, the fillers that are known to raise it are slowed,
-// or all while none is known; when it is well below, they come back by as much
-// as the model says that it bears.
+// or those not known while there are none; by its own load it may stay there;
+// when it is well below, they come back by as much as the model says that it
+// bears.
 #ifndef CATKINSEAM_SCHEDULER_PACING_H
 #define CATKINSEAM_SCHEDULER_PACING_H
 
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -120,7 +120,8 @@
 bool Scheduler::placeTask(TaskRow &Task, Decisions &Next) {
   const std::string &Service =
       Task.m_step->m_occurrence->m_job->terms().m_service;
-  WorkerRow *Chosen = chooseWorker(Task, workersOf(Service), m_interference, m_clock.now());
+  WorkerRow *Chosen =
+      chooseWorker(Task, workersOf(Service), m_interference, m_clock.now());
   if (!Chosen)
     return false;
   leaveWaiting(Task);
@@ -286,8 +287,8 @@
       Run.m_paceSent == Run.m_pace)
     return;
   Run.m_isPaceUnderWay = true;
-  Next.m_paces.push_back({Worker.m_report.m_id, keyOf(*Ref.m_task), Ref.m_run,
-                          Run.m_pace});
+  Next.m_paces.push_back(
+      {Worker.m_report.m_id, keyOf(*Ref.m_task), Ref.m_run, Run.m_pace});
 }
 
 void Scheduler::onStart(const StartOrder &Order, const OrderReply &Reply) {
