Slow all fillers a little where none is known to press, from 0.9 of the target

Cause: in the burst most services over target had no known cause beside them; their own load brings them to 0.94 and light fillers add the rest.

--- a/catkinseam/scheduler/pacing.cc
+++ b/catkinseam/scheduler/pacing.cc
@@ -41,19 +41,17 @@
       continue;
     const std::string &Image = Service.m_task->m_step->m_spec->m_image;
     std::vector<RunRow *> Known;
-    std::vector<RunRow *> Suspect;
+    std::vector<RunRow *> All;
     for (const RunRef &Each : Worker.m_runs) {
       RunRow *Run = fillerRun(Each);
       if (!Run)
         continue;
-      const std::string &Filler = Each.m_task->m_step->m_spec->m_image;
-      if (!Learned.isKnown(Image, Filler))
-        Suspect.push_back(Run);
+      All.push_back(Run);
       if (Learned.share(Worker, Image, *Each.m_task, *Run) >=
           m_options.m_leastShare)
         Known.push_back(Run);
     }
-    const std::vector<RunRow *> &Chosen = Known.empty() ? Suspect : Known;
+    const std::vector<RunRow *> &Chosen = Known.empty() ? All : Known;
     Causes.insert(Chosen.begin(), Chosen.end());
   }
   bool IsChanged = false;
--- a/catkinseam/scheduler/pacing.h
+++ b/catkinseam/scheduler/pacing.h
@@ -5,7 +5,7 @@
 //
 // Workers report each service's tail latency over the last half second. While
 // one is above its target, the fillers that are known to raise it are slowed,
-// or those not known while there are none; by its own load it may stay there;
+// or all while none is known to: near the target little is enough;
 // when it is well below, they come back by as much as the model says that it
 // bears.
 #ifndef CATKINSEAM_SCHEDULER_PACING_H
@@ -21,7 +21,7 @@
   struct Options {
     /// Tail over target from which fillers are slowed, and up to which they
     /// are let go faster.
-    double m_slowAbove = 0.95;
+    double m_slowAbove = 0.9;
     double m_raiseBelow = 0.8;
     /// Share of the pace that is left by one slowing.
     double m_slowFactor = 0.3;
