Grant no lease to a worker that does not answer

Ruled out: want of room (rooms for twice the task stood open all the while), a lost stop. Change: a worker that has not answered is looked at without a lease.

--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -123,7 +123,9 @@
   Order.m_worker = Id;
   Order.m_observed = Worker.m_storedEnd;
   Worker.m_lastHoldSent = m_clock.now();
-  if (!Worker.m_hasClock || !Worker.m_isHeld)
+  // What a silent worker runs counts as over once its leases have ended, so it
+  // is granted none until it answers.
+  if (!Worker.m_hasClock || !Worker.m_isHeld || !Worker.m_isReachable)
     return Order;
   Order.m_expires = leaseExpiry(Worker);
   noteLease(Worker, *Order.m_expires);
