Cheaper decisions

Ruled out: the store (appends were answered in time), want of room at the workers. Change: images have numbers, a worker's expected tails are kept until something changes, a step that found no place waits 40 ms, a slowed filler is tried for a move four times a second.

--- a/catkinseam/scheduler/interference.cc
+++ b/catkinseam/scheduler/interference.cc
@@ -34,13 +34,16 @@
          static_cast<double>(Spec.m_targetTail.count());
 }
 
-std::size_t Interference::indexOf(const std::string &Filler) {
-  // Index zero is the base.
-  return m_fillers.emplace(Filler, m_fillers.size() + 1).first->second;
+ImageNumber Interference::numberOf(const std::string &Image) {
+  const ImageNumber Number =
+      m_numbers.emplace(Image, m_numbers.size()).first->second;
+  if (m_services.size() <= Number)
+    m_services.resize(Number + 1);
+  return Number;
 }
 
 void Interference::grow(Fit &Of) const {
-  const std::size_t Size = m_fillers.size() + 1;
+  const std::size_t Size = m_numbers.size() + 1;
   if (Of.m_products.size() == Size)
     return;
   Of.m_products.resize(Size, 0.0);
@@ -71,14 +74,14 @@
     const RunRow *Run = runOf(Each);
     if (!Spec.m_isFiller || !Run || Run->m_figure <= 0)
       continue;
-    Shares[indexOf(Spec.m_image)] +=
+    Shares[Each.m_task->m_step->m_image + 1] +=
         static_cast<double>(Run->m_figure) / capacityOf(Worker);
   }
   for (const RunRef &Each : Worker.m_runs) {
     const double Tail = std::min(tailOf(Each), m_options.m_mostTail);
     if (Tail <= 0.0)
       continue;
-    Fit &Of = m_services[Each.m_task->m_step->m_spec->m_image];
+    Fit &Of = m_services[Each.m_task->m_step->m_image];
     grow(Of);
     fade(Of, Now);
     for (const auto &[Row, Left] : Shares) {
@@ -120,56 +123,64 @@
     Of.m_factors[At] = std::max(0.0, Right[At] / Rows[At][At]);
 }
 
-double Interference::factor(const std::string &Service,
-                            const std::string &Filler) const {
-  const auto Found = m_services.find(Service);
-  const auto Index = m_fillers.find(Filler);
-  if (Found == m_services.end() || Index == m_fillers.end() ||
-      Index->second >= Found->second.m_factors.size())
+double Interference::factor(ImageNumber Service, ImageNumber Filler) const {
+  if (Service >= m_services.size() ||
+      Filler + 1 >= m_services[Service].m_factors.size())
     return m_options.m_assumed;
-  return Found->second.m_factors[Index->second];
+  return m_services[Service].m_factors[Filler + 1];
 }
 
-bool Interference::isKnown(const std::string &Service,
-                           const std::string &Filler) const {
-  const auto Found = m_services.find(Service);
-  const auto Index = m_fillers.find(Filler);
-  if (Found == m_services.end() || Index == m_fillers.end() ||
-      Index->second >= Found->second.m_factors.size())
-    return false;
-  return Found->second.m_squares[Index->second][Index->second] >=
-         m_options.m_knownWeight;
-}
-
-double Interference::share(const WorkerRow &Worker, const std::string &Service,
+double Interference::share(const WorkerRow &Worker, ImageNumber Service,
                            const TaskRow &Filler, const RunRow &Run) const {
-  return factor(Service, Filler.m_step->m_spec->m_image) *
+  return factor(Service, Filler.m_step->m_image) *
          static_cast<double>(Run.m_figure) / capacityOf(Worker);
 }
 
-double Interference::worstTailWith(const WorkerRow &Worker,
-                                   const std::string &Filler,
-                                   double MilliProcessors) const {
-  double Worst = 0.0;
+void Interference::renewTails(WorkerRow &Worker) const {
+  Worker.m_areTailsStale = false;
+  Worker.m_tails.clear();
   for (const RunRef &Each : Worker.m_runs) {
-    const StepSpec &Spec = *Each.m_task->m_step->m_spec;
-    if (!Spec.m_isService || Spec.m_targetTail <= Milliseconds::zero())
+    const StepRow &Step = *Each.m_task->m_step;
+    if (!Step.m_spec->m_isService ||
+        Step.m_spec->m_targetTail <= Milliseconds::zero())
       continue;
-    const double Added =
-        factor(Spec.m_image, Filler) * MilliProcessors / capacityOf(Worker);
-    double Others = 0.0;
-    for (const RunRef &Beside : Worker.m_runs) {
-      const StepSpec &Other = *Beside.m_task->m_step->m_spec;
-      const RunRow *Run = runOf(Beside);
-      if (!Other.m_isFiller || !Run)
-        continue;
-      Others += factor(Spec.m_image, Other.m_image) *
-                static_cast<double>(Other.m_request.m_milliProcessors) *
-                Run->m_pace / 100.0 / capacityOf(Worker);
+    const auto Found =
+        std::find_if(Worker.m_tails.begin(), Worker.m_tails.end(),
+                     [&](const WorkerRow::ServiceTail &Tail) {
+                       return Tail.m_image == Step.m_image;
+                     });
+    if (Found == Worker.m_tails.end())
+      Worker.m_tails.push_back({Step.m_image, tailOf(Each)});
+    else
+      Found->m_expected = std::max(Found->m_expected, tailOf(Each));
+  }
+  for (WorkerRow::ServiceTail &Tail : Worker.m_tails) {
+    double Modelled = m_options.m_usualBase;
+    for (const RunRef &Each : Worker.m_runs) {
+      const StepRow &Step = *Each.m_task->m_step;
+      const RunRow *Run = Step.m_spec->m_isFiller ? runOf(Each) : nullptr;
+      if (Run)
+        Modelled +=
+            factor(Tail.m_image, Step.m_image) *
+            static_cast<double>(Step.m_spec->m_request.m_milliProcessors) *
+            Run->m_pace / 100.0 / capacityOf(Worker);
     }
-    const double Expected =
-        std::max(tailOf(Each), m_options.m_usualBase + Others) + Added;
-    Worst = std::max(Worst, Added > 0.05 ? Expected : Expected * 0.5);
+    Tail.m_expected = std::max(Tail.m_expected, Modelled);
+  }
+}
+
+double Interference::worstTailWith(WorkerRow &Worker, ImageNumber Filler,
+                                   double MilliProcessors) const {
+  if (Worker.m_areTailsStale)
+    renewTails(Worker);
+  double Worst = 0.0;
+  for (const WorkerRow::ServiceTail &Each : Worker.m_tails) {
+    const double Added =
+        factor(Each.m_image, Filler) * MilliProcessors / capacityOf(Worker);
+    // A filler that adds next to nothing is no worse for a strained service.
+    Worst = std::max(Worst, Added >= m_options.m_leastAdded
+                                ? Each.m_expected + Added
+                                : Each.m_expected * m_options.m_bearable);
   }
   return Worst;
 }
--- a/catkinseam/scheduler/pacing.cc
+++ b/catkinseam/scheduler/pacing.cc
@@ -27,8 +27,10 @@
     Worker.m_worstTail = std::max(Worker.m_worstTail, tailOf(Each));
   if (Worker.m_fillers == 0 || Now - Worker.m_pacedAt < m_options.m_settleTime)
     return;
-  if (slow(Worker, Learned, Now) || raise(Worker, Learned))
+  if (slow(Worker, Learned, Now) || raise(Worker, Learned)) {
     Worker.m_pacedAt = Now;
+    Worker.m_areTailsStale = true;
+  }
 }
 
 bool Pacing::slow(WorkerRow &Worker, const Interference &Learned,
@@ -39,7 +41,7 @@
   for (const RunRef &Service : Worker.m_runs) {
     if (tailOf(Service) <= m_options.m_slowAbove)
       continue;
-    const std::string &Image = Service.m_task->m_step->m_spec->m_image;
+    const ImageNumber Image = Service.m_task->m_step->m_image;
     std::vector<RunRow *> Known;
     std::vector<RunRow *> All;
     for (const RunRef &Each : Worker.m_runs) {
@@ -78,7 +80,7 @@
     const int Pace = std::min(FullPace, Run->m_pace + m_options.m_raiseStep);
     const double More = static_cast<double>(Spec.m_request.m_milliProcessors) *
                         (Pace - Run->m_pace) / FullPace;
-    if (Learned.worstTailWith(Worker, Spec.m_image, More) >
+    if (Learned.worstTailWith(Worker, Each.m_task->m_step->m_image, More) >
         m_options.m_raiseBelow)
       continue;
     Run->m_pace = Pace;
--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -66,7 +66,7 @@
     const StepSpec &Spec = *Each.m_task->m_step->m_spec;
     if (!Spec.m_isService)
       continue;
-    const bool IsSame = Spec.m_image == Task.m_step->m_spec->m_image;
+    const bool IsSame = Each.m_task->m_step->m_image == Task.m_step->m_image;
     (IsSame ? Same : Other) +=
         static_cast<double>(Spec.m_request.m_milliProcessors);
   }
@@ -132,12 +132,7 @@
 }
 
 std::int64_t spareProcessors(const WorkerRow &Worker) {
-  std::int64_t Services = 0;
-  for (const RunRef &Each : Worker.m_runs) {
-    const StepSpec &Spec = *Each.m_task->m_step->m_spec;
-    if (Spec.m_isService)
-      Services += Spec.m_request.m_milliProcessors;
-  }
+  const std::int64_t Services = Worker.m_serviceProcessors;
   const std::int64_t Others = Worker.m_reserved.m_milliProcessors - Services;
   return Worker.m_report.m_capacity.m_milliProcessors - Others -
          static_cast<std::int64_t>(Worker.m_serviceLoad *
@@ -159,7 +154,7 @@
       if (!hasFillerRoom(Task, *Each))
         continue;
       ExpectedTail = Learned.worstTailWith(
-          *Each, Spec.m_image,
+          *Each, Task.m_step->m_image,
           static_cast<double>(Spec.m_request.m_milliProcessors));
       if (ExpectedTail > HarmlessTail)
         continue;
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -44,6 +44,10 @@
 constexpr int MovePace = 30;
 constexpr Milliseconds MoveAfter{700};
 constexpr std::int64_t MostWorkLost = 30;
+constexpr Milliseconds MoveRetry{250};
+/// A step that found no place is tried again after this time: with many
+/// waiting, each look for a place costs as much as one that finds it.
+constexpr Milliseconds PlaceRetry{40};
 /// decide() runs at least this often while runs or tasks are open.
 constexpr Milliseconds IdleWake{250};
 
@@ -102,17 +106,22 @@
   Order.reserve(m_toPlace.size());
   for (const auto &[Key, Step] : m_toPlace)
     Order.push_back(Step);
+  const TimePoint Now = m_clock.now();
   for (StepRow *Step : Order) {
+    if (Step->m_retryAt > Now)
+      continue;
     if (Step->m_spec->m_isGang) {
       placeGang(*Step, Next);
       continue;
     }
     const std::vector<TaskRow *> Waiting = Step->m_waiting;
     for (TaskRow *Task : Waiting) {
-      if (Task->m_notBefore > m_clock.now())
+      if (Task->m_notBefore > Now)
         continue;
-      if (!placeTask(*Task, Next))
-        break;
+      if (placeTask(*Task, Next))
+        continue;
+      Step->m_retryAt = Now + PlaceRetry;
+      break;
     }
   }
 }
@@ -253,8 +262,10 @@
       RunRow *Run = findRun(*Ref.m_task, Ref.m_run);
       const StepSpec &Spec = *Ref.m_task->m_step->m_spec;
       if (!Run || !Spec.m_isFiller || Run->m_phase != RunPhase::Running ||
-          Run->m_pace > MovePace || Now - Run->m_slowSince < MoveAfter)
+          Run->m_pace > MovePace || Now - Run->m_slowSince < MoveAfter ||
+          Now - Run->m_moveTriedAt < MoveRetry)
         continue;
+      Run->m_moveTriedAt = Now;
       if (!Spec.m_savesCheckpoints && Run->m_percent > MostWorkLost)
         continue;
       const std::string &Service =
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -117,6 +117,7 @@
     for (std::uint32_t At = 0; At < Spec.m_steps.size(); ++At) {
       StepRow &Step = Occurrence.m_steps[At];
       Step.m_spec = &Spec.m_steps[At];
+      Step.m_image = m_interference.numberOf(Spec.m_steps[At].m_image);
       Step.m_occurrence = &Occurrence;
       Step.m_number = At;
     }
@@ -166,6 +167,7 @@
     for (std::uint32_t At = 0; At < Spec.m_steps.size(); ++At) {
       StepRow &Step = Occurrence.m_steps[At];
       Step.m_spec = &Spec.m_steps[At];
+      Step.m_image = m_interference.numberOf(Spec.m_steps[At].m_image);
       Step.m_occurrence = &Occurrence;
       Step.m_number = At;
     }
@@ -248,6 +250,7 @@
       isFinal(Step.m_occurrence->m_job->m_state))
     return;
   Task.m_isWaiting = true;
+  Step.m_retryAt = TimePoint();
   Task.m_notBefore = m_clock.now() + Delay;
   Step.m_waiting.push_back(&Task);
   m_toPlace[orderOf(Step)] = &Step;
@@ -280,9 +283,12 @@
     ++Worker.m_fillers;
     Held.m_milliProcessors = 0;
   }
-  if (Spec.m_isService)
+  if (Spec.m_isService) {
     ++Worker.m_services;
+    Worker.m_serviceProcessors += Held.m_milliProcessors;
+  }
   Worker.m_reserved += Held;
+  Worker.m_areTailsStale = true;
   ++Task.m_step->m_occurrence->m_job->m_liveRuns;
   return Task.m_runs.back();
 }
@@ -297,9 +303,12 @@
     --Worker.m_fillers;
     Held.m_milliProcessors = 0;
   }
-  if (Spec.m_isService)
+  if (Spec.m_isService) {
     --Worker.m_services;
+    Worker.m_serviceProcessors -= Held.m_milliProcessors;
+  }
   Worker.m_reserved -= Held;
+  Worker.m_areTailsStale = true;
   std::erase(Worker.m_runs, RunRef{&Task, Number});
   std::erase_if(Task.m_runs, [Number](const RunRow &Each) {
     return Each.m_number == Number;
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -169,6 +169,7 @@
   Worker.m_lastAnswer = m_clock.now();
   noteClock(Worker, Reply.m_look.m_clock);
   takeLook(Worker, SentAt, Reply.m_look);
+  Worker.m_areTailsStale = true;
   if (!Worker.m_isHeld)
     Worker.m_leaseEnd =
         std::min(Worker.m_leaseEnd, m_clock.now() + m_options.m_heldLease);
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -46,6 +46,7 @@
   int m_pace = 100;
   /// When it was last slowed from its full pace.
   TimePoint m_slowSince;
+  TimePoint m_moveTriedAt;
   int m_paceSent = 100;
   bool m_isPaceUnderWay = false;
   /// Progress watch: the last change of percent.
@@ -67,13 +68,19 @@
   bool m_isWaiting = false;
 };
 
+/// Numbers the images that have been met; cheaper to compare than names.
+using ImageNumber = std::size_t;
+
 struct StepRow {
   const StepSpec *m_spec = nullptr;
+  ImageNumber m_image = 0;
   OccurrenceRow *m_occurrence = nullptr;
   std::uint32_t m_number = 0;
   std::vector<TaskRow> m_tasks;
   std::uint32_t m_done = 0;
   bool m_hasBegun = false;
+  /// Found no place: not tried again before.
+  TimePoint m_retryAt;
   /// Tasks to place, by index.
   std::vector<TaskRow *> m_waiting;
   /// Run times of tasks that are done, for stragglers.
@@ -151,6 +158,17 @@
   TimePoint m_shunnedUntil;
   std::uint32_t m_shunnedTimes = 0;
 
+  /// What is expected of its services, one entry an image; kept by
+  /// Interference, stale after any change of runs, paces or reports.
+  struct ServiceTail {
+    ImageNumber m_image = 0;
+    double m_expected = 0.0;
+  };
+  std::vector<ServiceTail> m_tails;
+  bool m_areTailsStale = true;
+  /// Sum of the processors that its services ask for.
+  std::int64_t m_serviceProcessors = 0;
+
   /// Worst tail of its services over their targets, as last seen.
   double m_worstTail = 0.0;
   TimePoint m_pacedAt;
