Try: tails as a queue's, pressures added to the load

Cause: a linear fit of tails explains 2 to 31 percent of them; on load = 1 - idle/tail the pressing pairs all stand at 1.3 to 1.5 and the others near 0.

--- a/catkinseam/scheduler/interference.cc
+++ b/catkinseam/scheduler/interference.cc
@@ -1,4 +1,4 @@
-// Least-squares fit of the effect of fillers on services.
+// Least-squares fit of the load that fillers put on services.
 #include "catkinseam/scheduler/interference.h"
 
 #include <algorithm>
@@ -47,7 +47,7 @@
   if (Of.m_products.size() == Size)
     return;
   Of.m_products.resize(Size, 0.0);
-  Of.m_factors.resize(Size, m_options.m_assumed);
+  Of.m_pressures.resize(Size, m_options.m_assumed);
   Of.m_squares.resize(Size);
   for (std::vector<double> &Row : Of.m_squares)
     Row.resize(Size, 0.0);
@@ -66,28 +66,49 @@
     Each *= Left;
 }
 
-void Interference::observe(const WorkerRow &Worker, TimePoint Now) {
+double Interference::idleTail(ImageNumber Service) const {
+  const double Least =
+      Service < m_services.size() ? m_services[Service].m_leastTail : 0.0;
+  return Least > 0.0 ? Least * m_options.m_idlePart : m_options.m_idleTail;
+}
+
+double Interference::loadAt(ImageNumber Service, double Tail) const {
+  const double Idle = idleTail(Service);
+  return 1.0 - Idle / std::max(Tail, Idle);
+}
+
+double Interference::roomAt(ImageNumber Service, double Tail) const {
+  return loadAt(Service, m_options.m_safeTail) - loadAt(Service, Tail);
+}
+
+void Interference::observe(WorkerRow &Worker, TimePoint Now) {
+  if (Now - Worker.m_observedAt < m_options.m_reportInterval)
+    return;
+  Worker.m_observedAt = Now;
   std::map<std::size_t, double> Shares;
   Shares[0] = 1.0;
   for (const RunRef &Each : Worker.m_runs) {
-    const StepSpec &Spec = *Each.m_task->m_step->m_spec;
-    const RunRow *Run = runOf(Each);
-    if (!Spec.m_isFiller || !Run || Run->m_figure <= 0)
-      continue;
-    Shares[Each.m_task->m_step->m_image + 1] +=
-        static_cast<double>(Run->m_figure) / capacityOf(Worker);
+    const StepRow &Step = *Each.m_task->m_step;
+    const RunRow *Run = Step.m_spec->m_isFiller ? runOf(Each) : nullptr;
+    if (Run && Run->m_figure > 0)
+      Shares[Step.m_image + 1] +=
+          static_cast<double>(Run->m_figure) / capacityOf(Worker);
   }
   for (const RunRef &Each : Worker.m_runs) {
-    const double Tail = std::min(tailOf(Each), m_options.m_mostTail);
+    const double Tail = tailOf(Each);
     if (Tail <= 0.0)
       continue;
-    Fit &Of = m_services[Each.m_task->m_step->m_image];
+    const ImageNumber Image = Each.m_task->m_step->m_image;
+    Fit &Of = m_services[Image];
+    if (Of.m_leastTail == 0.0 || Tail < Of.m_leastTail)
+      Of.m_leastTail = Tail;
+    const double Load = loadAt(Image, Tail);
     grow(Of);
     fade(Of, Now);
     for (const auto &[Row, Left] : Shares) {
       for (const auto &[Column, Right] : Shares)
         Of.m_squares[Row][Column] += Left * Right;
-      Of.m_products[Row] += Left * Tail;
+      Of.m_products[Row] += Left * Load;
     }
     if (Now - Of.m_fittedAt < m_options.m_fitInterval)
       continue;
@@ -101,18 +122,16 @@
   const std::size_t Size = Of.m_products.size();
   std::vector<std::vector<double>> Rows = Of.m_squares;
   std::vector<double> Right = Of.m_products;
-  Rows[0][0] += m_options.m_assumedWeight;
-  Right[0] += m_options.m_assumedWeight * m_options.m_usualBase;
-  for (std::size_t At = 1; At < Size; ++At) {
+  for (std::size_t At = 0; At < Size; ++At) {
+    const double Assumed =
+        At == 0 ? m_options.m_usualLoad : m_options.m_assumed;
     Rows[At][At] += m_options.m_assumedWeight;
-    Right[At] += m_options.m_assumedWeight * m_options.m_assumed;
+    Right[At] += m_options.m_assumedWeight * Assumed;
   }
   for (std::size_t At = 0; At < Size; ++At) {
     for (std::size_t Other = 0; Other < Size; ++Other) {
-      if (Other == At || Rows[At][At] == 0.0)
-        continue;
       const double Ratio = Rows[Other][At] / Rows[At][At];
-      if (Ratio == 0.0)
+      if (Other == At || Ratio == 0.0)
         continue;
       for (std::size_t Column = At; Column < Size; ++Column)
         Rows[Other][Column] -= Ratio * Rows[At][Column];
@@ -120,20 +139,19 @@
     }
   }
   for (std::size_t At = 0; At < Size; ++At)
-    Of.m_factors[At] = std::max(0.0, Right[At] / Rows[At][At]);
+    Of.m_pressures[At] = std::max(0.0, Right[At] / Rows[At][At]);
 }
 
-double Interference::factor(ImageNumber Service, ImageNumber Filler) const {
+double Interference::pressure(ImageNumber Service, ImageNumber Filler) const {
   if (Service >= m_services.size() ||
-      Filler + 1 >= m_services[Service].m_factors.size())
+      Filler + 1 >= m_services[Service].m_pressures.size())
     return m_options.m_assumed;
-  return m_services[Service].m_factors[Filler + 1];
+  return m_services[Service].m_pressures[Filler + 1];
 }
 
-double Interference::share(const WorkerRow &Worker, ImageNumber Service,
-                           const TaskRow &Filler, const RunRow &Run) const {
-  return factor(Service, Filler.m_step->m_image) *
-         static_cast<double>(Run.m_figure) / capacityOf(Worker);
+double Interference::added(const WorkerRow &Worker, ImageNumber Service,
+                           ImageNumber Filler, double MilliProcessors) const {
+  return pressure(Service, Filler) * MilliProcessors / capacityOf(Worker);
 }
 
 void Interference::renewTails(WorkerRow &Worker) const {
@@ -144,45 +162,45 @@
     if (!Step.m_spec->m_isService ||
         Step.m_spec->m_targetTail <= Milliseconds::zero())
       continue;
+    const double Load = loadAt(Step.m_image, tailOf(Each));
     const auto Found =
         std::find_if(Worker.m_tails.begin(), Worker.m_tails.end(),
                      [&](const WorkerRow::ServiceTail &Tail) {
                        return Tail.m_image == Step.m_image;
                      });
     if (Found == Worker.m_tails.end())
-      Worker.m_tails.push_back({Step.m_image, tailOf(Each)});
+      Worker.m_tails.push_back({Step.m_image, Load});
     else
-      Found->m_expected = std::max(Found->m_expected, tailOf(Each));
+      Found->m_load = std::max(Found->m_load, Load);
   }
   for (WorkerRow::ServiceTail &Tail : Worker.m_tails) {
-    double Modelled = m_options.m_usualBase;
+    double Modelled = m_options.m_usualLoad;
     for (const RunRef &Each : Worker.m_runs) {
       const StepRow &Step = *Each.m_task->m_step;
       const RunRow *Run = Step.m_spec->m_isFiller ? runOf(Each) : nullptr;
       if (Run)
-        Modelled +=
-            factor(Tail.m_image, Step.m_image) *
+        Modelled += added(
+            Worker, Tail.m_image, Step.m_image,
             static_cast<double>(Step.m_spec->m_request.m_milliProcessors) *
-            Run->m_pace / 100.0 / capacityOf(Worker);
+                Run->m_pace / 100.0);
     }
-    Tail.m_expected = std::max(Tail.m_expected, Modelled);
+    Tail.m_load = std::max(Tail.m_load, Modelled);
   }
 }
 
-double Interference::worstTailWith(WorkerRow &Worker, ImageNumber Filler,
-                                   double MilliProcessors) const {
+double Interference::roomWith(WorkerRow &Worker, ImageNumber Filler,
+                              double MilliProcessors) const {
   if (Worker.m_areTailsStale)
     renewTails(Worker);
-  double Worst = 0.0;
+  double Least = 1.0;
   for (const WorkerRow::ServiceTail &Each : Worker.m_tails) {
-    const double Added =
-        factor(Each.m_image, Filler) * MilliProcessors / capacityOf(Worker);
-    // A filler that adds next to nothing is no worse for a strained service.
-    Worst = std::max(Worst, Added >= m_options.m_leastAdded
-                                ? Each.m_expected + Added
-                                : Each.m_expected * m_options.m_bearable);
+    const double More = added(Worker, Each.m_image, Filler, MilliProcessors);
+    if (More < m_options.m_leastAdded)
+      continue;
+    Least = std::min(Least, loadAt(Each.m_image, m_options.m_safeTail) -
+                                Each.m_load - More);
   }
-  return Worst;
+  return Least;
 }
 
 } // namespace catkinseam
--- a/catkinseam/scheduler/interference.h
+++ b/catkinseam/scheduler/interference.h
@@ -1,13 +1,14 @@
-// Learns how much fillers of one image raise the tails of services of another.
+// Learns how much fillers of one image press on services of another.
 //
 //   Interference Learned({});
 //   Learned.observe(Worker, Clock.now());
-//   double Tail = Learned.worstTailWith(Worker, Step.m_image, 1700);
+//   if (Learned.roomWith(Worker, Step.m_image, 1700) >= 0) place(...);
 //
-// The model: a service's tail over its target is a base of its own load, plus,
-// for each filler beside it, a factor of the pair of images times the share of
-// the worker's processors that the filler uses. The factors are fitted by least
-// squares over what workers report; old reports fade.
+// The model: a service's tail grows as that of a queue, with one over the idle
+// part of its load. Its load is its own, plus, for each filler beside it, a
+// pressure of the pair of images times the share of the worker's processors
+// that the filler uses. Pressures are fitted by least squares over what workers
+// report; old reports fade.
 #ifndef CATKINSEAM_SCHEDULER_INTERFERENCE_H
 #define CATKINSEAM_SCHEDULER_INTERFERENCE_H
 
@@ -24,20 +25,24 @@
   struct Options {
     /// After this time a report counts half.
     Milliseconds m_halfLife{60000};
-    /// Factors are fitted anew after this time.
+    /// Pressures are fitted anew after this time.
     Milliseconds m_fitInterval{250};
-    /// A factor without reports, and the weight of assuming it: one filler of
-    /// usual size is let try, several at once are not.
-    double m_assumed = 4.0;
-    double m_assumedWeight = 0.004;
-    /// Tails are cut off here: far beyond the target the model does not hold.
-    double m_mostTail = 10.0;
-    /// A filler that would add less to a tail over target counts as harmless,
-    /// and then only this share of the tail stands against it.
-    double m_leastAdded = 0.05;
-    double m_bearable = 0.5;
-    /// A service is expected to reach this share of its target by itself.
-    double m_usualBase = 0.5;
+    /// Reports of one worker within this time say the same.
+    Milliseconds m_reportInterval{250};
+    /// A pressure without reports, and the weight of assuming it, in squared
+    /// shares: ten reports of a filler of usual size weigh as much.
+    double m_assumed = 0.7;
+    double m_assumedWeight = 0.05;
+    /// The load that a service is assumed to have of its own.
+    double m_usualLoad = 0.45;
+    /// The tail of an idle service over the least that was ever reported.
+    double m_idlePart = 0.8;
+    /// The same over its target before any report.
+    double m_idleTail = 0.25;
+    /// A filler that would add less load than this counts as harmless.
+    double m_leastAdded = 0.01;
+    /// A service is to stay below this share of its target tail.
+    double m_safeTail = 0.85;
   };
 
   explicit Interference(const Options &Values) : m_options(Values) {}
@@ -45,31 +50,39 @@
   ImageNumber numberOf(const std::string &Image);
 
   /// Takes in a worker's report.
-  void observe(const WorkerRow &Worker, TimePoint Now);
+  void observe(WorkerRow &Worker, TimePoint Now);
 
-  /// Tail over target that a full worker's share of this filler would add.
-  double factor(ImageNumber Service, ImageNumber Filler) const;
+  /// Load that a filler using a full worker would add to a service.
+  double pressure(ImageNumber Service, ImageNumber Filler) const;
 
-  /// What a run of a filler adds to a service's tail over target now.
-  double share(const WorkerRow &Worker, ImageNumber Service,
-               const TaskRow &Filler, const RunRow &Run) const;
+  /// Load that a filler using `MilliProcessors` of this worker adds.
+  double added(const WorkerRow &Worker, ImageNumber Service, ImageNumber Filler,
+               double MilliProcessors) const;
 
-  /// The worst tail over target expected on a worker when a filler that uses
-  /// `MilliProcessors` more is added. Renews the worker's m_tails.
-  double worstTailWith(WorkerRow &Worker, ImageNumber Filler,
-                       double MilliProcessors) const;
+  /// How far a service at this tail over target stands below the load that is
+  /// safe; negative above it.
+  double roomAt(ImageNumber Service, double Tail) const;
+
+  /// The least room left to a service that a further filler would press on; 1
+  /// when there is none. Renews the worker's m_tails.
+  double roomWith(WorkerRow &Worker, ImageNumber Filler,
+                  double MilliProcessors) const;
 
 private:
-  /// Sums of the least-squares fit of one service image. Column zero is the
-  /// base, column N + 1 the filler of image N.
+  /// Sums of the least-squares fit of one service image. Column zero is its
+  /// own load, column N + 1 the filler of image N.
   struct Fit {
     std::vector<std::vector<double>> m_squares;
     std::vector<double> m_products;
-    std::vector<double> m_factors;
+    std::vector<double> m_pressures;
+    /// Least tail over target reported; zero before the first.
+    double m_leastTail = 0.0;
     TimePoint m_fadedAt;
     TimePoint m_fittedAt;
   };
 
+  double idleTail(ImageNumber Service) const;
+  double loadAt(ImageNumber Service, double Tail) const;
   void fade(Fit &Of, TimePoint Now) const;
   void grow(Fit &Of) const;
   void solve(Fit &Of) const;
--- a/catkinseam/scheduler/pacing.cc
+++ b/catkinseam/scheduler/pacing.cc
@@ -2,12 +2,15 @@
 #include "catkinseam/scheduler/pacing.h"
 
 #include <algorithm>
+#include <map>
 
 namespace catkinseam {
 
 namespace {
 
 constexpr int FullPace = 100;
+/// A filler that adds less load than this is no cause.
+constexpr double LeastPart = 0.01;
 
 RunRow *fillerRun(const RunRef &Ref) {
   if (!Ref.m_task->m_step->m_spec->m_isFiller)
@@ -22,10 +25,8 @@
 
 void Pacing::adjust(WorkerRow &Worker, const Interference &Learned,
                     TimePoint Now) const {
-  Worker.m_worstTail = 0.0;
-  for (const RunRef &Each : Worker.m_runs)
-    Worker.m_worstTail = std::max(Worker.m_worstTail, tailOf(Each));
-  if (Worker.m_fillers == 0 || Now - Worker.m_pacedAt < m_options.m_settleTime)
+  if (Worker.m_fillers == 0 || Worker.m_services == 0 ||
+      Now - Worker.m_pacedAt < m_options.m_settleTime)
     return;
   if (slow(Worker, Learned, Now) || raise(Worker, Learned)) {
     Worker.m_pacedAt = Now;
@@ -35,56 +36,66 @@
 
 bool Pacing::slow(WorkerRow &Worker, const Interference &Learned,
                   TimePoint Now) const {
-  if (Worker.m_worstTail <= m_options.m_slowAbove)
-    return false;
-  std::set<RunRow *> Causes;
+  // The share of its pace that each cause is to keep.
+  std::map<RunRow *, double> Kept;
   for (const RunRef &Service : Worker.m_runs) {
-    if (tailOf(Service) <= m_options.m_slowAbove)
-      continue;
+    const double Tail = tailOf(Service);
     const ImageNumber Image = Service.m_task->m_step->m_image;
-    std::vector<RunRow *> Known;
-    std::vector<RunRow *> All;
+    const double Room = Learned.roomAt(Image, Tail);
+    if (Tail <= 0.0 || Room >= 0.0)
+      continue;
+    std::map<RunRow *, double> Parts;
+    double Pressed = 0.0;
     for (const RunRef &Each : Worker.m_runs) {
       RunRow *Run = fillerRun(Each);
       if (!Run)
         continue;
-      All.push_back(Run);
-      if (Learned.share(Worker, Image, *Each.m_task, *Run) >=
-          m_options.m_leastShare)
-        Known.push_back(Run);
+      const double Part =
+          Learned.added(Worker, Image, Each.m_task->m_step->m_image,
+                        static_cast<double>(Run->m_figure));
+      if (Part < LeastPart)
+        continue;
+      Parts[Run] = Part;
+      Pressed += Part;
+    }
+    for (const auto &[Run, Part] : Parts) {
+      const double Share = std::max(0.0, 1.0 + Room / Pressed);
+      const auto Known = Kept.emplace(Run, Share).first;
+      Known->second = std::min(Known->second, Share);
     }
-    const std::vector<RunRow *> &Chosen = Known.empty() ? All : Known;
-    Causes.insert(Chosen.begin(), Chosen.end());
   }
   bool IsChanged = false;
-  for (RunRow *Each : Causes) {
-    int Pace = static_cast<int>(Each->m_pace * m_options.m_slowFactor);
+  for (const auto &[Run, Share] : Kept) {
+    int Pace = static_cast<int>(Run->m_pace * Share);
     if (Pace < m_options.m_leastPace)
       Pace = 0;
-    IsChanged = IsChanged || Pace != Each->m_pace;
-    if (Each->m_pace == FullPace)
-      Each->m_slowSince = Now;
-    Each->m_pace = Pace;
+    IsChanged = IsChanged || Pace != Run->m_pace;
+    if (Run->m_pace == FullPace)
+      Run->m_slowSince = Now;
+    Run->m_pace = Pace;
   }
   return IsChanged;
 }
 
 bool Pacing::raise(WorkerRow &Worker, const Interference &Learned) const {
-  if (Worker.m_worstTail > m_options.m_raiseBelow)
-    return false;
   for (const RunRef &Each : Worker.m_runs) {
     RunRow *Run = fillerRun(Each);
-    if (!Run || Run->m_pace >= FullPace)
+    if (!Run || Run->m_pace > FullPace - 1)
       continue;
-    const StepSpec &Spec = *Each.m_task->m_step->m_spec;
-    const int Pace = std::min(FullPace, Run->m_pace + m_options.m_raiseStep);
-    const double More = static_cast<double>(Spec.m_request.m_milliProcessors) *
-                        (Pace - Run->m_pace) / FullPace;
-    if (Learned.worstTailWith(Worker, Each.m_task->m_step->m_image, More) >
-        m_options.m_raiseBelow)
-      continue;
-    Run->m_pace = Pace;
-    return true;
+    const StepRow &Step = *Each.m_task->m_step;
+    const auto Request =
+        static_cast<double>(Step.m_spec->m_request.m_milliProcessors);
+    // The largest of a few raises that leaves room.
+    for (const int Pace : {FullPace, Run->m_pace + 50, Run->m_pace + 25}) {
+      if (Pace > FullPace ||
+          (Pace < FullPace && Pace - Run->m_pace < m_options.m_leastRaise))
+        continue;
+      const double More = Request * (Pace - Run->m_pace) / FullPace;
+      if (Learned.roomWith(Worker, Step.m_image, More) < 0.0)
+        continue;
+      Run->m_pace = Pace;
+      return true;
+    }
   }
   return false;
 }
--- a/catkinseam/scheduler/pacing.h
+++ b/catkinseam/scheduler/pacing.h
@@ -4,10 +4,10 @@
 //   Control.adjust(Worker, Learned, Now);   // sets the pace of its fillers
 //
 // Workers report each service's tail latency over the last half second. While
-// one is above its target, the fillers that are known to raise it are slowed,
-// or all while none is known to: near the target little is enough;
-// when it is well below, they come back by as much as the model says that it
-// bears.
+// one is too close to its target, the fillers that press on it are slowed by as
+// much as the model says is needed; while all have room, they are let go faster
+// by as much as it bears. A service whose own load brings it to its target
+// slows nobody.
 #ifndef CATKINSEAM_SCHEDULER_PACING_H
 #define CATKINSEAM_SCHEDULER_PACING_H
 
@@ -19,19 +19,12 @@
 class Pacing {
 public:
   struct Options {
-    /// Tail over target from which fillers are slowed, and up to which they
-    /// are let go faster.
-    double m_slowAbove = 0.9;
-    double m_raiseBelow = 0.8;
-    /// Share of the pace that is left by one slowing.
-    double m_slowFactor = 0.3;
-    int m_raiseStep = 25;
-    /// Below this pace fillers stand still.
+    /// Below this pace a filler stands still.
     int m_leastPace = 10;
+    /// A raise of less than this is not worth an order.
+    int m_leastRaise = 15;
     /// The figures cover the last half second, so a change shows by then.
-    Milliseconds m_settleTime{600};
-    /// A filler that adds less than this to a tail over target is no cause.
-    double m_leastShare = 0.08;
+    Milliseconds m_settleTime{550};
   };
 
   explicit Pacing(const Options &Values) : m_options(Values) {}
--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -7,9 +7,6 @@
 
 namespace {
 
-/// A filler is placed where no service is expected above this share of its
-/// target tail.
-constexpr double HarmlessTail = 0.85;
 /// A filler is placed where it gets at least this share of what it asks for.
 constexpr double LeastFillerShare = 0.6;
 
@@ -73,12 +70,11 @@
   return Other > 0.0 ? Other / (Same + Other) : 0.0;
 }
 
-double fillerCost(const TaskRow &Task, const WorkerRow &Worker,
-                  double ExpectedTail) {
+double fillerCost(const TaskRow &Task, const WorkerRow &Worker, double Room) {
   const double Request = static_cast<double>(std::max<std::int64_t>(
       1, Task.m_step->m_spec->m_request.m_milliProcessors));
   const double Spare = static_cast<double>(spareProcessors(Worker));
-  return ExpectedTail - Spare / (4.0 * Request);
+  return -Room - Spare / (4.0 * Request);
 }
 
 double serviceCost(const TaskRow &Task, const WorkerRow &Worker) {
@@ -86,11 +82,10 @@
          0.05 * Worker.m_fillers;
 }
 
-double placeCost(const TaskRow &Task, const WorkerRow &Worker,
-                 double ExpectedTail) {
+double placeCost(const TaskRow &Task, const WorkerRow &Worker, double Room) {
   const StepSpec &Spec = *Task.m_step->m_spec;
   if (Spec.m_isFiller)
-    return fillerCost(Task, Worker, ExpectedTail);
+    return fillerCost(Task, Worker, Room);
   if (Spec.m_isService)
     return serviceCost(Task, Worker) +
            OtherImageCost * otherImages(Task, Worker);
@@ -149,18 +144,17 @@
   for (WorkerRow *Each : Candidates) {
     if (!isOpen(*Each, Now) || !isAllowed(Task, *Each))
       continue;
-    double ExpectedTail = 0.0;
+    double Room = 0.0;
     if (Spec.m_isFiller) {
       if (!hasFillerRoom(Task, *Each))
         continue;
-      ExpectedTail = Learned.worstTailWith(
+      Room = Learned.roomWith(
           *Each, Task.m_step->m_image,
           static_cast<double>(Spec.m_request.m_milliProcessors));
-      if (ExpectedTail > HarmlessTail)
+      if (Room < 0.0)
         continue;
     }
-    const double Cost =
-        riskOf(Task, *Each, Now) + placeCost(Task, *Each, ExpectedTail);
+    const double Cost = riskOf(Task, *Each, Now) + placeCost(Task, *Each, Room);
     if (!Best || Cost < BestCost) {
       Best = Each;
       BestCost = Cost;
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -162,10 +162,11 @@
   /// Interference, stale after any change of runs, paces or reports.
   struct ServiceTail {
     ImageNumber m_image = 0;
-    double m_expected = 0.0;
+    double m_load = 0.0;
   };
   std::vector<ServiceTail> m_tails;
   bool m_areTailsStale = true;
+  TimePoint m_observedAt;
   /// Sum of the processors that its services ask for.
   std::int64_t m_serviceProcessors = 0;
 
