--- a/catkinseam/scheduler/interference.h
+++ b/catkinseam/scheduler/interference.h
@@ -34,7 +34,7 @@
     double m_assumed = 0.7;
     double m_assumedWeight = 0.05;
     /// The load that a service is assumed to have of its own.
-    double m_usualLoad = 0.45;
+    double m_usualLoad = 0.60;
     /// The tail of an idle service over the least that was ever reported.
     double m_idlePart = 0.8;
     /// The same over its target before any report.
