Looks every half second where services run; tails that rise are expected to rise on

Cause: harm came from fillers placed within the last second on workers whose last look was up to 1.5 s old (74 of 220 cases).

--- a/catkinseam/scheduler/interference.cc
+++ b/catkinseam/scheduler/interference.cc
@@ -82,7 +82,8 @@
 }
 
 void Interference::observe(WorkerRow &Worker, TimePoint Now) {
-  if (Now - Worker.m_observedAt < m_options.m_reportInterval)
+  const Duration Since = Now - Worker.m_observedAt;
+  if (Since < m_options.m_reportInterval)
     return;
   Worker.m_observedAt = Now;
   std::map<std::size_t, double> Shares;
@@ -103,6 +104,9 @@
     if (Of.m_leastTail == 0.0 || Tail < Of.m_leastTail)
       Of.m_leastTail = Tail;
     const double Load = loadAt(Image, Tail);
+    for (RunRow &Run : Each.m_task->m_runs)
+      if (Run.m_number == Each.m_run)
+        noteTrend(Run, Load, Since);
     grow(Of);
     fade(Of, Now);
     for (const auto &[Row, Left] : Shares) {
@@ -117,6 +121,27 @@
   }
 }
 
+void Interference::noteTrend(RunRow &Run, double Load, Duration Since) const {
+  const double Seconds = std::chrono::duration<double>(Since).count();
+  constexpr double LongestStep = 3.0;
+  const double Trend = Run.m_load > 0.0 && Seconds < LongestStep
+                           ? (Load - Run.m_load) / Seconds
+                           : 0.0;
+  Run.m_loadTrend = (1.0 - m_options.m_trendPart) * Run.m_loadTrend +
+                    m_options.m_trendPart * Trend;
+  Run.m_load = Load;
+}
+
+double Interference::expectedLoad(const RunRef &Service) const {
+  const RunRow *Run = runOf(Service);
+  if (!Run)
+    return 0.0;
+  const double Ahead =
+      std::chrono::duration<double>(m_options.m_lookAhead).count();
+  return loadAt(Service.m_task->m_step->m_image, tailOf(Service)) +
+         std::max(0.0, Run->m_loadTrend) * Ahead;
+}
+
 void Interference::solve(Fit &Of) const {
   // Gauss-Jordan elimination; the assumed weights keep pivots from zero.
   const std::size_t Size = Of.m_products.size();
@@ -162,7 +187,7 @@
     if (!Step.m_spec->m_isService ||
         Step.m_spec->m_targetTail <= Milliseconds::zero())
       continue;
-    const double Load = loadAt(Step.m_image, tailOf(Each));
+    const double Load = expectedLoad(Each);
     const auto Found =
         std::find_if(Worker.m_tails.begin(), Worker.m_tails.end(),
                      [&](const WorkerRow::ServiceTail &Tail) {
--- a/catkinseam/scheduler/interference.h
+++ b/catkinseam/scheduler/interference.h
@@ -34,7 +34,11 @@
     double m_assumed = 0.7;
     double m_assumedWeight = 0.05;
     /// The load that a service is assumed to have of its own.
-    double m_usualLoad = 0.60;
+    double m_usualLoad = 0.50;
+    /// A load that grows is expected to go on so for this time.
+    Milliseconds m_lookAhead{900};
+    /// Part of a new trend that is believed.
+    double m_trendPart = 0.6;
     /// The tail of an idle service over the least that was ever reported.
     double m_idlePart = 0.8;
     /// The same over its target before any report.
@@ -87,6 +91,8 @@
   void grow(Fit &Of) const;
   void solve(Fit &Of) const;
   void renewTails(WorkerRow &Worker) const;
+  void noteTrend(RunRow &Run, double Load, Duration Since) const;
+  double expectedLoad(const RunRef &Service) const;
 
   const Options m_options;
   std::map<std::string, ImageNumber> m_numbers;
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -80,7 +80,7 @@
     Milliseconds m_heldLease{6500};
     /// How long a look may wait at the worker.
     Milliseconds m_lookWait{1500};
-    /// The same where services and fillers share the worker.
+    /// The same where services are, whose tails decide about fillers.
     Milliseconds m_sharedLookWait{500};
     /// A stop takes at most this long at the worker.
     Milliseconds m_stopTime{400};
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -132,8 +132,8 @@
   // Ends that are not yet stored would be listed again at once.
   if (Worker.m_lastEnd > Worker.m_storedEnd)
     return Order;
-  const bool IsShared = Worker.m_services > 0 && Worker.m_fillers > 0;
-  Order.m_wait = IsShared ? m_options.m_sharedLookWait : m_options.m_lookWait;
+  Order.m_wait =
+      Worker.m_services > 0 ? m_options.m_sharedLookWait : m_options.m_lookWait;
   return Order;
 }
 
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -42,6 +42,10 @@
   bool m_isStopAnswered = false;
   std::int64_t m_percent = 0;
   std::int64_t m_figure = 0;
+  /// Services: the load behind the reported tail, and how fast it grows, a
+  /// second.
+  double m_load = 0.0;
+  double m_loadTrend = 0.0;
   /// The share of its work that it is to do, and what the worker was told.
   int m_pace = 100;
   /// When it was last slowed from its full pace.
