--- a/catkinseam/ledger/keyed_tail.cc
+++ b/catkinseam/ledger/keyed_tail.cc
@@ -18,7 +18,13 @@
   loadPage("");
 }
 
+TimePoint KeyedTail::answeredAt() const {
+  // An answer that lay unread while the process stood still is old.
+  return std::min(m_host.now(), m_readStarted + m_options.m_wait);
+}
+
 void KeyedTail::loadPage(const std::string &AfterKey) {
+  m_readStarted = m_host.now();
   m_log.newest(m_options.m_topic, AfterKey,
                m_options.m_wait + m_options.m_allowance,
                [this, IsAlive = m_isAlive](const NewestReply &Page) {
@@ -32,7 +38,7 @@
     noteFault("newest", Page.m_outcome);
     return retry([this] { start(); });
   }
-  m_lastRead = m_host.now();
+  m_lastRead = answeredAt();
   // What is written while the pages are read comes again by reading on from
   // where the topic ended at the first.
   if (m_isFirstPage)
@@ -73,9 +79,9 @@
   if (m_isFaulty)
     logInfo("log.regained", {{"topic", logTopicName(m_options.m_topic)}});
   m_isFaulty = false;
-  m_lastRead = m_host.now();
+  m_lastRead = answeredAt();
   m_latencyBefore = m_latency;
-  m_latency = m_lastRead - m_readStarted;
+  m_latency = m_host.now() - m_readStarted;
   if (m_latency >= m_options.m_wait)
     m_latency -= m_options.m_wait;
   else if (!m_gathered)
--- a/catkinseam/ledger/keyed_tail.h
+++ b/catkinseam/ledger/keyed_tail.h
@@ -64,6 +64,7 @@
 private:
   void loadPage(const std::string &AfterKey);
   void onPage(const NewestReply &Page);
+  TimePoint answeredAt() const;
   void readOn();
   void onRead(const ReadReply &Read);
   void retry(std::function<void()> Call);
--- a/catkinseam/ownership/owner.cc
+++ b/catkinseam/ownership/owner.cc
@@ -10,10 +10,10 @@
 
 Owner::Owner(Runtime &Host, KeyedLog &Log, Ledger &Jobs, LinkMaker Links,
              EntryReader Entries, const Options &Values,
-             std::function<void()> OnDeposed)
+             std::function<bool()> IsCurrent, std::function<void()> OnDeposed)
     : m_host(Host), m_log(Log), m_jobs(Jobs), m_links(std::move(Links)),
       m_entries(std::move(Entries)), m_options(Values),
-      m_onDeposed(std::move(OnDeposed)),
+      m_isCurrent(std::move(IsCurrent)), m_onDeposed(std::move(OnDeposed)),
       m_scheduler(Host.clock(), Values.m_scheduler),
       m_workers(
           Host, Log,
@@ -139,7 +139,7 @@
     m_scheduler.setStoreReachable(m_host.now() - m_appendStarted <
                                   m_options.m_storeSlow);
   sendControls();
-  if (!m_isAppending && !m_isLeaving) {
+  if (!m_isAppending && !m_isLeaving && m_isCurrent()) {
     Decisions Next = m_scheduler.decide();
     if (Next.needsStoring())
       store(std::move(Next));
@@ -250,7 +250,9 @@
   }
   if (m_isLeaving)
     return store(Decisions());
-  const std::vector<StartOrder> Starts = m_scheduler.release(m_stored);
+  const bool IsStale = m_host.now() - m_appendStarted > m_options.m_startAge;
+  const std::vector<StartOrder> Starts =
+      m_scheduler.release(m_stored, IsStale || !m_isCurrent());
   for (const StartOrder &Each : Starts) {
     logInfo("run.start", {{"task", toString(Each.m_task)},
                           {"run", std::to_string(Each.m_run)},
--- a/catkinseam/ownership/owner.h
+++ b/catkinseam/ownership/owner.h
@@ -40,6 +40,8 @@
     Milliseconds m_authority{4500};
     /// The store counts as out of reach when an append takes longer.
     Milliseconds m_storeSlow{400};
+    /// Starts decided longer ago than this are decided anew.
+    Milliseconds m_startAge{1500};
     /// Gathers what happens within this time into one decision.
     Milliseconds m_gather{3};
     /// A look that failed is repeated after this time.
@@ -56,11 +58,13 @@
   using EntryReader = std::function<Result<WorkerReport>(
       const std::string &Id, const std::string &Value)>;
 
+  /// `IsCurrent` tells whether the ledger holds what was stored a moment ago;
+  /// nothing is started on older knowledge.
   /// `OnDeposed` is called once when another owner has been met; the owner is
   /// to be destroyed then, though not from within the call.
   Owner(Runtime &Host, KeyedLog &Log, Ledger &Jobs, LinkMaker Links,
         EntryReader Entries, const Options &Values,
-        std::function<void()> OnDeposed);
+        std::function<bool()> IsCurrent, std::function<void()> OnDeposed);
   ~Owner() override;
 
   void start();
@@ -114,6 +118,7 @@
   const LinkMaker m_links;
   const EntryReader m_entries;
   const Options m_options;
+  const std::function<bool()> m_isCurrent;
   const std::function<void()> m_onDeposed;
   Scheduler m_scheduler;
   KeyedTail m_workers;
--- a/catkinseam/ownership/ownership.h
+++ b/catkinseam/ownership/ownership.h
@@ -23,9 +23,9 @@
 public:
   struct Options {
     /// Silence of the owner after which others campaign.
-    Milliseconds m_silence{1100};
+    Milliseconds m_silence{850};
     /// Added to it, different for each entry, so that one goes first.
-    Milliseconds m_spread{400};
+    Milliseconds m_spread{300};
     /// And so many times what the log takes to answer.
     int m_latencies = 6;
     /// A reading older than this does not show that the owner is silent.
@@ -36,10 +36,10 @@
 
   Ownership(const Clock &Time, const Options &Values, const std::string &Entry);
 
-  /// Records of the jobs' topic were read up to its end; the log takes
-  /// `Latency` to answer at present.
-  void onRead(Duration Latency) {
-    m_lastRead = m_clock.now();
+  /// Records of the jobs' topic were read up to where it ended at `When`; the
+  /// log takes `Latency` to answer at present.
+  void onRead(TimePoint When, Duration Latency) {
+    m_lastRead = When;
     m_latency = Latency;
   }
 
--- /dev/null
+++ b/catkinseam/ownership/testing/fake_log.cc
@@ -0,0 +1,153 @@
+// The log in memory.
+#include "catkinseam/ownership/testing/fake_log.h"
+
+namespace catkinseam {
+
+namespace {
+
+constexpr Milliseconds PollStep{10};
+
+} // namespace
+
+bool FakeLog::happens(double Share) {
+  return std::uniform_real_distribution<double>(0, 1)(m_random) < Share;
+}
+
+void FakeLog::put(LogTopic Into, const std::string &Key,
+                  std::optional<std::string> Value) {
+  execute(Into, {{Key, std::move(Value)}}, std::nullopt);
+}
+
+std::optional<std::string> FakeLog::newestOf(LogTopic Of,
+                                             const std::string &Key) const {
+  const auto Found = m_topics.find(Of);
+  if (Found == m_topics.end())
+    return std::nullopt;
+  const auto At = Found->second.m_newest.find(Key);
+  if (At == Found->second.m_newest.end())
+    return std::nullopt;
+  return Found->second.m_records[static_cast<std::size_t>(At->second)].m_value;
+}
+
+void FakeLog::forgetHistory() {
+  for (auto &[Name, Of] : m_topics)
+    Of.m_earliest = static_cast<std::int64_t>(Of.m_records.size());
+}
+
+AppendReply FakeLog::execute(LogTopic Into,
+                             const std::vector<KeyedRecord> &Records,
+                             const std::optional<ProducerMark> &Mark) {
+  Topic &Of = m_topics[Into];
+  const auto Offset = static_cast<std::int64_t>(Of.m_records.size());
+  if (Mark) {
+    Producer &Known = m_producers[Mark->m_producer];
+    if (Mark->m_epoch < Known.m_epoch)
+      return {LogOutcome::Fenced, 0};
+    if (Mark->m_epoch == Known.m_epoch && Known.m_epoch != 0) {
+      if (Mark->m_sequence == Known.m_sequence)
+        return {LogOutcome::Done, Known.m_offset};
+      if (Mark->m_sequence != Known.m_sequence + 1)
+        return {LogOutcome::OutOfOrder, 0};
+    }
+    Known = {Mark->m_epoch, Mark->m_sequence, Offset};
+  }
+  for (const KeyedRecord &Each : Records) {
+    if (Each.m_value)
+      Of.m_newest[Each.m_key] = static_cast<std::int64_t>(Of.m_records.size());
+    else
+      Of.m_newest.erase(Each.m_key);
+    Of.m_records.push_back(Each);
+  }
+  return {LogOutcome::Done, Offset};
+}
+
+void FakeLog::readOnce(LogTopic Of, std::int64_t From, TimePoint Deadline,
+                       std::function<void(const ReadReply &)> Done) {
+  Topic &Source = m_topics[Of];
+  const auto End = static_cast<std::int64_t>(Source.m_records.size());
+  ReadReply Reply;
+  Reply.m_outcome = LogOutcome::Done;
+  Reply.m_next = From;
+  Reply.m_end = End;
+  if (From < Source.m_earliest)
+    Reply.m_outcome = LogOutcome::HistoryGone;
+  else if (From >= End && m_host.now() < Deadline) {
+    m_host.schedule(PollStep,
+                    [this, Of, From, Deadline, Done = std::move(Done)] {
+                      readOnce(Of, From, Deadline, Done);
+                    });
+    return;
+  } else {
+    for (; Reply.m_next < End; ++Reply.m_next)
+      Reply.m_records.push_back(
+          {Reply.m_next,
+           Source.m_records[static_cast<std::size_t>(Reply.m_next)]});
+  }
+  Done(Reply);
+}
+
+void FakeLog::View::append(LogTopic Topic,
+                           const std::vector<KeyedRecord> &Records,
+                           const std::optional<ProducerMark> &Mark,
+                           Milliseconds Timeout,
+                           std::function<void(const AppendReply &)> Done) {
+  Runtime &Host = m_log.m_host;
+  if (m_isCut || m_log.m_faults.m_isDown) {
+    Host.schedule(m_log.m_faults.m_latency, [Done] {
+      Done({LogOutcome::Refused, 0});
+    });
+    return;
+  }
+  const bool IsLate = m_log.happens(m_log.m_faults.m_lateShare);
+  const bool IsLost = IsLate || m_log.happens(m_log.m_faults.m_lostShare);
+  constexpr Milliseconds Lateness{3000};
+  Host.schedule(IsLate ? Lateness : m_log.m_faults.m_latency,
+                [Log = &m_log, Topic, Records, Mark, IsLost, Done] {
+                  const AppendReply Reply = Log->execute(Topic, Records, Mark);
+                  if (!IsLost)
+                    Done(Reply);
+                });
+  if (IsLost)
+    Host.schedule(Timeout, [Done] { Done({LogOutcome::Unknown, 0}); });
+}
+
+void FakeLog::View::read(LogTopic Topic, std::int64_t From, Milliseconds Wait,
+                         Milliseconds Timeout,
+                         std::function<void(const ReadReply &)> Done) {
+  Runtime &Host = m_log.m_host;
+  if (m_isCut || m_log.m_faults.m_isDown) {
+    Host.schedule(Timeout, [Done] { Done(ReadReply{}); });
+    return;
+  }
+  Host.schedule(m_log.m_faults.m_latency,
+                [Log = &m_log, Topic, From, Deadline = Host.now() + Wait,
+                 Done] { Log->readOnce(Topic, From, Deadline, Done); });
+}
+
+void FakeLog::View::newest(LogTopic Topic, const std::string &AfterKey,
+                           Milliseconds Timeout,
+                           std::function<void(const NewestReply &)> Done) {
+  Runtime &Host = m_log.m_host;
+  if (m_isCut || m_log.m_faults.m_isDown) {
+    Host.schedule(Timeout, [Done] { Done(NewestReply{}); });
+    return;
+  }
+  Host.schedule(m_log.m_faults.m_latency, [Log = &m_log, Topic, AfterKey,
+                                           Done] {
+    constexpr std::size_t PageSize = 20;
+    FakeLog::Topic &Source = Log->m_topics[Topic];
+    NewestReply Reply;
+    Reply.m_outcome = LogOutcome::Done;
+    Reply.m_end = static_cast<std::int64_t>(Source.m_records.size());
+    auto At = AfterKey.empty() ? Source.m_newest.begin()
+                               : Source.m_newest.upper_bound(AfterKey);
+    for (; At != Source.m_newest.end() && Reply.m_records.size() < PageSize;
+         ++At)
+      Reply.m_records.push_back(
+          {At->second, Source.m_records[static_cast<std::size_t>(At->second)]});
+    Reply.m_hasMore = At != Source.m_newest.end();
+    Done(Reply);
+  });
+}
+
+} // namespace catkinseam
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -174,7 +174,8 @@
   return false;
 }
 
-std::vector<StartOrder> Scheduler::release(const Decisions &Stored) {
+std::vector<StartOrder> Scheduler::release(const Decisions &Stored,
+                                           bool AreStale) {
   for (const Decisions::TakenEnd &Each : Stored.m_ends) {
     const auto Found = m_workers.find(Each.m_worker);
     if (Found == m_workers.end() ||
@@ -190,7 +191,7 @@
     if (!Run || Run->m_phase != RunPhase::Recording)
       continue;
     WorkerRow &Worker = *Run->m_worker;
-    if (!isOpen(Worker, m_clock.now())) {
+    if (AreStale || !isOpen(Worker, m_clock.now())) {
       voidRun(*Task, Each.m_run, Duration::zero());
       continue;
     }
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -116,8 +116,9 @@
   /// Places what fits and collects all that changed since the last call.
   Decisions decide();
 
-  /// The decisions are durable: returns the starts that still stand.
-  std::vector<StartOrder> release(const Decisions &Stored);
+  /// The decisions are durable: returns the starts that still stand. Stale
+  /// ones are decided anew in place of being sent.
+  std::vector<StartOrder> release(const Decisions &Stored, bool AreStale);
 
   /// The next look at a worker; none while one need not be held.
   std::optional<HoldOrder> nextHold(const std::string &Worker);
