--- a/catkinseam/ledger/ledger_test.cc
+++ b/catkinseam/ledger/ledger_test.cc
@@ -1,1 +1,111 @@
+// The ledger over records that come again, late, or cannot be read; the tail
+// over a log that forgets.
+#define BOOST_TEST_MODULE ledger
+#include "catkinseam/base/codec.h"
+#include "catkinseam/ledger/keyed_tail.h"
+#include "catkinseam/ledger/ledger.h"
+#include "catkinseam/ownership/testing/installation.h"
 
+#include <boost/test/unit_test.hpp>
+
+namespace catkinseam {
+
+namespace {
+
+const std::string Id = "00000000000000a1";
+
+std::string submission() { return encode(batchJob(Id, 2)); }
+
+std::string progress(JobState State) {
+  JobProgress Progress;
+  Progress.m_state = State;
+  return encodeProgress(Progress);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(CountsPendingJobsByQueue) {
+  Ledger Jobs;
+  Jobs.apply(0, submissionKey(Id), submission());
+  BOOST_TEST(Jobs.pendingIn("counts") == 1U);
+  Jobs.apply(1, submissionKey(Id), submission());
+  BOOST_TEST(Jobs.pendingIn("counts") == 1U);
+  Jobs.apply(2, progressKey(Id), progress(JobState::InProgress));
+  BOOST_TEST(Jobs.pendingIn("counts") == 0U);
+  Jobs.apply(3, submissionKey(Id), std::nullopt);
+  BOOST_TEST(Jobs.pendingIn("counts") == 0U);
+  BOOST_TEST(!Jobs.find(Id));
+}
+
+BOOST_AUTO_TEST_CASE(AnOlderRecordChangesNothing) {
+  Ledger Jobs;
+  Jobs.apply(0, submissionKey(Id), submission());
+  Jobs.apply(5, progressKey(Id), progress(JobState::Completed));
+  Jobs.apply(3, progressKey(Id), progress(JobState::InProgress));
+  BOOST_TEST((Jobs.find(Id)->state() == JobState::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(RecordsMayComeBeforeTheSubmission) {
+  Ledger Jobs;
+  Jobs.apply(4, cancelKey(Id), std::string("1"));
+  BOOST_TEST(!Jobs.find(Id));
+  Jobs.apply(5, submissionKey(Id), submission());
+  BOOST_TEST((Jobs.find(Id)->state() == JobState::Cancelled));
+  BOOST_TEST(Jobs.pendingIn("counts") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(CompletedJobsStayCompletedWhenCancelled) {
+  Ledger Jobs;
+  Jobs.apply(0, submissionKey(Id), submission());
+  Jobs.apply(1, progressKey(Id), progress(JobState::Completed));
+  Jobs.apply(2, cancelKey(Id), std::string("1"));
+  BOOST_TEST((Jobs.find(Id)->state() == JobState::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(TheFirstOwnerOfAnEpochCounts) {
+  Ledger Jobs;
+  Jobs.apply(0, OwnerKey, encode(OwnerRecord{3, "n1", "boot-a", false}));
+  Jobs.apply(1, OwnerKey, encode(OwnerRecord{3, "n2", "boot-b", false}));
+  Jobs.apply(2, OwnerKey, encode(OwnerRecord{2, "n3", "boot-c", false}));
+  BOOST_TEST(Jobs.owner().m_entry == "n1");
+  Jobs.apply(3, OwnerKey, encode(OwnerRecord{3, "n1", "boot-a", true}));
+  BOOST_TEST(Jobs.owner().m_isLeaving);
+}
+
+BOOST_AUTO_TEST_CASE(UnreadableRecordsHarmNobody) {
+  Ledger Jobs;
+  Jobs.apply(0, submissionKey(Id), std::string("\x01\x02"));
+  Jobs.apply(1, progressKey(Id), std::string("\xff"));
+  Jobs.apply(2, OwnerKey, std::string(""));
+  Jobs.apply(3, "?", std::string("x"));
+  BOOST_TEST(!Jobs.find(Id));
+  Jobs.apply(4, submissionKey(Id), submission());
+  BOOST_TEST((Jobs.find(Id)->state() == JobState::Queued));
+}
+
+BOOST_AUTO_TEST_CASE(TheTailReadsOnWhenTheHistoryIsGone) {
+  ManualRuntime Host;
+  std::mt19937_64 Random(1);
+  FakeLog Log(Host, Random);
+  FakeLog::View View(Log);
+  for (int Number = 0; Number < 50; ++Number)
+    Log.put(LogTopic::Operator, "k" + std::to_string(Number), "1");
+  std::map<std::string, std::string> Seen;
+  KeyedTail Tail(Host, View, {.m_topic = LogTopic::Operator},
+                 {[&](const StoredRecord &Each) {
+                    Seen[Each.m_record.m_key] = Each.m_record.m_value.value();
+                  },
+                  nullptr, nullptr});
+  Tail.start();
+  Host.advance(Milliseconds(100));
+  BOOST_TEST(Seen.size() == 50U);
+  View.m_isCut = true;
+  Host.advance(Milliseconds(2000));
+  Log.put(LogTopic::Operator, "k7", "2");
+  Log.forgetHistory();
+  View.m_isCut = false;
+  Host.advance(Milliseconds(3000));
+  BOOST_TEST(Seen["k7"] == "2");
+}
+
+} // namespace catkinseam
--- a/catkinseam/ownership/testing/installation.cc
+++ b/catkinseam/ownership/testing/installation.cc
@@ -110,15 +110,23 @@
 
 Runtime::TimerId FakeNode::schedule(Duration Delay,
                                     std::function<void()> Call) {
-  return m_host.schedule(Delay, [this, Life = m_lives, Call = std::move(Call)] {
-    if (Life == m_lives)
-      pass(Call);
-  });
+  const auto Id = std::make_shared<TimerId>(0);
+  *Id = m_host.schedule(Delay,
+                        [this, Id, Life = m_lives, Call = std::move(Call)] {
+                          if (Life == m_lives)
+                            pass(Call, *Id);
+                        });
+  return *Id;
 }
 
-void FakeNode::pass(std::function<void()> Call) {
+void FakeNode::cancel(TimerId Id) {
+  m_host.cancel(Id);
+  std::erase_if(m_held, [Id](const auto &Each) { return Each.first == Id; });
+}
+
+void FakeNode::pass(std::function<void()> Call, TimerId Id) {
   if (m_isFrozen)
-    m_held.push_back(std::move(Call));
+    m_held.emplace_back(Id, std::move(Call));
   else
     Call();
 }
@@ -126,7 +134,7 @@
 void FakeNode::wake() {
   m_isFrozen = false;
   while (!m_held.empty() && !m_isFrozen) {
-    const std::function<void()> Call = std::move(m_held.front());
+    const std::function<void()> Call = std::move(m_held.front().second);
     m_held.pop_front();
     Call();
   }
--- a/catkinseam/ownership/testing/installation.h
+++ b/catkinseam/ownership/testing/installation.h
@@ -28,7 +28,7 @@
 
   const Clock &clock() const override { return m_host.clock(); }
   TimerId schedule(Duration Delay, std::function<void()> Call) override;
-  void cancel(TimerId Id) override { m_host.cancel(Id); }
+  void cancel(TimerId Id) override;
 
   /// Starts a new life of the process.
   void start(Owner::LinkMaker Links, Owner::EntryReader Entries);
@@ -50,14 +50,15 @@
   class GatedLog;
   class GatedLink;
 
-  /// Runs now, or once woken; not at all in a later life.
-  void pass(std::function<void()> Call);
+  /// Runs now, or once woken; not at all in a later life. `Id` names the timer
+  /// that it comes from; zero for none.
+  void pass(std::function<void()> Call, TimerId Id = 0);
 
   Runtime &m_host;
   const std::string m_name;
   int m_lives = 0;
   bool m_isFrozen = false;
-  std::deque<std::function<void()>> m_held;
+  std::deque<std::pair<TimerId, std::function<void()>>> m_held;
   std::unique_ptr<GatedLog> m_gatedLog;
   std::unique_ptr<Ledger> m_jobs;
   std::unique_ptr<Candidate> m_candidate;
--- a/catkinseam/scheduler/scheduler_test.cc
+++ b/catkinseam/scheduler/scheduler_test.cc
@@ -1,1 +1,240 @@
+// Placement and health decisions of the scheduler, without any process.
+#define BOOST_TEST_MODULE scheduler
+#include "catkinseam/scheduler/scheduler.h"
 
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <set>
+
+namespace catkinseam {
+
+namespace {
+
+const std::string Id = "00000000000000a1";
+
+/// A scheduler with workers that answer as the test says.
+struct Fixture {
+  ManualClock m_clock;
+  Scheduler m_plan{m_clock, {}};
+  /// Runs by worker, as the last release() sent them.
+  std::map<std::string, std::vector<StartOrder>> m_sent;
+  std::map<std::string, std::uint64_t> m_ends;
+
+  void addWorker(const std::string &Name, Resources Capacity = {4000, 8000, 0},
+                 const std::string &Rack = "r1") {
+    WorkerReport Report;
+    Report.m_id = Name;
+    Report.m_bornMs = 1;
+    Report.m_service = "tally";
+    Report.m_capacity = Capacity;
+    Report.m_labels = {"a", Rack};
+    m_plan.updateWorker(Report);
+    look(Name, {}, {});
+  }
+
+  void look(const std::string &Name, std::vector<ActiveRun> Active,
+            std::vector<EndedRun> Ended) {
+    const auto Order = m_plan.nextHold(Name);
+    BOOST_REQUIRE(Order.has_value());
+    HoldReply Reply;
+    Reply.m_outcome = OrderOutcome::Done;
+    Reply.m_look.m_bornMs = 1;
+    Reply.m_look.m_clock = Milliseconds(1000);
+    Reply.m_look.m_active = std::move(Active);
+    Reply.m_look.m_ended = std::move(Ended);
+    m_plan.onHold(*Order, m_clock.now(), Reply);
+  }
+
+  /// Decides, stores and sends; every start is answered with Done.
+  std::size_t step() {
+    const Decisions Next = m_plan.decide();
+    const std::vector<StartOrder> Starts = m_plan.release(Next, false);
+    for (const StartOrder &Each : Starts) {
+      m_sent[Each.m_worker].push_back(Each);
+      m_plan.onStart(Each, {OrderOutcome::Done, Milliseconds(1000)});
+    }
+    m_clock.advance(Milliseconds(50));
+    return Starts.size();
+  }
+
+  void end(const std::string &Name, StartOrder Run, RunEnd How) {
+    std::vector<ActiveRun> Active;
+    for (const StartOrder &Each : m_sent[Name])
+      if (Each.m_task != Run.m_task)
+        Active.push_back({Each.m_task, Each.m_run, "", 50, 0});
+    std::erase_if(m_sent[Name], [&](const StartOrder &Each) {
+      return Each.m_task == Run.m_task;
+    });
+    look(Name, Active, {{++m_ends[Name], Run.m_task, Run.m_run, How, ""}});
+  }
+
+  static Submission job(const std::string &Name, std::uint32_t Tasks) {
+    Submission Job;
+    Job.m_id = Name;
+    Job.m_terms = {"counts", "tally", 0, 2, 1.5, Milliseconds(250)};
+    StepSpec Step;
+    Step.m_count = Tasks;
+    Step.m_request = {1000, 1000, 0};
+    Step.m_estimate = Milliseconds(500);
+    Job.m_spec.m_steps.push_back(Step);
+    return Job;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(FillsNoWorkerBeyondItsCapacity, Fixture) {
+  addWorker("w1");
+  addWorker("w2");
+  m_plan.addJob(job(Id, 12), nullptr);
+  BOOST_TEST(step() == 8U);
+  BOOST_TEST(m_sent["w1"].size() == 4U);
+  BOOST_TEST(m_sent["w2"].size() == 4U);
+}
+
+BOOST_FIXTURE_TEST_CASE(KeepsTasksOfAStepApart, Fixture) {
+  addWorker("w1");
+  addWorker("w2");
+  Submission Job = job(Id, 4);
+  Job.m_spec.m_steps[0].m_maxPerWorker = 1;
+  m_plan.addJob(Job, nullptr);
+  BOOST_TEST(step() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(GoesOnlyWhereTheLabelIs, Fixture) {
+  addWorker("w1", {4000, 8000, 0}, "r1");
+  addWorker("w2", {4000, 8000, 0}, "r2");
+  Submission Job = job(Id, 2);
+  Job.m_spec.m_steps[0].m_requiredLabel = "r2";
+  m_plan.addJob(Job, nullptr);
+  step();
+  BOOST_TEST(m_sent["w2"].size() == 2U);
+}
+
+// Pattern: a wide job is submitted before many narrow ones and needs more room
+// than is free at once. It keeps its place in the order.
+BOOST_FIXTURE_TEST_CASE(AWideJobIsNotPassedByLaterNarrowOnes, Fixture) {
+  addWorker("w1");
+  Submission Wide = job("00000000000000b0", 8);
+  Wide.m_acceptedMs = 1000;
+  m_plan.addJob(Wide, nullptr);
+  step();
+  for (int Number = 0; Number < 5; ++Number) {
+    Submission Narrow = job("00000000000000c" + std::to_string(Number), 1);
+    Narrow.m_acceptedMs = 2000;
+    m_plan.addJob(Narrow, nullptr);
+  }
+  const std::vector<StartOrder> First = m_sent["w1"];
+  for (const StartOrder &Each : First)
+    end("w1", Each, RunEnd::Done);
+  m_sent["w1"].clear();
+  m_clock.advance(Milliseconds(100));
+  step();
+  for (const StartOrder &Each : m_sent["w1"])
+    BOOST_TEST(Each.m_task.m_job == "00000000000000b0");
+}
+
+// Pattern: one worker fails all that it starts, with two attempts a task. The
+// second attempt goes to a worker that has lately finished work.
+BOOST_FIXTURE_TEST_CASE(SecondAttemptsGoToProvenWorkers, Fixture) {
+  addWorker("w1");
+  addWorker("w2");
+  addWorker("w3");
+  m_plan.addJob(job("00000000000000d0", 3), nullptr);
+  step();
+  // Each worker has one; w1 fails, w2 finishes, w3 says nothing yet.
+  const StartOrder Failed = m_sent["w1"].front();
+  end("w2", m_sent["w2"].front(), RunEnd::Done);
+  end("w1", Failed, RunEnd::Failed);
+  step();
+  bool IsOnProven = false;
+  for (const StartOrder &Each : m_sent["w2"])
+    IsOnProven = IsOnProven || Each.m_task == Failed.m_task;
+  BOOST_TEST(IsOnProven);
+}
+
+BOOST_FIXTURE_TEST_CASE(AJobFailsAfterItsLastAttempt, Fixture) {
+  addWorker("w1");
+  m_plan.addJob(job(Id, 1), nullptr);
+  for (int Attempt = 0; Attempt < 2; ++Attempt) {
+    BOOST_TEST(step() == 1U);
+    end("w1", m_sent["w1"].front(), RunEnd::Failed);
+  }
+  const Decisions Next = m_plan.decide();
+  BOOST_REQUIRE(Next.m_progress.size() == 1U);
+  BOOST_TEST((Next.m_progress[0].second.m_state == JobState::Failed));
+}
+
+// An end counts as taken note of by the worker only once it is stored.
+BOOST_FIXTURE_TEST_CASE(ObservedPassesAnEndOnlyWhenItIsStored, Fixture) {
+  addWorker("w1");
+  m_plan.addJob(job(Id, 1), nullptr);
+  step();
+  end("w1", m_sent["w1"].front(), RunEnd::Done);
+  BOOST_TEST(m_plan.nextHold("w1")->m_observed == 0U);
+  const Decisions Next = m_plan.decide();
+  BOOST_TEST(m_plan.nextHold("w1")->m_observed == 0U);
+  m_plan.release(Next, false);
+  BOOST_TEST(m_plan.nextHold("w1")->m_observed == 1U);
+}
+
+// A successor must find where each run was sent, even if its start was never
+// answered.
+BOOST_FIXTURE_TEST_CASE(RunsAreRecordedBeforeTheyAreSent, Fixture) {
+  addWorker("w1");
+  m_plan.addJob(job(Id, 1), nullptr);
+  const Decisions Next = m_plan.decide();
+  BOOST_REQUIRE(Next.m_progress.size() == 1U);
+  const TaskRecord &Task =
+      Next.m_progress[0].second.m_occurrences[0].m_steps[0].m_tasks[0];
+  BOOST_REQUIRE(Task.m_runs.size() == 1U);
+  BOOST_TEST(Task.m_runs[0].m_worker == "w1");
+  BOOST_TEST(Task.m_runs[0].m_run == 1U);
+}
+
+// A start without an answer: the run is stopped there and a higher one starts
+// only after a look that was sent after the stop's answer.
+BOOST_FIXTURE_TEST_CASE(AnUnansweredStartIsStoppedBeforeItRunsElsewhere,
+                        Fixture) {
+  addWorker("w1");
+  addWorker("w2");
+  m_plan.addJob(job(Id, 1), nullptr);
+  const Decisions Next = m_plan.decide();
+  const std::vector<StartOrder> Starts = m_plan.release(Next, false);
+  BOOST_REQUIRE(Starts.size() == 1U);
+  const std::string Worker = Starts[0].m_worker;
+  m_plan.onStart(Starts[0], {OrderOutcome::Unknown, std::nullopt});
+  BOOST_TEST(step() == 0U);
+  look(Worker, {}, {});
+  BOOST_TEST(step() == 0U);
+  const Controls Orders = m_plan.control();
+  BOOST_REQUIRE(Orders.m_stops.size() == 1U);
+  m_plan.onStop(Orders.m_stops[0], {OrderOutcome::Done, Milliseconds(1100)});
+  m_clock.advance(Milliseconds(10));
+  look(Worker, {}, {});
+  BOOST_TEST(step() == 1U);
+}
+
+// A slowed filler has more than one reason to be let go; a filler beside no
+// service has none to be slowed.
+BOOST_FIXTURE_TEST_CASE(FillersTakeOnlyWhatOthersLeave, Fixture) {
+  addWorker("w1");
+  Submission Job = job(Id, 20);
+  Job.m_spec.m_steps[0].m_isFiller = true;
+  Job.m_spec.m_steps[0].m_request = {1000, 100, 0};
+  m_plan.addJob(Job, nullptr);
+  // Four processors; the last may get a part of what it asks for.
+  BOOST_TEST(step() == 4U);
+}
+
+BOOST_FIXTURE_TEST_CASE(CancelledJobsAreStoppedAndNotStarted, Fixture) {
+  addWorker("w1");
+  m_plan.addJob(job(Id, 6), nullptr);
+  step();
+  m_plan.cancelJob(Id);
+  BOOST_TEST(m_plan.control().m_stops.size() == 4U);
+  BOOST_TEST(step() == 0U);
+}
+
+} // namespace catkinseam
