--- a/catkinseam/aio/http_listener.cc
+++ b/catkinseam/aio/http_listener.cc
@@ -30,14 +30,16 @@
 }
 
 std::string responseText(const HttpResponse &Answer, bool IsKept) {
-  std::string Text = "HTTP/1.1 " + std::to_string(Answer.m_status) + " " +
-                     reasonOf(Answer.m_status) + "\r\n";
+  std::string Text = "HTTP/1.1 ";
+  Text.append(std::to_string(Answer.m_status)).append(" ");
+  Text.append(reasonOf(Answer.m_status)).append("\r\n");
   for (const auto &[Name, Value] : Answer.m_headers)
-    Text += Name + ": " + Value + "\r\n";
-  Text += "Content-Length: " + std::to_string(Answer.m_body.size()) + "\r\n";
+    Text.append(Name).append(": ").append(Value).append("\r\n");
+  Text.append("Content-Length: ");
+  Text.append(std::to_string(Answer.m_body.size())).append("\r\n");
   if (!IsKept)
-    Text += "Connection: close\r\n";
-  return Text + "\r\n" + Answer.m_body;
+    Text.append("Connection: close\r\n");
+  return Text.append("\r\n").append(Answer.m_body);
 }
 
 HttpRequest toRequest(http::request<http::string_body> &Parsed) {
--- a/catkinseam/node/node.cc
+++ b/catkinseam/node/node.cc
@@ -102,7 +102,7 @@
     m_metrics.setGauge("catkinseam_live_jobs",
                        static_cast<double>(Mine->scheduler().liveJobs()));
     m_metrics.setGauge("catkinseam_waiting_tasks",
-                       static_cast<double>(Mine->scheduler().waitingTasks()));
+                       static_cast<double>(Mine->scheduler().summarize().m_waitingTasks));
   }
   return m_metrics.text();
 }
--- a/catkinseam/ownership/owner.cc
+++ b/catkinseam/ownership/owner.cc
@@ -24,7 +24,7 @@
            [this] { pumpSoon(); },
            [this](const std::set<std::string> &Ids) { onWorkersLoaded(Ids); }}),
       m_pumpTimer(Host), m_beatTimer(Host), m_appendTimer(Host),
-      m_wakeTimer(Host), m_lastDurable(Host.now()) {}
+      m_wakeTimer(Host), m_summaryTimer(Host), m_lastDurable(Host.now()) {}
 
 Owner::~Owner() {
   *m_isAlive = false;
@@ -37,6 +37,7 @@
   m_jobs.setObserver(this);
   m_workers.start();
   beat();
+  logSummary();
 }
 
 // --- What becomes known.
@@ -181,6 +182,24 @@
   });
 }
 
+void Owner::logSummary() {
+  const Scheduler::Summary Now = m_scheduler.summarize();
+  logInfo("owner.summary", {{"jobs", std::to_string(Now.m_liveJobs)},
+                            {"waiting", std::to_string(Now.m_waitingTasks)},
+                            {"runs", std::to_string(Now.m_runs)},
+                            {"stopping", std::to_string(Now.m_stopping)},
+                            {"fillers", std::to_string(Now.m_fillers)},
+                            {"slowed", std::to_string(Now.m_slowedFillers)},
+                            {"asked", std::to_string(Now.m_fillerRequest)},
+                            {"paced", std::to_string(Now.m_fillerPaced)},
+                            {"over", std::to_string(Now.m_servicesOverTarget)},
+                            {"open", std::to_string(Now.m_openWorkers)}});
+  m_summaryTimer.start(m_options.m_summary, [this] {
+    if (!m_isDeposed)
+      logSummary();
+  });
+}
+
 void Owner::store(Decisions Next) {
   m_records.clear();
   for (const auto &[Id, Progress] : Next.m_progress)
--- a/catkinseam/ownership/owner.h
+++ b/catkinseam/ownership/owner.h
@@ -42,6 +42,8 @@
     Milliseconds m_storeSlow{400};
     /// Starts decided longer ago than this are decided anew.
     Milliseconds m_startAge{1500};
+    /// The owner logs how things stand this often.
+    Milliseconds m_summary{1000};
     /// Gathers what happens within this time into one decision.
     Milliseconds m_gather{3};
     /// A look that failed is repeated after this time.
@@ -102,6 +104,7 @@
   void onAppend(const AppendReply &Reply);
   void finishAppend();
   void beat();
+  void logSummary();
   OwnerRecord ownRecord(bool IsLeaving) const;
 
   void look(const std::string &Id);
@@ -127,6 +130,7 @@
   Timer m_beatTimer;
   Timer m_appendTimer;
   Timer m_wakeTimer;
+  Timer m_summaryTimer;
 
   bool m_hasJobs = false;
   bool m_isDeposed = false;
--- a/catkinseam/ownership/testing/fake_worker.cc
+++ b/catkinseam/ownership/testing/fake_worker.cc
@@ -65,7 +65,7 @@
   /// A held look that shows no end answers when one comes, or in the end.
   void wait(const HoldOrder &Order, TimePoint Deadline, const HoldReply &Reply,
             const std::function<void(const HoldReply &)> &Done) {
-    const bool HasEnd = Reply.m_look.m_ended.size() > 0;
+    const bool HasEnd = !Reply.m_look.m_ended.empty();
     if (Reply.m_outcome != OrderOutcome::Done || HasEnd ||
         m_worker.m_host.now() >= Deadline)
       return Done(Reply);
--- a/catkinseam/scheduler/interference.cc
+++ b/catkinseam/scheduler/interference.cc
@@ -91,6 +91,8 @@
   for (const RunRef &Each : Worker.m_runs) {
     const StepRow &Step = *Each.m_task->m_step;
     const RunRow *Run = Step.m_spec->m_isFiller ? runOf(Each) : nullptr;
+    if (Run)
+      m_fillers.insert(Step.m_image);
     if (Run && Run->m_figure > 0)
       Shares[Step.m_image + 1] +=
           static_cast<double>(Run->m_figure) / capacityOf(Worker);
@@ -211,6 +213,20 @@
     }
     Tail.m_load = std::max(Tail.m_load, Modelled);
   }
+  if (m_fillers.empty())
+    return;
+  const auto Borne =
+      std::count_if(m_fillers.begin(), m_fillers.end(), [&](ImageNumber Each) {
+        return roomWith(Worker, Each, m_options.m_usualFiller) >= 0.0;
+      });
+  Worker.m_bearable =
+      static_cast<double>(Borne) / static_cast<double>(m_fillers.size());
+}
+
+double Interference::bearablePart(WorkerRow &Worker) const {
+  if (Worker.m_areTailsStale)
+    renewTails(Worker);
+  return Worker.m_bearable;
 }
 
 double Interference::roomWith(WorkerRow &Worker, ImageNumber Filler,
--- a/catkinseam/scheduler/interference.h
+++ b/catkinseam/scheduler/interference.h
@@ -45,8 +45,10 @@
     double m_idleTail = 0.25;
     /// A filler that would add less load than this counts as harmless.
     double m_leastAdded = 0.01;
+    /// Processors of a usual filler, in thousandths.
+    double m_usualFiller = 2000.0;
     /// A service is to stay below this share of its target tail.
-    double m_safeTail = 0.85;
+    double m_safeTail = 0.7;
   };
 
   explicit Interference(const Options &Values) : m_options(Values) {}
@@ -72,6 +74,9 @@
   double roomWith(WorkerRow &Worker, ImageNumber Filler,
                   double MilliProcessors) const;
 
+  /// The part of all images met as fillers that the worker would bear.
+  double bearablePart(WorkerRow &Worker) const;
+
 private:
   /// Sums of the least-squares fit of one service image. Column zero is its
   /// own load, column N + 1 the filler of image N.
@@ -96,6 +101,7 @@
 
   const Options m_options;
   std::map<std::string, ImageNumber> m_numbers;
+  std::set<ImageNumber> m_fillers;
   /// By the number of the service's image.
   std::vector<Fit> m_services;
 };
--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -8,9 +8,13 @@
 namespace {
 
 /// A filler is placed where it gets at least this share of what it asks for.
-constexpr double LeastFillerShare = 0.6;
+constexpr double LeastFillerShare = 0.5;
 
+/// A worker that bears any filler is left to those that few workers bear.
+constexpr double OpennessCost = 1.5;
 constexpr double AvoidCost = 100.0;
+/// More room than this to a pressed service makes no difference.
+constexpr double MostRoom = 0.2;
 constexpr double UnprovenCost = 10.0;
 constexpr double RemoteDataCost = 2.0;
 constexpr double SameStepCost = 0.25;
@@ -74,7 +78,8 @@
   const double Request = static_cast<double>(std::max<std::int64_t>(
       1, Task.m_step->m_spec->m_request.m_milliProcessors));
   const double Spare = static_cast<double>(spareProcessors(Worker));
-  return -Room - Spare / (4.0 * Request);
+  return OpennessCost * Worker.m_bearable - std::min(Room, MostRoom) -
+         Spare / (4.0 * Request);
 }
 
 double serviceCost(const TaskRow &Task, const WorkerRow &Worker) {
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -45,6 +45,8 @@
 constexpr Milliseconds MoveAfter{700};
 constexpr std::int64_t MostWorkLost = 30;
 constexpr Milliseconds MoveRetry{250};
+/// Each move loses a second or so of work.
+constexpr std::uint32_t MostMoves = 2;
 /// A step that found no place is tried again after this time: with many
 /// waiting, each look for a place costs as much as one that finds it.
 constexpr Milliseconds PlaceRetry{40};
@@ -267,7 +269,8 @@
           Now - Run->m_moveTriedAt < MoveRetry)
         continue;
       Run->m_moveTriedAt = Now;
-      if (!Spec.m_savesCheckpoints && Run->m_percent > MostWorkLost)
+      if ((!Spec.m_savesCheckpoints && Run->m_percent > MostWorkLost) ||
+          Ref.m_task->m_moves >= MostMoves)
         continue;
       const std::string &Service =
           Ref.m_task->m_step->m_occurrence->m_job->terms().m_service;
@@ -279,6 +282,7 @@
                             {"run", std::to_string(Ref.m_run)},
                             {"worker", Id},
                             {"pace", std::to_string(Run->m_pace)}});
+      ++Ref.m_task->m_moves;
       requestStop(*Ref.m_task, *Run);
     }
   }
@@ -379,11 +383,28 @@
 
 TimePoint Scheduler::nextWake() const { return m_clock.now() + IdleWake; }
 
-std::size_t Scheduler::waitingTasks() const {
-  std::size_t Count = 0;
+Scheduler::Summary Scheduler::summarize() const {
+  Summary Now;
+  Now.m_liveJobs = m_liveJobs;
   for (const auto &[Key, Step] : m_toPlace)
-    Count += Step->m_waiting.size();
-  return Count;
+    Now.m_waitingTasks += Step->m_waiting.size();
+  for (const auto &[Id, Worker] : m_workers) {
+    Now.m_openWorkers += isOpen(*Worker, m_clock.now());
+    for (const RunRef &Each : Worker->m_runs) {
+      const RunRow *Run = runOf(Each);
+      const StepSpec &Spec = *Each.m_task->m_step->m_spec;
+      ++Now.m_runs;
+      Now.m_stopping += Run->m_phase == RunPhase::Stopping;
+      Now.m_servicesOverTarget += tailOf(Each) > 1.0;
+      if (!Spec.m_isFiller)
+        continue;
+      ++Now.m_fillers;
+      Now.m_slowedFillers += Run->m_pace < 100;
+      Now.m_fillerRequest += Spec.m_request.m_milliProcessors;
+      Now.m_fillerPaced += Spec.m_request.m_milliProcessors * Run->m_pace / 100;
+    }
+  }
+  return Now;
 }
 
 } // namespace catkinseam
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -130,9 +130,22 @@
   /// When decide() is due even though nothing became known.
   TimePoint nextWake() const;
 
-  /// For metrics.
+  /// How things stand, for logs and metrics.
+  struct Summary {
+    std::size_t m_liveJobs = 0;
+    std::size_t m_waitingTasks = 0;
+    std::size_t m_runs = 0;
+    std::size_t m_stopping = 0;
+    std::size_t m_fillers = 0;
+    std::size_t m_slowedFillers = 0;
+    /// Thousandths of a processor that fillers ask for, and are let have.
+    std::int64_t m_fillerRequest = 0;
+    std::int64_t m_fillerPaced = 0;
+    std::size_t m_servicesOverTarget = 0;
+    std::size_t m_openWorkers = 0;
+  };
+  Summary summarize() const;
   std::size_t liveJobs() const { return m_liveJobs; }
-  std::size_t waitingTasks() const;
 
 private:
   friend class SchedulerInspector;
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -68,6 +68,8 @@
   /// Workers on which it failed or that refused it, newest last.
   std::vector<std::string> m_avoid;
   TimePoint m_notBefore;
+  /// How often it was stopped to run elsewhere.
+  std::uint32_t m_moves = 0;
   /// In the step's list of tasks to place.
   bool m_isWaiting = false;
 };
@@ -170,6 +172,9 @@
   };
   std::vector<ServiceTail> m_tails;
   bool m_areTailsStale = true;
+  /// The part of all known images whose fillers it would bear; goes with
+  /// m_tails.
+  double m_bearable = 1.0;
   TimePoint m_observedAt;
   /// Sum of the processors that its services ask for.
   std::int64_t m_serviceProcessors = 0;
@@ -178,7 +183,7 @@
   double m_worstTail = 0.0;
   TimePoint m_pacedAt;
   /// The share of their processors that services are thought to use.
-  double m_serviceLoad = 0.5;
+  double m_serviceLoad = 0.45;
   TimePoint m_fullUntil;
 
   bool hasLabel(const std::string &Label) const {
