Late jobs come after those that can still meet their objective

Cause: under overload (170 to 420 tasks waiting) the earliest objective first means the latest job first, and each makes the next late.

--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -104,10 +104,18 @@
 
 void Scheduler::placeWaiting(Decisions &Next) {
   listOpenWorkers();
+  // Jobs that have missed their objective come after those that still can meet
+  // theirs: under overload one late job would make all that follow late.
+  const std::int64_t NowMs = m_clock.wallNow().time_since_epoch().count();
   std::vector<StepRow *> Order;
+  std::vector<StepRow *> Late;
   Order.reserve(m_toPlace.size());
-  for (const auto &[Key, Step] : m_toPlace)
-    Order.push_back(Step);
+  for (const auto &[Key, Step] : m_toPlace) {
+    const bool IsLate =
+        !Step->m_spec->m_isService && Key.m_objectiveMs < NowMs;
+    (IsLate ? Late : Order).push_back(Step);
+  }
+  Order.insert(Order.end(), Late.begin(), Late.end());
   const TimePoint Now = m_clock.now();
   for (StepRow *Step : Order) {
     if (Step->m_retryAt > Now)
