--- a/catkinseam/ownership/candidate.h
+++ b/catkinseam/ownership/candidate.h
@@ -26,7 +26,7 @@
     std::string m_boot;
     /// What is known counts as up to date for so long after the last read.
     Milliseconds m_currency{1500};
-    Milliseconds m_check{150};
+    Milliseconds m_check{60};
     Milliseconds m_campaignTimeout{1500};
     Milliseconds m_campaignRetry{300};
     /// Records that come within this time are read in one call: each call has
--- a/catkinseam/ownership/owner.h
+++ b/catkinseam/ownership/owner.h
@@ -35,7 +35,7 @@
     std::string m_boot;
     Milliseconds m_appendRetry{50};
     /// With nothing to store, the owner says this often that it is there.
-    Milliseconds m_heartbeat{350};
+    Milliseconds m_heartbeat{200};
     /// Without a durable append for so long, no order leaves any more.
     Milliseconds m_authority{4500};
     /// The store counts as out of reach when an append takes longer.
--- a/catkinseam/ownership/ownership.h
+++ b/catkinseam/ownership/ownership.h
@@ -23,9 +23,9 @@
 public:
   struct Options {
     /// Silence of the owner after which others campaign.
-    Milliseconds m_silence{850};
+    Milliseconds m_silence{600};
     /// Added to it, different for each entry, so that one goes first.
-    Milliseconds m_spread{300};
+    Milliseconds m_spread{200};
     /// And so many times what the log takes to answer.
     int m_latencies = 6;
     /// A reading older than this does not show that the owner is silent.
