--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -12,6 +12,14 @@
 
 /// A worker that bears any filler is left to those that few workers bear.
 constexpr double OpennessCost = 1.5;
+/// A filler that got less than this share for so long is starved.
+constexpr double StarvedShare = 0.1;
+constexpr Milliseconds StarvedAfter{1000};
+/// The share of their processors that services usually use, how much of a new
+/// figure is believed, and how fast it is forgotten, a look.
+constexpr double UsualServiceLoad = 0.45;
+constexpr double LoadPart = 0.5;
+constexpr double FadePart = 0.02;
 constexpr double AvoidCost = 100.0;
 /// More room than this to a pressed service makes no difference.
 constexpr double MostRoom = 0.2;
@@ -140,6 +148,39 @@
          Worker.m_fillerProcessors;
 }
 
+bool isStarved(const StepSpec &Spec, const RunRow &Run, TimePoint Now) {
+  return Spec.m_isFiller && Run.m_phase == RunPhase::Running &&
+         Run.m_paceSent == 100 && Now - Run.m_confirmedAt >= StarvedAfter &&
+         Now - Run.m_percentChangedAt >= StarvedAfter &&
+         static_cast<double>(Run.m_figure) <
+             StarvedShare *
+                 static_cast<double>(Spec.m_request.m_milliProcessors);
+}
+
+void learnServiceLoad(WorkerRow &Worker, TimePoint Now) {
+  if (Worker.m_serviceProcessors == 0)
+    return;
+  std::int64_t Used = 0;
+  bool HasStarved = false;
+  for (const RunRef &Each : Worker.m_runs) {
+    const StepSpec &Spec = *Each.m_task->m_step->m_spec;
+    const RunRow *Run = runOf(Each);
+    if (!Run || Spec.m_isService)
+      continue;
+    Used += Run->m_figure;
+    HasStarved = HasStarved || isStarved(Spec, *Run, Now);
+  }
+  const double Left =
+      static_cast<double>(Worker.m_report.m_capacity.m_milliProcessors - Used);
+  const double Load = std::clamp(
+      Left / static_cast<double>(Worker.m_serviceProcessors), 0.2, 1.2);
+  double &Known = Worker.m_serviceLoad;
+  if (HasStarved)
+    Known += LoadPart * (Load - Known);
+  else
+    Known = std::min(Known + FadePart * (UsualServiceLoad - Known), Load);
+}
+
 WorkerRow *chooseWorker(const TaskRow &Task,
                         const std::vector<WorkerRow *> &Candidates,
                         const Interference &Learned, TimePoint Now) {
--- a/catkinseam/scheduler/placement.h
+++ b/catkinseam/scheduler/placement.h
@@ -22,6 +22,13 @@
 /// by what its other tasks are thought to use.
 std::int64_t spareProcessors(const WorkerRow &Worker);
 
+/// Corrects what the worker's services are thought to use by what its fillers
+/// got: with less than they asked for, the rest was in use.
+void learnServiceLoad(WorkerRow &Worker, TimePoint Now);
+
+/// Whether a filler at full pace gets next to nothing where it is.
+bool isStarved(const StepSpec &Spec, const RunRow &Run, TimePoint Now);
+
 /// The best worker that is open and allowed, or null.
 WorkerRow *chooseWorker(const TaskRow &Task,
                         const std::vector<WorkerRow *> &Candidates,
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -111,8 +111,7 @@
   std::vector<StepRow *> Late;
   Order.reserve(m_toPlace.size());
   for (const auto &[Key, Step] : m_toPlace) {
-    const bool IsLate =
-        !Step->m_spec->m_isService && Key.m_objectiveMs < NowMs;
+    const bool IsLate = !Step->m_spec->m_isService && Key.m_objectiveMs < NowMs;
     (IsLate ? Late : Order).push_back(Step);
   }
   Order.insert(Order.end(), Late.begin(), Late.end());
@@ -273,9 +272,12 @@
       RunRow *Run = findRun(*Ref.m_task, Ref.m_run);
       const StepSpec &Spec = *Ref.m_task->m_step->m_spec;
       if (!Run || !Spec.m_isFiller || Run->m_phase != RunPhase::Running ||
-          Run->m_pace > MovePace || Now - Run->m_slowSince < MoveAfter ||
           Now - Run->m_moveTriedAt < MoveRetry)
         continue;
+      const bool IsSlowed =
+          Run->m_pace <= MovePace && Now - Run->m_slowSince >= MoveAfter;
+      if (!IsSlowed && !isStarved(Spec, *Run, Now))
+        continue;
       Run->m_moveTriedAt = Now;
       if ((!Spec.m_savesCheckpoints && Run->m_percent > MostWorkLost) ||
           Ref.m_task->m_moves >= MostMoves)
