Adopted fillers are given a pace anew

Change: an adopted run's pace is unknown until it is sent; test AdoptedFillersAreGivenAPaceAnew fails before.

--- a/catkinseam/scheduler/scheduler_test.cc
+++ b/catkinseam/scheduler/scheduler_test.cc
@@ -228,6 +228,30 @@
   BOOST_TEST(step() == 4U);
 }
 
+// Pattern: a takeover while fillers stand still. The successor does not know
+// what pace they were given; those left at zero never went on.
+BOOST_FIXTURE_TEST_CASE(AdoptedFillersAreGivenAPaceAnew, Fixture) {
+  Submission Job = job(Id, 1);
+  Job.m_spec.m_steps[0].m_isFiller = true;
+  JobProgress Recorded;
+  Recorded.m_state = JobState::InProgress;
+  TaskRecord Task;
+  Task.m_lastRun = 1;
+  Task.m_runs.push_back({1, "w1", 1});
+  Recorded.m_occurrences.push_back({0, {{{Task}}}});
+  WorkerReport Report;
+  Report.m_id = "w1";
+  Report.m_bornMs = 1;
+  Report.m_service = "tally";
+  Report.m_capacity = {4000, 8000, 0};
+  m_plan.updateWorker(Report);
+  m_plan.addJob(Job, &Recorded);
+  look("w1", {{{Id, 0, 0, 0}, 1, "", 40, 0}}, {});
+  const Controls Orders = m_plan.control();
+  BOOST_REQUIRE(Orders.m_paces.size() == 1U);
+  BOOST_TEST(Orders.m_paces[0].m_percent == 100);
+}
+
 BOOST_FIXTURE_TEST_CASE(CancelledJobsAreStoppedAndNotStarted, Fixture) {
   addWorker("w1");
   m_plan.addJob(job(Id, 6), nullptr);
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -206,6 +206,9 @@
       continue;
     }
     Listed.insert({Task, Each.m_run});
+    // An earlier owner may have slowed it.
+    if (Run->m_phase == RunPhase::Adopted)
+      Run->m_paceSent = UnknownPace;
     if (Run->m_phase == RunPhase::Starting ||
         Run->m_phase == RunPhase::Adopted) {
       Run->m_phase = RunPhase::Running;
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -29,6 +29,9 @@
   Adopted,   ///< Recorded by an earlier owner; the worker has not been heard.
 };
 
+/// Stands for a pace that an earlier owner may have set.
+constexpr int UnknownPace = -1;
+
 struct RunRow {
   RunNumber m_number = 0;
   RunPhase m_phase = RunPhase::Recording;
