What was learned of interference outlives the owner

Cause: each successor learned the pressing pairs anew, by harm. Change: the owner stores its fit every 4 s under a key of its own, and a successor takes it over.

--- a/catkinseam/ledger/ledger.cc
+++ b/catkinseam/ledger/ledger.cc
@@ -19,6 +19,10 @@
       applyOwner(*Value);
     return true;
   }
+  if (Kind == RecordKind::Knowledge) {
+    m_knowledge = Value.value_or("");
+    return true;
+  }
   if (!Value) {
     const auto Found = m_jobs.find(Id);
     if (Kind == RecordKind::Submission && Found != m_jobs.end()) {
--- a/catkinseam/ledger/ledger.h
+++ b/catkinseam/ledger/ledger.h
@@ -66,6 +66,9 @@
   /// The newest owner; epoch zero before the first.
   const OwnerRecord &owner() const { return m_owner; }
 
+  /// What owners have learned, encoded; empty before the first.
+  const std::string &knowledge() const { return m_knowledge; }
+
   /// At most one; null for none.
   void setObserver(LedgerObserver *Observer) { m_observer = Observer; }
 
@@ -81,6 +84,7 @@
   /// Queued jobs by queue. Invariant: equals a count over m_jobs.
   std::unordered_map<std::string, std::size_t> m_pending;
   OwnerRecord m_owner;
+  std::string m_knowledge;
   LedgerObserver *m_observer = nullptr;
 };
 
--- a/catkinseam/ledger/records.cc
+++ b/catkinseam/ledger/records.cc
@@ -6,6 +6,7 @@
 namespace catkinseam {
 
 const char *const OwnerKey = "owner";
+const char *const KnowledgeKey = "learned";
 
 namespace {
 
@@ -56,6 +57,8 @@
 RecordKind kindOfKey(const std::string &Key, std::string &Job) {
   if (Key == OwnerKey)
     return RecordKind::Owner;
+  if (Key == KnowledgeKey)
+    return RecordKind::Knowledge;
   if (Key.empty())
     return RecordKind::Foreign;
   Job = Key.substr(1);
--- a/catkinseam/ledger/records.h
+++ b/catkinseam/ledger/records.h
@@ -85,12 +85,21 @@
 Result<JobState> decodeState(const std::string &Value);
 
 /// What a key of the jobs' topic holds.
-enum class RecordKind { Submission, Progress, Cancel, Owner, Foreign };
+enum class RecordKind {
+  Submission,
+  Progress,
+  Cancel,
+  Owner,
+  Knowledge,
+  Foreign
+};
 
 std::string submissionKey(const std::string &Job);
 std::string progressKey(const std::string &Job);
 std::string cancelKey(const std::string &Job);
 extern const char *const OwnerKey;
+/// What owners have learned; kept for the next one.
+extern const char *const KnowledgeKey;
 
 /// Sets `Job` for kinds that belong to one.
 RecordKind kindOfKey(const std::string &Key, std::string &Job);
--- a/catkinseam/ownership/owner.cc
+++ b/catkinseam/ownership/owner.cc
@@ -24,7 +24,8 @@
            [this] { pumpSoon(); },
            [this](const std::set<std::string> &Ids) { onWorkersLoaded(Ids); }}),
       m_pumpTimer(Host), m_beatTimer(Host), m_appendTimer(Host),
-      m_wakeTimer(Host), m_summaryTimer(Host), m_lastDurable(Host.now()) {}
+      m_wakeTimer(Host), m_summaryTimer(Host), m_lastDurable(Host.now()),
+      m_knowledgeStored(Host.now()) {}
 
 Owner::~Owner() {
   *m_isAlive = false;
@@ -66,6 +67,15 @@
 
 void Owner::takeOverJobs() {
   m_hasJobs = true;
+  if (!m_jobs.knowledge().empty()) {
+    auto Learned = attempt(
+        [&] { return decode<Interference::Knowledge>(m_jobs.knowledge()); });
+    if (Learned)
+      m_scheduler.adoptKnowledge(Learned.value());
+    else
+      logWarn("owner.knowledge_unreadable",
+              {{"fault", Learned.error().m_message}});
+  }
   for (const auto &[Id, Job] : m_jobs.jobs())
     if (m_jobs.find(Id))
       addJob(Job);
@@ -209,6 +219,10 @@
     m_records.push_back({cancelKey(Id), std::nullopt});
     m_records.push_back({submissionKey(Id), std::nullopt});
   }
+  if (m_host.now() - m_knowledgeStored >= m_options.m_knowledge) {
+    m_knowledgeStored = m_host.now();
+    m_records.push_back({KnowledgeKey, encode(m_scheduler.knowledge())});
+  }
   if (m_records.empty() || m_isLeaving)
     m_records.push_back({OwnerKey, encode(ownRecord(m_isLeaving))});
   m_carriesLeaving = m_isLeaving;
--- a/catkinseam/ownership/owner.h
+++ b/catkinseam/ownership/owner.h
@@ -44,6 +44,8 @@
     Milliseconds m_startAge{1500};
     /// The owner logs how things stand this often.
     Milliseconds m_summary{1000};
+    /// What has been learned is stored for a successor this often.
+    Milliseconds m_knowledge{4000};
     /// Gathers what happens within this time into one decision.
     Milliseconds m_gather{3};
     /// A look that failed is repeated after this time.
@@ -148,6 +150,7 @@
   TimePoint m_attemptStarted;
   ReplyTimeout m_patience{{}};
   TimePoint m_lastDurable;
+  TimePoint m_knowledgeStored;
   std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
--- a/catkinseam/scheduler/interference.cc
+++ b/catkinseam/scheduler/interference.cc
@@ -34,6 +34,48 @@
          static_cast<double>(Spec.m_targetTail.count());
 }
 
+Interference::Knowledge Interference::knowledge() const {
+  Knowledge Learned;
+  Learned.m_images.resize(m_numbers.size());
+  for (const auto &[Image, Number] : m_numbers)
+    Learned.m_images[Number] = Image;
+  Learned.m_fillers.assign(m_fillers.begin(), m_fillers.end());
+  for (ImageNumber Number = 0; Number < m_services.size(); ++Number) {
+    const Fit &Of = m_services[Number];
+    if (Of.m_leastTail > 0.0)
+      Learned.m_services.push_back({Learned.m_images[Number], Of.m_squares,
+                                    Of.m_products, Of.m_leastTail});
+  }
+  return Learned;
+}
+
+void Interference::adopt(const Knowledge &Learned, TimePoint Now) {
+  if (!m_numbers.empty())
+    return;
+  for (const std::string &Each : Learned.m_images)
+    numberOf(Each);
+  m_fillers.insert(Learned.m_fillers.begin(), Learned.m_fillers.end());
+  for (const Knowledge::Service &Each : Learned.m_services) {
+    Fit &Of = m_services[numberOf(Each.m_image)];
+    const bool IsSquare =
+        Each.m_squares.size() == Each.m_products.size() &&
+        Each.m_products.size() <= m_numbers.size() + 1 &&
+        std::all_of(Each.m_squares.begin(), Each.m_squares.end(),
+                    [&](const std::vector<double> &Row) {
+                      return Row.size() == Each.m_products.size();
+                    });
+    if (!IsSquare)
+      continue;
+    Of.m_squares = Each.m_squares;
+    Of.m_products = Each.m_products;
+    Of.m_leastTail = Each.m_leastTail;
+    Of.m_fadedAt = Now;
+    Of.m_pressures.assign(Of.m_products.size(), m_options.m_assumed);
+    grow(Of);
+    solve(Of);
+  }
+}
+
 ImageNumber Interference::numberOf(const std::string &Image) {
   const ImageNumber Number =
       m_numbers.emplace(Image, m_numbers.size()).first->second;
--- a/catkinseam/scheduler/interference.h
+++ b/catkinseam/scheduler/interference.h
@@ -14,7 +14,11 @@
 
 #include "catkinseam/scheduler/tables.h"
 
+#include <cereal/cereal.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -53,6 +57,33 @@
 
   explicit Interference(const Options &Values) : m_options(Values) {}
 
+  /// What has been learned, for a successor.
+  struct Knowledge {
+    struct Service {
+      std::string m_image;
+      std::vector<std::vector<double>> m_squares;
+      std::vector<double> m_products;
+      double m_leastTail = 0.0;
+
+      template <class Archive> void serialize(Archive &Target) {
+        Target(m_image, m_squares, m_products, m_leastTail);
+      }
+    };
+    /// By number.
+    std::vector<std::string> m_images;
+    std::vector<ImageNumber> m_fillers;
+    std::vector<Service> m_services;
+
+    template <class Archive> void serialize(Archive &Target) {
+      Target(m_images, m_fillers, m_services);
+    }
+  };
+
+  Knowledge knowledge() const;
+
+  /// Takes over what an earlier owner learned; only before any image is met.
+  void adopt(const Knowledge &Learned, TimePoint Now);
+
   ImageNumber numberOf(const std::string &Image);
 
   /// Takes in a worker's report.
--- a/catkinseam/scheduler/interference_test.cc
+++ b/catkinseam/scheduler/interference_test.cc
@@ -87,6 +87,20 @@
                                          Harmless.m_fillerStep.m_image) < 0.4);
 }
 
+BOOST_FIXTURE_TEST_CASE(ASuccessorKnowsWhatWasLearned, Fixture) {
+  for (int Step = 0; Step < 40; ++Step) {
+    m_filler.m_runs.front().m_pace = Step % 2 == 0 ? 100 : 25;
+    report(0.3 + 0.02 * (Step % 5), 1.4);
+  }
+  Interference Next{{}};
+  Next.adopt(m_learned.knowledge(), m_clock.now());
+  const ImageNumber Service = Next.numberOf("clock");
+  const ImageNumber Filler = Next.numberOf("ledger");
+  BOOST_TEST(std::abs(Next.pressure(Service, Filler) -
+                      m_learned.pressure(m_serviceStep.m_image,
+                                         m_fillerStep.m_image)) < 0.1);
+}
+
 // Pattern: a service's own load swings up while a pressing filler runs beside
 // it. Its tail must not stay over its target for four seconds.
 BOOST_FIXTURE_TEST_CASE(HarmEndsWithinItsBound, Fixture) {
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -101,6 +101,13 @@
   void cancelJob(const std::string &Id);
   void updateWorker(const WorkerReport &Report);
   void removeWorker(const std::string &Id);
+  /// What an earlier owner learned of interference; before any job is added.
+  void adoptKnowledge(const Interference::Knowledge &Learned) {
+    m_interference.adopt(Learned, m_clock.now());
+  }
+  Interference::Knowledge knowledge() const {
+    return m_interference.knowledge();
+  }
   void setStoreReachable(bool IsReachable) { m_isStoreReachable = IsReachable; }
 
   void onStart(const StartOrder &Order, const OrderReply &Reply);
