A silent log holds nobody

Change: what has not been sent is refused at once with 503, what is in doubt gets its 504 after 0.9 s, so that the customer can try a node that reaches the store. Test ASilentLogHoldsNobody fails before.

--- a/catkinseam/front/front.cc
+++ b/catkinseam/front/front.cc
@@ -3,6 +3,8 @@
 
 #include "catkinseam/base/codec.h"
 
+#include <algorithm>
+
 namespace catkinseam {
 
 const char *submitOutcomeName(SubmitOutcome Outcome) {
@@ -34,6 +36,7 @@
 struct Front::Write {
   KeyedRecord m_record;
   TimePoint m_deadline;
+  TimePoint m_began;
   WriteDone m_done;
   /// An attempt was sent and not answered: it may take effect at any time.
   bool m_isInDoubt = false;
@@ -45,9 +48,35 @@
 
 Front::~Front() { *m_isAlive = false; }
 
+bool Front::isLogSilent() const {
+  // Records in doubt are tried again and will show when it answers.
+  if (m_isSilent && m_inDoubt > 0)
+    return true;
+  return m_isAppending && m_host.now() - m_attemptStarted >
+                              m_options.m_silence + 3 * m_patience.usual();
+}
+
+void Front::refuseUnsent() {
+  std::deque<std::shared_ptr<Write>> Kept;
+  std::vector<std::shared_ptr<Write>> Refused;
+  for (std::shared_ptr<Write> &Each : m_queue) {
+    if (Each->m_isInDoubt)
+      Kept.push_back(std::move(Each));
+    else
+      Refused.push_back(std::move(Each));
+  }
+  m_queue = std::move(Kept);
+  for (const std::shared_ptr<Write> &Each : Refused)
+    Each->m_done(LogOutcome::Refused);
+}
+
 void Front::write(KeyedRecord Record, Milliseconds Budget, WriteDone Done) {
+  // What has not been sent is surely not stored, and is told so at once.
+  if (isLogSilent())
+    return Done(LogOutcome::Refused);
   auto Pending = std::make_shared<Write>();
   Pending->m_record = std::move(Record);
+  Pending->m_began = m_host.now();
   Pending->m_deadline = m_host.now() + Budget - m_options.m_answerTime;
   Pending->m_done = std::move(Done);
   m_queue.push_back(std::move(Pending));
@@ -77,16 +106,21 @@
 void Front::onBatch(const std::vector<std::shared_ptr<Write>> &Batch,
                     LogOutcome Outcome) {
   m_isAppending = false;
+  m_isSilent = Outcome == LogOutcome::Unknown;
   if (Outcome == LogOutcome::Unknown)
     m_patience.onSilence();
   else
     m_patience.onReply(m_host.now() - m_attemptStarted);
   for (const std::shared_ptr<Write> &Each : Batch)
     settle(Each, Outcome);
+  if (Outcome == LogOutcome::Unknown)
+    refuseUnsent();
   sendBatch();
 }
 
 void Front::settle(const std::shared_ptr<Write> &Pending, LogOutcome Outcome) {
+  if (Pending->m_isInDoubt)
+    --m_inDoubt;
   if (Outcome == LogOutcome::Done)
     return Pending->m_done(LogOutcome::Done);
   if (Outcome == LogOutcome::Unknown)
@@ -95,8 +129,11 @@
   // twice, which is the same as once.
   if (!Pending->m_isInDoubt)
     return Pending->m_done(LogOutcome::Refused);
-  if (m_host.now() + m_options.m_appendRetry >= Pending->m_deadline)
+  const TimePoint GiveUp =
+      std::min(Pending->m_deadline, Pending->m_began + m_options.m_doubtTime);
+  if (m_host.now() + m_options.m_appendRetry >= GiveUp)
     return Pending->m_done(LogOutcome::Unknown);
+  ++m_inDoubt;
   m_host.schedule(m_options.m_appendRetry,
                   [this, Pending, IsAlive = m_isAlive] {
                     if (!*IsAlive)
--- a/catkinseam/front/front.h
+++ b/catkinseam/front/front.h
@@ -40,7 +40,13 @@
 class Front {
 public:
   struct Options {
-    Milliseconds m_appendRetry{100};
+    Milliseconds m_appendRetry{50};
+    /// A record in doubt is given up after this time; the caller may then find
+    /// a node that reaches the log.
+    Milliseconds m_doubtTime{900};
+    /// While an append has been unanswered for longer than this beyond the
+    /// usual, nothing more is taken in.
+    Milliseconds m_silence{400};
     /// Most records of one append.
     std::size_t m_batch = 64;
     /// Kept of the caller's time for the answer to travel.
@@ -77,6 +83,8 @@
   /// into the next, since the log takes its appends one by one.
   void write(KeyedRecord Record, Milliseconds Budget, WriteDone Done);
   void sendBatch();
+  bool isLogSilent() const;
+  void refuseUnsent();
   void onBatch(const std::vector<std::shared_ptr<Write>> &Batch,
                LogOutcome Outcome);
   void settle(const std::shared_ptr<Write> &Pending, LogOutcome Outcome);
@@ -91,6 +99,10 @@
   std::unordered_set<std::string> m_accepted;
   std::deque<std::shared_ptr<Write>> m_queue;
   bool m_isAppending = false;
+  /// The last append was not answered.
+  bool m_isSilent = false;
+  /// Records in doubt that are being tried again.
+  std::size_t m_inDoubt = 0;
   TimePoint m_attemptStarted;
   ReplyTimeout m_patience{{}};
   std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- a/catkinseam/front/front_test.cc
+++ b/catkinseam/front/front_test.cc
@@ -91,6 +91,25 @@
   BOOST_TEST(Accepted == 30);
 }
 
+// Pattern: the log takes calls and answers none. The first caller is in doubt
+// and told so well before its time is up; those after it are refused at once,
+// since nothing of theirs was sent.
+BOOST_FIXTURE_TEST_CASE(ASilentLogHoldsNobody, Fixture) {
+  m_log.m_faults.m_lateShare = 1.0;
+  submit();
+  m_host.advance(Milliseconds(450));
+  std::optional<SubmitOutcome> Second;
+  const Submission Asked = batchJob("00000000000000a2", 1);
+  m_front.submit(Asked.m_terms, Asked.m_id, Asked.m_spec, Budget,
+                 [&](SubmitOutcome Outcome) { Second = Outcome; });
+  m_host.advance(Milliseconds(20));
+  BOOST_TEST((Second == SubmitOutcome::NotAccepted));
+  m_host.advance(Milliseconds(1500));
+  BOOST_TEST((m_outcome == SubmitOutcome::Unknown));
+  m_host.advance(Budget);
+  BOOST_TEST(!isStored("00000000000000a2"));
+}
+
 BOOST_FIXTURE_TEST_CASE(CancelsWaitForAnotherNodesRecord, Fixture) {
   std::optional<CancelOutcome> Outcome;
   m_front.cancel(Id, Budget, [&](CancelOutcome Told) { Outcome = Told; });
