Copies of speculative tasks that are slow or whose worker is silent

Cause: the step's speculative flag was ignored; a short task on a silent worker waited for its lease to end. Change: a copy runs elsewhere when the run's worker is silent or it takes twice as long as the longest of its step; copies count as attempts.

--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -44,6 +44,10 @@
 constexpr int MovePace = 30;
 constexpr Milliseconds MoveAfter{700};
 constexpr std::int64_t MostWorkLost = 30;
+/// A copy is made of a task that runs so many times longer than the longest of
+/// at least so many of its step.
+constexpr int CopyFactor = 2;
+constexpr std::size_t CopyEvidence = 2;
 constexpr Milliseconds MoveRetry{250};
 /// Each move loses a second or so of work.
 constexpr std::uint32_t MostMoves = 2;
@@ -76,6 +80,7 @@
   Decisions Next;
   openDueOccurrences();
   placeWaiting(Next);
+  placeCopies(Next);
   for (const std::string &Id : m_dirty) {
     const auto Found = m_jobs.find(Id);
     if (Found == m_jobs.end())
@@ -153,6 +158,42 @@
   return true;
 }
 
+bool Scheduler::needsCopy(const TaskRow &Task) const {
+  // A copy may fail too, and must not be an attempt too many.
+  const std::uint32_t Attempts =
+      Task.m_step->m_occurrence->m_job->terms().m_maxAttempts;
+  if (Task.m_isDone || Task.m_runs.size() != 1 ||
+      Task.m_failures + 2 > Attempts)
+    return false;
+  const RunRow &Run = Task.m_runs.front();
+  if (!Run.m_worker->m_isReachable)
+    return true;
+  const StepRow &Step = *Task.m_step;
+  if (Run.m_phase != RunPhase::Running ||
+      Step.m_doneTimes.size() < CopyEvidence)
+    return false;
+  const Duration Longest =
+      *std::max_element(Step.m_doneTimes.begin(), Step.m_doneTimes.end());
+  return m_clock.now() - Run.m_since > CopyFactor * Longest;
+}
+
+void Scheduler::placeCopies(Decisions &Next) {
+  for (StepRow *Step : m_speculative) {
+    if (Step->m_retryAt > m_clock.now())
+      continue;
+    for (TaskRow &Task : Step->m_tasks) {
+      if (!needsCopy(Task))
+        continue;
+      if (!placeTask(Task, Next)) {
+        Step->m_retryAt = m_clock.now() + PlaceRetry;
+        break;
+      }
+      logInfo("run.copied", {{"task", toString(keyOf(Task))},
+                             {"run", std::to_string(Task.m_lastRun)}});
+    }
+  }
+}
+
 bool Scheduler::placeGang(StepRow &Step, Decisions &Next) {
   // All members or none, under one run number.
   if (Step.m_waiting.size() != Step.m_tasks.size())
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -182,6 +182,8 @@
                const std::string &Checkpoint);
   /// The run is over and has done nothing that counts.
   void voidRun(TaskRow &Task, RunNumber Number, Duration Delay);
+  /// It has failed as often as it may.
+  static bool isSpent(const TaskRow &Task);
   void requestStop(TaskRow &Task, RunRow &Run);
   void stopAllRuns(TaskRow &Task);
   static TaskKey keyOf(const TaskRow &Task);
@@ -209,6 +211,9 @@
   bool placeTask(TaskRow &Task, Decisions &Next);
   const std::vector<WorkerRow *> &workersOf(const std::string &Service);
   bool placeGang(StepRow &Step, Decisions &Next);
+  /// Starts copies of speculative tasks whose only run is slow or silent.
+  void placeCopies(Decisions &Next);
+  bool needsCopy(const TaskRow &Task) const;
   void collectStop(const WorkerRow &Worker, const RunRef &Ref, RunRow &Run,
                    Controls &Next) const;
   void collectPace(const WorkerRow &Worker, const RunRef &Ref, RunRow &Run,
@@ -234,6 +239,8 @@
   };
   static StepOrder orderOf(const StepRow &Step);
   std::map<StepOrder, StepRow *> m_toPlace;
+  /// Speculative steps under way.
+  std::set<StepRow *> m_speculative;
   /// Open workers by service; listed anew by each decide() and control().
   std::map<std::string, std::vector<WorkerRow *>> m_byService;
   std::set<std::string> m_dirty;
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -142,6 +142,8 @@
 
 void Scheduler::beginStep(StepRow &Step) {
   Step.m_hasBegun = true;
+  if (Step.m_spec->m_isSpeculative)
+    m_speculative.insert(&Step);
   Step.m_tasks.resize(Step.m_spec->m_count);
   for (std::uint32_t At = 0; At < Step.m_tasks.size(); ++At) {
     TaskRow &Task = Step.m_tasks[At];
@@ -179,6 +181,8 @@
       if (Tasks.size() != Step.m_spec->m_count)
         continue;
       Step.m_hasBegun = true;
+      if (Step.m_spec->m_isSpeculative)
+        m_speculative.insert(&Step);
       Step.m_tasks.resize(Tasks.size());
       for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index) {
         Step.m_tasks[Index].m_step = &Step;
@@ -226,11 +230,13 @@
   Job.m_endedAt = m_clock.now();
   --m_liveJobs;
   for (OccurrenceRow &Occurrence : Job.m_occurrences)
-    for (StepRow &Step : Occurrence.m_steps)
+    for (StepRow &Step : Occurrence.m_steps) {
+      m_speculative.erase(&Step);
       for (TaskRow &Task : Step.m_tasks) {
         leaveWaiting(Task);
         stopAllRuns(Task);
       }
+    }
   markDirty(Job);
   logInfo("job.ended", {{"job", Job.m_submission.m_id},
                         {"queue", Job.terms().m_queue},
@@ -324,10 +330,21 @@
   if (Task.m_step->m_spec->m_isGang)
     for (TaskRow &Each : Task.m_step->m_tasks)
       stopAllRuns(Each);
-  if (Task.m_runs.empty())
+  if (!Task.m_runs.empty())
+    return;
+  JobRow &Job = *Task.m_step->m_occurrence->m_job;
+  if (isSpent(Task) && !isFinal(Job.m_state))
+    endJob(Job, JobState::Failed);
+  else
     waitAgain(Task, Delay);
 }
 
+bool Scheduler::isSpent(const TaskRow &Task) {
+  return !Task.m_step->m_spec->m_isService &&
+         Task.m_failures >=
+             Task.m_step->m_occurrence->m_job->terms().m_maxAttempts;
+}
+
 void Scheduler::takeEnd(TaskRow &Task, RunNumber Number, RunEnd End,
                         const std::string &Checkpoint) {
   StepRow &Step = *Task.m_step;
@@ -364,6 +381,9 @@
   StepRow &Step = *Task.m_step;
   OccurrenceRow &Occurrence = *Step.m_occurrence;
   JobRow &Job = *Occurrence.m_job;
+  // A copy, or another member of a gang, has ended before.
+  if (Task.m_isDone)
+    return;
   markDirty(Job);
   if (Step.m_spec->m_isService) {
     // A service runs until it is cancelled, however a run ends.
@@ -374,10 +394,8 @@
   const auto Finish = [&](TaskRow &Each) {
     leaveWaiting(Each);
     stopAllRuns(Each);
-    if (!Each.m_isDone) {
-      Each.m_isDone = true;
-      ++Step.m_done;
-    }
+    Each.m_isDone = true;
+    ++Step.m_done;
   };
   if (Step.m_spec->m_isGang)
     std::for_each(Step.m_tasks.begin(), Step.m_tasks.end(), Finish);
@@ -385,6 +403,7 @@
     Finish(Task);
   if (Step.m_done < Step.m_spec->m_count || isFinal(Job.m_state))
     return;
+  m_speculative.erase(&Step);
   ++Occurrence.m_stepsDone;
   if (Occurrence.m_stepsDone < Occurrence.m_steps.size())
     return beginReadySteps(Occurrence);
--- a/catkinseam/scheduler/scheduler_test.cc
+++ b/catkinseam/scheduler/scheduler_test.cc
@@ -228,6 +228,75 @@
   BOOST_TEST(step() == 4U);
 }
 
+// Pattern: one task of a step runs several times longer than the others. Only
+// where the customer allows it, a copy runs on another worker.
+BOOST_FIXTURE_TEST_CASE(StragglersAreCopiedWhereThatIsAllowed, Fixture) {
+  for (const bool IsAllowed : {false, true}) {
+    Fixture Each;
+    Each.addWorker("w1", {1000, 8000, 0});
+    Each.addWorker("w2", {1000, 8000, 0});
+    Each.addWorker("w3", {1000, 8000, 0});
+    Submission Job = job(Id, 3);
+    Job.m_spec.m_steps[0].m_isSpeculative = IsAllowed;
+    Each.m_plan.addJob(Job, nullptr);
+    BOOST_TEST(Each.step() == 3U);
+    Each.end("w1", Each.m_sent["w1"].front(), RunEnd::Done);
+    Each.end("w2", Each.m_sent["w2"].front(), RunEnd::Done);
+    BOOST_TEST(Each.step() == 0U);
+    Each.m_clock.advance(Milliseconds(500));
+    BOOST_TEST(Each.step() == (IsAllowed ? 1U : 0U));
+    BOOST_TEST(Each.step() == 0U);
+  }
+}
+
+// Pattern: a task and its copy both end as done. The step counts once; a job
+// was shown as completed while a task of its next step had not ended.
+BOOST_FIXTURE_TEST_CASE(ACopyThatEndsTooCountsOnce, Fixture) {
+  addWorker("w1", {1000, 8000, 0});
+  addWorker("w2", {1000, 8000, 0});
+  addWorker("w3", {1000, 8000, 0});
+  Submission Job = job(Id, 3);
+  Job.m_spec.m_steps[0].m_isSpeculative = true;
+  Job.m_spec.m_steps.push_back(Job.m_spec.m_steps[0]);
+  Job.m_spec.m_steps[1].m_after = {0};
+  m_plan.addJob(Job, nullptr);
+  step();
+  end("w1", m_sent["w1"].front(), RunEnd::Done);
+  end("w2", m_sent["w2"].front(), RunEnd::Done);
+  m_clock.advance(Milliseconds(500));
+  BOOST_TEST(step() == 1U);
+  const std::string Copied = m_sent["w1"].empty() ? "w2" : "w1";
+  end("w3", m_sent["w3"].front(), RunEnd::Done);
+  end(Copied, m_sent[Copied].front(), RunEnd::Done);
+  BOOST_TEST(step() == 3U);
+  for (const auto &[Job, Progress] : m_plan.decide().m_progress)
+    BOOST_TEST((Progress.m_state == JobState::InProgress));
+}
+
+// Pattern: a task that fails wherever it runs is copied as a straggler. Copies
+// count as attempts; a hopeless task was started 48 times.
+BOOST_FIXTURE_TEST_CASE(CopiesAreNoExtraAttempts, Fixture) {
+  addWorker("w1", {1000, 8000, 0});
+  addWorker("w2", {1000, 8000, 0});
+  addWorker("w3", {1000, 8000, 0});
+  Submission Job = job(Id, 3);
+  Job.m_spec.m_steps[0].m_isSpeculative = true;
+  m_plan.addJob(Job, nullptr);
+  step();
+  end("w1", m_sent["w1"].front(), RunEnd::Done);
+  end("w2", m_sent["w2"].front(), RunEnd::Done);
+  m_clock.advance(Milliseconds(500));
+  BOOST_TEST(step() == 1U);
+  const std::string Copied = m_sent["w1"].empty() ? "w2" : "w1";
+  end(Copied, m_sent[Copied].front(), RunEnd::Failed);
+  m_clock.advance(Milliseconds(500));
+  BOOST_TEST(step() == 0U);
+  end("w3", m_sent["w3"].front(), RunEnd::Failed);
+  const Decisions Next = m_plan.decide();
+  BOOST_REQUIRE(Next.m_progress.size() == 1U);
+  BOOST_TEST((Next.m_progress[0].second.m_state == JobState::Failed));
+}
+
 // Pattern: a takeover while fillers stand still. The successor does not know
 // what pace they were given; those left at zero never went on.
 BOOST_FIXTURE_TEST_CASE(AdoptedFillersAreGivenAPaceAnew, Fixture) {
