--- /dev/null
+++ b/scripts/lib/nodes.sh
@@ -0,0 +1,90 @@
+# Runs nodes and the stand-in of their platform as processes on loopback.
+# Sourced; sets node_dir and ends what it started on exit.
+
+node_bin=${CATKINSEAM_BIN:-$(dirname "${BASH_SOURCE[0]}")/../../build/bin}
+node_dir=$(mktemp -d)
+declare -A node_pids=()
+
+nodes_stop() {
+  for name in "${!node_pids[@]}"; do
+    kill -KILL "${node_pids[$name]}" 2>/dev/null || true
+  done
+  rm -rf "$node_dir"
+}
+
+# node_port N: the port on which node N serves customers.
+node_port() { echo $((node_base + 100 + 10 * $1)); }
+
+platform_start() {
+  node_base=$1
+  "$node_bin/node-platform" --port "$node_base" --workers 6 \
+    >"$node_dir/platform.log" 2>&1 &
+  node_pids[platform]=$!
+}
+
+node_start() {
+  local number=$1 port
+  port=$(node_port "$number")
+  cat >"$node_dir/node-$number.toml" <<TOML
+[node]
+name = "node-$number"
+data_centre = "a"
+callers = "127.0.0.1:$port"
+readiness = "127.0.0.1:$((port + 1))"
+metrics = "127.0.0.1:$((port + 2))"
+[platform]
+store = "127.0.0.1:$node_base"
+TOML
+  "$node_bin/catkinseam" node --settings "$node_dir/node-$number.toml" \
+    >>"$node_dir/node-$number.log" 2>&1 &
+  node_pids[node-$number]=$!
+}
+
+# node_signal NAME SIGNAL
+node_signal() { kill "-$2" "${node_pids[$1]}"; }
+
+# node_join NAME: waits for its end; returns its exit code.
+node_join() {
+  local pid=${node_pids[$1]}
+  unset "node_pids[$1]"
+  wait "$pid"
+}
+
+node_is_ready() {
+  curl -fs --max-time 2 -o /dev/null \
+    "http://127.0.0.1:$(($(node_port "$1") + 1))/api/readyz"
+}
+
+# node_call NUMBER METHOD PATH [BODY]
+node_call() {
+  curl -s --max-time 5 -X "$2" -H 'Host: tally.example' \
+    -H 'Content-Type: application/json' ${4:+-d "$4"} \
+    "http://127.0.0.1:$(node_port "$1")$3"
+}
+
+# node_owner: the number of the node that is the owner, or nothing.
+node_owner() {
+  local number
+  for number in 1 2 3; do
+    if curl -s --max-time 2 "http://127.0.0.1:$(($(node_port "$number") + 2))/" |
+      grep -q '^catkinseam_is_owner 1'; then
+      echo "$number"
+      return
+    fi
+  done
+}
+
+# node_wait SECONDS WHAT COMMAND...
+node_wait() {
+  local tries=$(($1 * 10)) what=$2
+  shift 2
+  until "$@"; do
+    tries=$((tries - 1))
+    if [ "$tries" -le 0 ]; then
+      echo "gave up waiting for $what" >&2
+      tail -n 5 "$node_dir"/*.log >&2
+      return 1
+    fi
+    sleep 0.1
+  done
+}
--- /dev/null
+++ b/standin/node_platform_main.cc
@@ -0,0 +1,411 @@
+// Stand-in for the users' platform, for nodes as separate processes: the log
+// service, workers and one configuration, each over HTTP on loopback. On
+// SIGTERM it checks what its workers saw and exits 1 when a promise was broken.
+//
+//   node-platform --port 18500 --workers 6
+#include "catkinseam/aio/event_loop.h"
+#include "catkinseam/aio/http_listener.h"
+#include "catkinseam/base/codec.h"
+#include "catkinseam/ownership/testing/fake_log.h"
+#include "catkinseam/ownership/testing/fake_worker.h"
+#include "catkinseam/platform/fast_json.h"
+#include "catkinseam/platform/task_name.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/program_options.hpp>
+#include <iostream>
+
+namespace catkinseam {
+
+namespace {
+
+namespace json = boost::json;
+namespace po = boost::program_options;
+
+constexpr const char *Service = "tally";
+constexpr const char *Configuration =
+    R"({"version":1,"routes":[{"name":"counts","host":"tally.example",)"
+    R"("pathPrefix":"/counts/","timeoutMs":3000,"targetLatencyMs":250,)"
+    R"("priority":0,"service":"tally","maxAttempts":3,"stretchFactor":1.5}],)"
+    R"("services":[{"name":"tally","admissionControl":true}],"limits":{}})";
+/// How often workers renew their entries.
+constexpr Milliseconds Heartbeat{500};
+
+bool topicOf(const std::string &Name, LogTopic &Topic) {
+  static const std::map<std::string, LogTopic> Names = {
+      {"keyed.jobs", LogTopic::Jobs},
+      {"keyed.op", LogTopic::Operator},
+      {"keyed.servers", LogTopic::Workers},
+      {"keyed.status", LogTopic::Status}};
+  const auto Found = Names.find(Name);
+  if (Found == Names.end())
+    return false;
+  Topic = Found->second;
+  return true;
+}
+
+std::uint64_t bigEndian(const std::string &Bytes, std::size_t At,
+                        std::size_t Count) {
+  std::uint64_t Value = 0;
+  for (std::size_t Each = 0; Each < Count; ++Each)
+    Value = Value << 8 | static_cast<unsigned char>(Bytes[At + Each]);
+  return Value;
+}
+
+void appendBigEndian(std::string &Target, std::uint64_t Value,
+                     std::size_t Count) {
+  for (std::size_t Each = Count; Each-- > 0;)
+    Target.push_back(static_cast<char>((Value >> (8 * Each)) & 0xff));
+}
+
+std::string frame(const KeyedRecord &Record) {
+  std::string Content(1, static_cast<char>(Record.m_key.size()));
+  Content.append(Record.m_key).append(Record.m_value.value_or(""));
+  std::string Framed;
+  appendBigEndian(Framed, Content.size(), 4);
+  return Framed.append(Content);
+}
+
+std::vector<KeyedRecord> unframe(const std::string &Body) {
+  std::vector<KeyedRecord> Records;
+  for (std::size_t At = 0; At + 5 <= Body.size();) {
+    const std::size_t Size = bigEndian(Body, At, 4);
+    const std::size_t KeySize = static_cast<unsigned char>(Body[At + 4]);
+    KeyedRecord Each;
+    Each.m_key = Body.substr(At + 5, KeySize);
+    if (Size > 1 + KeySize)
+      Each.m_value = Body.substr(At + 5 + KeySize, Size - 1 - KeySize);
+    Records.push_back(std::move(Each));
+    At += 4 + Size;
+  }
+  return Records;
+}
+
+std::string toBase64(const std::string &Bytes) {
+  namespace base64 = boost::beast::detail::base64;
+  std::string Text(base64::encoded_size(Bytes.size()), '\0');
+  Text.resize(base64::encode(Text.data(), Bytes.data(), Bytes.size()));
+  return Text;
+}
+
+std::int64_t numberOf(const HttpRequest &Request, const char *Name) {
+  return std::stoll(Request.queryValue(Name, "0"));
+}
+
+HttpResponse answer(int Status, const json::value &Body) {
+  return {Status, {{"Content-Type", "application/json"}},
+          json::serialize(Body)};
+}
+
+/// The log service.
+class LogFront {
+public:
+  explicit LogFront(FakeLog &Log) : m_view(Log) {}
+
+  void onCall(const HttpRequest &Request, const HttpResponder &Respond) {
+    LogTopic Topic = LogTopic::Jobs;
+    if (!topicOf(Request.queryValue("topic"), Topic))
+      return Respond({404, {}, ""});
+    if (Request.m_path == "/api/log-append")
+      return append(Topic, Request, Respond);
+    if (Request.m_path == "/api/log-read")
+      return read(Topic, Request, Respond);
+    if (Request.m_path == "/api/log-newest")
+      return newest(Topic, Request, Respond);
+    Respond({404, {}, ""});
+  }
+
+private:
+  void append(LogTopic Topic, const HttpRequest &Request,
+              const HttpResponder &Respond) {
+    std::optional<ProducerMark> Mark;
+    if (const std::string Name = Request.queryValue("producer"); !Name.empty())
+      Mark = ProducerMark{
+          Name, static_cast<std::uint64_t>(numberOf(Request, "epoch")),
+          static_cast<std::uint64_t>(numberOf(Request, "sequence"))};
+    m_view.append(Topic, unframe(Request.m_body), Mark, Milliseconds(1000),
+                  [Respond](const AppendReply &Reply) {
+                    if (Reply.m_outcome == LogOutcome::Done)
+                      return Respond(answer(200, {{"offset", Reply.m_offset}}));
+                    const bool IsFenced =
+                        Reply.m_outcome == LogOutcome::Fenced;
+                    Respond(answer(
+                        409, {{"reason", IsFenced ? "fenced" : "seq"}}));
+                  });
+  }
+
+  void read(LogTopic Topic, const HttpRequest &Request,
+            const HttpResponder &Respond) {
+    m_view.read(Topic, numberOf(Request, "from"),
+                Milliseconds(numberOf(Request, "waitMs")), Milliseconds(1000),
+                [Respond](const ReadReply &Reply) {
+                  if (Reply.m_outcome == LogOutcome::HistoryGone)
+                    return Respond(answer(410, {{"earliest", Reply.m_end}}));
+                  std::string Body;
+                  appendBigEndian(Body, static_cast<std::uint64_t>(Reply.m_end),
+                                  8);
+                  appendBigEndian(Body, 0, 8);
+                  for (const StoredRecord &Each : Reply.m_records)
+                    Body.append(frame(Each.m_record));
+                  Respond({200, {}, Body});
+                });
+  }
+
+  void newest(LogTopic Topic, const HttpRequest &Request,
+              const HttpResponder &Respond) {
+    m_view.newest(Topic, Request.queryValue("after"), Milliseconds(1000),
+                  [Respond](const NewestReply &Reply) {
+                    json::array Items;
+                    for (const StoredRecord &Each : Reply.m_records)
+                      Items.push_back(
+                          {{"key", Each.m_record.m_key},
+                           {"value",
+                            toBase64(Each.m_record.m_value.value_or(""))},
+                           {"offset", Each.m_offset}});
+                    Respond(answer(200, {{"items", Items},
+                                         {"hasMore", Reply.m_hasMore},
+                                         {"endOffset", Reply.m_end}}));
+                  });
+  }
+
+  FakeLog::View m_view;
+};
+
+/// One worker's orders over HTTP.
+class WorkerFront {
+public:
+  WorkerFront(FakeWorker &Worker) : m_worker(Worker), m_link(Worker.connect()) {}
+
+  void onCall(const HttpRequest &Request, const HttpResponder &Respond) {
+    auto Parsed = attempt([&] { return parseBody(Request.m_body); });
+    if (!Parsed)
+      return Respond({400, {}, ""});
+    const JsonValue &Body = Parsed.value();
+    const auto Token = static_cast<std::uint64_t>(count(Body, "fencingToken"));
+    if (Request.m_path == "/api/hold")
+      return hold(Body, Token, Respond);
+    TaskKey Task;
+    if (!parseTaskName(text(Body, "taskId"), Task))
+      return Respond({400, {}, ""});
+    const auto Run = static_cast<RunNumber>(count(Body, "runId"));
+    const auto Done = [Respond](const OrderReply &Reply) {
+      Respond(orderAnswer(Reply));
+    };
+    if (Request.m_path == "/api/run-start")
+      return m_link->start({"", Task, Run, text(Body, "spec"),
+                            text(Body, "checkpoint"),
+                            Milliseconds(count(Body, "expiresMs"))},
+                           Token, Done);
+    if (Request.m_path == "/api/run-stop")
+      return m_link->stop({"", Task, Run}, Token, Done);
+    m_link->pace({"", Task, Run, static_cast<int>(count(Body, "percent"))},
+                 Token, Done);
+  }
+
+private:
+  static std::int64_t count(const JsonValue &Body, const char *Name) {
+    auto Value = attempt([&] { return countMember(Body, Name); });
+    return Value ? Value.value() : 0;
+  }
+  static std::string text(const JsonValue &Body, const char *Name) {
+    auto Value = attempt([&] { return textMember(Body, Name); });
+    return Value ? Value.value() : "";
+  }
+
+  static HttpResponse orderAnswer(const OrderReply &Reply) {
+    json::object Body;
+    if (Reply.m_clock)
+      Body["clockMs"] = Reply.m_clock->count();
+    switch (Reply.m_outcome) {
+    case OrderOutcome::Done:
+      return answer(200, Body);
+    case OrderOutcome::Fenced:
+      Body["reason"] = "fence";
+      return answer(409, Body);
+    case OrderOutcome::OldRun:
+      Body["reason"] = "old";
+      return answer(409, Body);
+    case OrderOutcome::Late:
+      Body["reason"] = "late";
+      return answer(409, Body);
+    default:
+      return answer(503, Body);
+    }
+  }
+
+  void hold(const JsonValue &Body, std::uint64_t Token,
+            const HttpResponder &Respond) {
+    HoldOrder Order;
+    Order.m_observed = static_cast<std::uint64_t>(count(Body, "observed"));
+    Order.m_wait = Milliseconds(count(Body, "waitMs"));
+    if (memberOf(Body, "expiresMs"))
+      Order.m_expires = Milliseconds(count(Body, "expiresMs"));
+    m_link->hold(Order, Token, [Respond](const HoldReply &Reply) {
+      if (Reply.m_outcome != OrderOutcome::Done)
+        return Respond(orderAnswer({Reply.m_outcome, std::nullopt}));
+      json::array Active;
+      for (const ActiveRun &Each : Reply.m_look.m_active)
+        Active.push_back(json::array{formatTaskName(Each.m_task), Each.m_run,
+                                     Each.m_checkpoint, Each.m_percent,
+                                     Each.m_figure});
+      json::array Ended;
+      for (const EndedRun &Each : Reply.m_look.m_ended)
+        Ended.push_back(json::array{Each.m_number, formatTaskName(Each.m_task),
+                                    Each.m_run, runEndName(Each.m_end),
+                                    Each.m_checkpoint});
+      Respond(answer(200, {{"clockMs", Reply.m_look.m_clock.count()},
+                           {"born", Reply.m_look.m_bornMs},
+                           {"active", Active},
+                           {"finished", Ended}}));
+    });
+  }
+
+  FakeWorker &m_worker;
+  std::unique_ptr<WorkerLink> m_link;
+};
+
+/// Everything, on consecutive ports: the log first, then the workers.
+class Platform {
+public:
+  Platform(EventLoop &Loop, std::uint16_t Port, std::size_t Workers)
+      : m_loop(Loop), m_random(1), m_log(Loop, m_random), m_logFront(m_log),
+        m_port(Port), m_beatTimer(Loop) {
+    m_log.put(LogTopic::Operator, "config", std::string(Configuration));
+    for (std::size_t At = 0; At < Workers; ++At) {
+      m_workers.push_back(std::make_unique<FakeWorker>(
+          Loop, m_random, m_past, "w" + std::to_string(At), Capacity));
+      m_fronts.push_back(std::make_unique<WorkerFront>(*m_workers.back()));
+    }
+  }
+
+  Result<void> start() {
+    BOOST_LEAF_CHECK(listen(m_port, [this](const HttpRequest &Request,
+                                           const HttpResponder &Respond) {
+      m_logFront.onCall(Request, Respond);
+    }));
+    for (std::size_t At = 0; At < m_fronts.size(); ++At)
+      BOOST_LEAF_CHECK(
+          listen(workerPort(At), [this, At](const HttpRequest &Request,
+                                            const HttpResponder &Respond) {
+            m_fronts[At]->onCall(Request, Respond);
+          }));
+    beat();
+    return {};
+  }
+
+  /// Prints what was broken, by what the workers saw.
+  int judge() const {
+    std::size_t Done = 0;
+    RunHistory Known = m_past;
+    std::map<std::string, AskedJob> Jobs;
+    for (const SeenRun &Each : Known.m_runs) {
+      Done += Each.m_hasEnd && Each.m_end == RunEnd::Done;
+      const auto Value =
+          m_log.newestOf(LogTopic::Jobs, "j" + Each.m_task.m_job);
+      auto Read = attempt([&] { return decode<Submission>(Value.value_or("")); });
+      if (Read)
+        Jobs[Each.m_task.m_job] = {Read.value(), TimePoint::max()};
+    }
+    std::vector<AskedJob> Asked;
+    for (const auto &[Id, Job] : Jobs)
+      Asked.push_back(Job);
+    HistoryBounds Bounds;
+    for (std::size_t At = 0; At < m_workers.size(); ++At)
+      Bounds.m_capacities["w" + std::to_string(At)] = Capacity;
+    const std::vector<std::string> Faults = checkHistory(Known, Asked, Bounds);
+    for (const std::string &Each : Faults)
+      std::cout << "broken: " << Each << "\n";
+    std::cout << "runs " << Known.m_runs.size() << ", done " << Done
+              << ", broken promises " << Faults.size() << std::endl;
+    return Faults.empty() ? 0 : 1;
+  }
+
+private:
+  static constexpr Resources Capacity{4000, 8000, 0};
+
+  std::uint16_t workerPort(std::size_t At) const {
+    return static_cast<std::uint16_t>(m_port + 1 + At);
+  }
+
+  Result<void> listen(std::uint16_t Port, AsyncHttpHandler Handler) {
+    BOOST_LEAF_AUTO(Made, HttpListener::open(m_loop, {"127.0.0.1", Port}, {},
+                                             std::move(Handler)));
+    m_listeners.push_back(std::move(Made));
+    return {};
+  }
+
+  void beat() {
+    for (std::size_t At = 0; At < m_workers.size(); ++At) {
+      const WorkerReport Report = m_workers[At]->report();
+      m_log.put(
+          LogTopic::Workers, Report.m_id,
+          json::serialize(json::value{
+              {"service", Service},
+              {"address", "127.0.0.1:" + std::to_string(workerPort(At))},
+              {"zone", "a"},
+              {"state", "ready"},
+              {"born", Report.m_bornMs},
+              {"capacity",
+               {{"cpu", Capacity.m_milliProcessors},
+                {"memMb", Capacity.m_memoryMb},
+                {"gpu", 0}}},
+              {"labels", json::array{"a", "r1"}},
+              {"sequence", ++m_sequence}}));
+    }
+    m_beatTimer.start(Heartbeat, [this] { beat(); });
+  }
+
+  EventLoop &m_loop;
+  std::mt19937_64 m_random;
+  RunHistory m_past;
+  FakeLog m_log;
+  LogFront m_logFront;
+  const std::uint16_t m_port;
+  Timer m_beatTimer;
+  std::int64_t m_sequence = 0;
+  std::vector<std::unique_ptr<FakeWorker>> m_workers;
+  std::vector<std::unique_ptr<WorkerFront>> m_fronts;
+  std::vector<std::unique_ptr<HttpListener>> m_listeners;
+};
+
+int run(int Count, char **Words) {
+  po::options_description Options("node-platform");
+  Options.add_options()("port", po::value<std::uint16_t>()->required(),
+                        "the log's port; the workers' follow")(
+      "workers", po::value<std::size_t>()->default_value(6), "how many workers");
+  po::variables_map Given;
+  po::store(po::parse_command_line(Count, Words, Options), Given);
+  po::notify(Given);
+  EventLoop Loop;
+  Platform All(Loop, Given["port"].as<std::uint16_t>(),
+               Given["workers"].as<std::size_t>());
+  auto Started = attempt([&]() -> Result<bool> {
+    BOOST_LEAF_CHECK(All.start());
+    return true;
+  });
+  if (!Started) {
+    std::cerr << Started.error().m_message << "\n";
+    return 2;
+  }
+  boost::asio::signal_set Signals(Loop.context(), SIGTERM, SIGINT);
+  Signals.async_wait([&](const boost::system::error_code &, int) {
+    Loop.stop();
+  });
+  Loop.run();
+  return All.judge();
+}
+
+} // namespace
+
+} // namespace catkinseam
+
+int main(int Count, char **Words) {
+  try {
+    return catkinseam::run(Count, Words);
+  } catch (const std::exception &Fault) {
+    std::cerr << Fault.what() << "\n";
+    return 2;
+  }
+}
