--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -49,8 +49,6 @@
 constexpr int CopyFactor = 2;
 constexpr std::size_t CopyEvidence = 2;
 constexpr Milliseconds MoveRetry{250};
-/// From a stop's order to the start elsewhere, at most.
-constexpr Milliseconds PromiseTime{600};
 /// Each move loses a second or so of work.
 constexpr std::uint32_t MostMoves = 2;
 /// A step that found no place is tried again after this time: with many
@@ -327,12 +325,10 @@
         continue;
       const std::string &Service =
           Ref.m_task->m_step->m_occurrence->m_job->terms().m_service;
-      WorkerRow *Better =
+      const WorkerRow *Better =
           chooseWorker(*Ref.m_task, workersOf(Service), m_interference, Now);
-      // What moves there has not arrived yet, and takes the room.
-      if (!Better || Now - Better->m_promisedAt < PromiseTime)
+      if (!Better)
         continue;
-      Better->m_promisedAt = Now;
       logInfo("run.moved", {{"task", toString(keyOf(*Ref.m_task))},
                             {"run", std::to_string(Ref.m_run)},
                             {"worker", Id},
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -188,8 +188,6 @@
   /// The share of their processors that services are thought to use.
   double m_serviceLoad = 0.45;
   TimePoint m_fullUntil;
-  /// When a filler was last told to move here.
-  TimePoint m_promisedAt;
 
   bool hasLabel(const std::string &Label) const {
     for (const std::string &Each : m_report.m_labels)
