--- a/catkinseam/front/front_test.cc
+++ b/catkinseam/front/front_test.cc
@@ -58,7 +58,7 @@
 BOOST_FIXTURE_TEST_CASE(NeverSaysNotAcceptedOfWhatMayBeStored, Fixture) {
   m_log.m_faults.m_lateShare = 1.0;
   submit();
-  m_host.advance(Milliseconds(600));
+  m_host.advance(Milliseconds(430));
   m_log.m_faults.m_isDown = true;
   m_host.advance(Budget);
   BOOST_TEST((m_outcome == SubmitOutcome::Unknown));
--- a/standin/node_platform_main.cc
+++ b/standin/node_platform_main.cc
@@ -95,8 +95,8 @@
 }
 
 HttpResponse answer(int Status, const json::value &Body) {
-  return {Status, {{"Content-Type", "application/json"}},
-          json::serialize(Body)};
+  return {
+      Status, {{"Content-Type", "application/json"}}, json::serialize(Body)};
 }
 
 /// The log service.
@@ -125,15 +125,14 @@
       Mark = ProducerMark{
           Name, static_cast<std::uint64_t>(numberOf(Request, "epoch")),
           static_cast<std::uint64_t>(numberOf(Request, "sequence"))};
-    m_view.append(Topic, unframe(Request.m_body), Mark, Milliseconds(1000),
-                  [Respond](const AppendReply &Reply) {
-                    if (Reply.m_outcome == LogOutcome::Done)
-                      return Respond(answer(200, {{"offset", Reply.m_offset}}));
-                    const bool IsFenced =
-                        Reply.m_outcome == LogOutcome::Fenced;
-                    Respond(answer(
-                        409, {{"reason", IsFenced ? "fenced" : "seq"}}));
-                  });
+    m_view.append(
+        Topic, unframe(Request.m_body), Mark, Milliseconds(1000),
+        [Respond](const AppendReply &Reply) {
+          if (Reply.m_outcome == LogOutcome::Done)
+            return Respond(answer(200, {{"offset", Reply.m_offset}}));
+          const bool IsFenced = Reply.m_outcome == LogOutcome::Fenced;
+          Respond(answer(409, {{"reason", IsFenced ? "fenced" : "seq"}}));
+        });
   }
 
   void read(LogTopic Topic, const HttpRequest &Request,
@@ -155,19 +154,19 @@
 
   void newest(LogTopic Topic, const HttpRequest &Request,
               const HttpResponder &Respond) {
-    m_view.newest(Topic, Request.queryValue("after"), Milliseconds(1000),
-                  [Respond](const NewestReply &Reply) {
-                    json::array Items;
-                    for (const StoredRecord &Each : Reply.m_records)
-                      Items.push_back(
-                          {{"key", Each.m_record.m_key},
-                           {"value",
-                            toBase64(Each.m_record.m_value.value_or(""))},
-                           {"offset", Each.m_offset}});
-                    Respond(answer(200, {{"items", Items},
-                                         {"hasMore", Reply.m_hasMore},
-                                         {"endOffset", Reply.m_end}}));
-                  });
+    m_view.newest(
+        Topic, Request.queryValue("after"), Milliseconds(1000),
+        [Respond](const NewestReply &Reply) {
+          json::array Items;
+          for (const StoredRecord &Each : Reply.m_records)
+            Items.push_back(
+                {{"key", Each.m_record.m_key},
+                 {"value", toBase64(Each.m_record.m_value.value_or(""))},
+                 {"offset", Each.m_offset}});
+          Respond(answer(200, {{"items", Items},
+                               {"hasMore", Reply.m_hasMore},
+                               {"endOffset", Reply.m_end}}));
+        });
   }
 
   FakeLog::View m_view;
@@ -176,7 +175,8 @@
 /// One worker's orders over HTTP.
 class WorkerFront {
 public:
-  WorkerFront(FakeWorker &Worker) : m_worker(Worker), m_link(Worker.connect()) {}
+  WorkerFront(FakeWorker &Worker)
+      : m_worker(Worker), m_link(Worker.connect()) {}
 
   void onCall(const HttpRequest &Request, const HttpResponder &Respond) {
     auto Parsed = attempt([&] { return parseBody(Request.m_body); });
@@ -304,7 +304,8 @@
       Done += Each.m_hasEnd && Each.m_end == RunEnd::Done;
       const auto Value =
           m_log.newestOf(LogTopic::Jobs, "j" + Each.m_task.m_job);
-      auto Read = attempt([&] { return decode<Submission>(Value.value_or("")); });
+      auto Read =
+          attempt([&] { return decode<Submission>(Value.value_or("")); });
       if (Read)
         Jobs[Each.m_task.m_job] = {Read.value(), TimePoint::max()};
     }
@@ -339,20 +340,19 @@
   void beat() {
     for (std::size_t At = 0; At < m_workers.size(); ++At) {
       const WorkerReport Report = m_workers[At]->report();
-      m_log.put(
-          LogTopic::Workers, Report.m_id,
-          json::serialize(json::value{
-              {"service", Service},
-              {"address", "127.0.0.1:" + std::to_string(workerPort(At))},
-              {"zone", "a"},
-              {"state", "ready"},
-              {"born", Report.m_bornMs},
-              {"capacity",
-               {{"cpu", Capacity.m_milliProcessors},
-                {"memMb", Capacity.m_memoryMb},
-                {"gpu", 0}}},
-              {"labels", json::array{"a", "r1"}},
-              {"sequence", ++m_sequence}}));
+      m_log.put(LogTopic::Workers, Report.m_id,
+                json::serialize(json::value{
+                    {"service", Service},
+                    {"address", "127.0.0.1:" + std::to_string(workerPort(At))},
+                    {"zone", "a"},
+                    {"state", "ready"},
+                    {"born", Report.m_bornMs},
+                    {"capacity",
+                     {{"cpu", Capacity.m_milliProcessors},
+                      {"memMb", Capacity.m_memoryMb},
+                      {"gpu", 0}}},
+                    {"labels", json::array{"a", "r1"}},
+                    {"sequence", ++m_sequence}}));
     }
     m_beatTimer.start(Heartbeat, [this] { beat(); });
   }
@@ -374,7 +374,8 @@
   po::options_description Options("node-platform");
   Options.add_options()("port", po::value<std::uint16_t>()->required(),
                         "the log's port; the workers' follow")(
-      "workers", po::value<std::size_t>()->default_value(6), "how many workers");
+      "workers", po::value<std::size_t>()->default_value(6),
+      "how many workers");
   po::variables_map Given;
   po::store(po::parse_command_line(Count, Words, Options), Given);
   po::notify(Given);
@@ -390,9 +391,8 @@
     return 2;
   }
   boost::asio::signal_set Signals(Loop.context(), SIGTERM, SIGINT);
-  Signals.async_wait([&](const boost::system::error_code &, int) {
-    Loop.stop();
-  });
+  Signals.async_wait(
+      [&](const boost::system::error_code &, int) { Loop.stop(); });
   Loop.run();
   return All.judge();
 }
--- a/standin/platform_main.cc
+++ b/standin/platform_main.cc
@@ -194,9 +194,16 @@
   HttpServer::Options Limits;
   Limits.m_listen = Listen.value();
   Limits.m_maxBodyBytes = 64 * 1024 * 1024;
-  const HttpServer Server(Limits, [&](const HttpRequest &Request) {
-    return Served.handle(Request);
-  });
-  waitForStopSignal();
+  try {
+    const HttpServer Server(Limits, [&](const HttpRequest &Request) {
+      return Served.handle(Request);
+    });
+    waitForStopSignal();
+  } catch (const Poco::Exception &Fault) {
+    std::cerr << "standin-platform: cannot listen on "
+              << Given["listen"].as<std::string>() << ": "
+              << Fault.displayText() << "\n";
+    return 5;
+  }
   return 0;
 }
--- a/standin/workers_main.cc
+++ b/standin/workers_main.cc
@@ -15,6 +15,7 @@
 #include "catkinseam/platform/json.h"
 #include "catkinseam/platform/worker_wire.h"
 
+#include <Poco/Exception.h>
 #include <boost/program_options.hpp>
 #include <iostream>
 #include <memory>
@@ -194,5 +195,11 @@
     std::cerr << "standin-workers: " << Fault.what() << "\n" << Options;
     return 2;
   }
-  return run(Given);
+  try {
+    return run(Given);
+  } catch (const Poco::Exception &Fault) {
+    std::cerr << "standin-workers: cannot serve: " << Fault.displayText()
+              << "\n";
+    return 5;
+  }
 }
