Read as a newcomer: one reading of settings, no dead members, seconds with fractions

Cause: settings that the platform may give as fractions became whole numbers by text; two copies of the loading of settings and of the making of steps; members that nothing read. Change: as the title says; settings for what is not built are gone.

--- a/catkinseam/base/clock.h
+++ b/catkinseam/base/clock.h
@@ -16,6 +16,9 @@
 using Duration = std::chrono::nanoseconds;
 using Milliseconds = std::chrono::milliseconds;
 
+/// A time in seconds with fractions, as settings may give it.
+using FractionalSeconds = std::chrono::duration<double>;
+
 /// A point on the monotonic time line of one process.
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
@@ -68,6 +71,10 @@
   return std::chrono::duration_cast<Milliseconds>(Span);
 }
 
+inline Milliseconds toMilliseconds(FractionalSeconds Span) {
+  return std::chrono::duration_cast<Milliseconds>(Span);
+}
+
 } // namespace catkinseam
 
 #endif // CATKINSEAM_BASE_CLOCK_H
--- a/catkinseam/node/node.cc
+++ b/catkinseam/node/node.cc
@@ -21,15 +21,14 @@
   Made.m_entry = Values.m_name;
   Made.m_boot = randomId();
   Scheduler::Options &Plan = Made.m_owner.m_scheduler;
-  Plan.m_longLease = Values.m_longestLease;
-  Plan.m_lease = std::min(Plan.m_lease, Values.m_longestLease);
+  const Milliseconds Longest = toMilliseconds(Values.m_longestLease);
+  Plan.m_longLease = Longest;
+  Plan.m_lease = std::min(Plan.m_lease, Longest);
   constexpr Milliseconds LeaseMargin{500};
-  Plan.m_heldLease = Values.m_longestLease + LeaseMargin;
-  Plan.m_foreignLease =
-      Values.m_longestLease + Made.m_owner.m_authority + LeaseMargin;
-  Plan.m_stopTime = Values.m_stopTime;
+  Plan.m_heldLease = Longest + LeaseMargin;
+  Plan.m_foreignLease = Longest + Made.m_owner.m_authority + LeaseMargin;
   // Customers may ask for so long; what is dropped later does no harm.
-  Plan.m_memory = Values.m_jobMemory + Milliseconds(30000);
+  Plan.m_memory = toMilliseconds(Values.m_jobMemory) + Milliseconds(30000);
   return Made;
 }
 
@@ -101,8 +100,9 @@
   if (const Owner *Mine = m_candidate.owner()) {
     m_metrics.setGauge("catkinseam_live_jobs",
                        static_cast<double>(Mine->scheduler().liveJobs()));
-    m_metrics.setGauge("catkinseam_waiting_tasks",
-                       static_cast<double>(Mine->scheduler().summarize().m_waitingTasks));
+    m_metrics.setGauge(
+        "catkinseam_waiting_tasks",
+        static_cast<double>(Mine->scheduler().summarize().m_waitingTasks));
   }
   return m_metrics.text();
 }
@@ -151,7 +151,7 @@
 void Node::finishWhenQuiet() {
   const Duration Since = m_loop.now() - m_stopBegan;
   const bool IsQuiet = Since >= LookAwayTime && m_callers->inProgress() == 0;
-  if (IsQuiet || Since >= m_settings.m_grace - KillMargin) {
+  if (IsQuiet || Since >= toMilliseconds(m_settings.m_grace) - KillMargin) {
     logInfo("node.stopped",
             {{"node", m_settings.m_name},
              {"in_progress", std::to_string(m_callers->inProgress())}});
--- a/catkinseam/platform/adapters_test.cc
+++ b/catkinseam/platform/adapters_test.cc
@@ -122,8 +122,13 @@
   const LoadedNodeSettings Good = parseNodeSettings(
       "[node]\nname = \"n\"\ndata_centre = \"a\"\ncallers = \"127.0.0.1:1\"\n"
       "readiness = \"127.0.0.1:2\"\nmetrics = \"127.0.0.1:3\"\n"
-      "[platform]\nstore = \"127.0.0.1:4\"\n");
+      "[platform]\nstore = \"127.0.0.1:4\"\n"
+      "[scheduling]\nlongest_lease_s = 6500e-3\njob_memory_s = 90.5\n"
+      "[stop]\ngrace_s = 6\n");
   BOOST_TEST(Good.m_faults.empty());
+  BOOST_TEST(toMilliseconds(Good.m_settings.m_longestLease).count() == 6500);
+  BOOST_TEST(toMilliseconds(Good.m_settings.m_jobMemory).count() == 90500);
+  BOOST_TEST(toMilliseconds(Good.m_settings.m_grace).count() == 6000);
   const LoadedNodeSettings Bad =
       parseNodeSettings("[node]\nname = \"n\"\ncallers = \"here\"\nextra = 1\n"
                         "[telemetry]\nlog_level = \"loud\"\n");
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -64,10 +64,6 @@
 
 Scheduler::~Scheduler() = default;
 
-void Scheduler::setServices(std::set<std::string> Standby) {
-  m_standby = std::move(Standby);
-}
-
 Scheduler::StepOrder Scheduler::orderOf(const StepRow &Step) {
   const JobRow &Job = *Step.m_occurrence->m_job;
   const std::int64_t Delay =
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -82,8 +82,6 @@
     Milliseconds m_lookWait{1500};
     /// The same where services are, whose tails decide about fillers.
     Milliseconds m_sharedLookWait{500};
-    /// A stop takes at most this long at the worker.
-    Milliseconds m_stopTime{400};
     /// How long a job's end is remembered.
     Milliseconds m_memory{180000};
   };
@@ -93,9 +91,6 @@
 
   // What becomes known.
 
-  /// `Services`: those that the configuration names, with what their queues
-  /// may be sent to.
-  void setServices(std::set<std::string> Standby);
   /// `Recorded`: what an earlier owner stored; null for a new job.
   void addJob(const Submission &Job, const JobProgress *Recorded);
   void cancelJob(const std::string &Id);
@@ -155,10 +150,9 @@
   std::size_t liveJobs() const { return m_liveJobs; }
 
 private:
-  friend class SchedulerInspector;
-
   // Jobs.
   void openOccurrence(OccurrenceRow &Occurrence);
+  void makeSteps(OccurrenceRow &Occurrence);
   void beginReadySteps(OccurrenceRow &Occurrence);
   void beginStep(StepRow &Step);
   void restore(JobRow &Job, const JobProgress &Recorded);
@@ -224,7 +218,6 @@
   Pacing m_pacing;
   Interference m_interference;
   bool m_isStoreReachable = true;
-  std::set<std::string> m_standby;
   std::unordered_map<std::string, std::unique_ptr<JobRow>> m_jobs;
   std::unordered_map<std::string, std::unique_ptr<WorkerRow>> m_workers;
   /// Steps with tasks to place, in the order in which they get room: by
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -111,18 +111,21 @@
   if (Occurrence.m_isOpen)
     return;
   Occurrence.m_isOpen = true;
+  if (Occurrence.m_steps.empty())
+    makeSteps(Occurrence);
+  beginReadySteps(Occurrence);
+}
+
+void Scheduler::makeSteps(OccurrenceRow &Occurrence) {
   const JobSpec &Spec = Occurrence.m_job->m_submission.m_spec;
-  if (Occurrence.m_steps.empty()) {
-    Occurrence.m_steps.resize(Spec.m_steps.size());
-    for (std::uint32_t At = 0; At < Spec.m_steps.size(); ++At) {
-      StepRow &Step = Occurrence.m_steps[At];
-      Step.m_spec = &Spec.m_steps[At];
-      Step.m_image = m_interference.numberOf(Spec.m_steps[At].m_image);
-      Step.m_occurrence = &Occurrence;
-      Step.m_number = At;
-    }
+  Occurrence.m_steps.resize(Spec.m_steps.size());
+  for (std::uint32_t At = 0; At < Spec.m_steps.size(); ++At) {
+    StepRow &Step = Occurrence.m_steps[At];
+    Step.m_spec = &Spec.m_steps[At];
+    Step.m_image = m_interference.numberOf(Spec.m_steps[At].m_image);
+    Step.m_occurrence = &Occurrence;
+    Step.m_number = At;
   }
-  beginReadySteps(Occurrence);
 }
 
 void Scheduler::beginReadySteps(OccurrenceRow &Occurrence) {
@@ -163,16 +166,8 @@
     if (Found == Job.m_occurrences.end())
       continue;
     OccurrenceRow &Occurrence = *Found;
-    const JobSpec &Spec = Job.m_submission.m_spec;
     Occurrence.m_isOpen = true;
-    Occurrence.m_steps.resize(Spec.m_steps.size());
-    for (std::uint32_t At = 0; At < Spec.m_steps.size(); ++At) {
-      StepRow &Step = Occurrence.m_steps[At];
-      Step.m_spec = &Spec.m_steps[At];
-      Step.m_image = m_interference.numberOf(Spec.m_steps[At].m_image);
-      Step.m_occurrence = &Occurrence;
-      Step.m_number = At;
-    }
+    makeSteps(Occurrence);
     const std::size_t Steps =
         std::min(Each.m_steps.size(), Occurrence.m_steps.size());
     for (std::size_t At = 0; At < Steps; ++At) {
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -122,7 +122,6 @@
   HoldOrder Order;
   Order.m_worker = Id;
   Order.m_observed = Worker.m_storedEnd;
-  Worker.m_lastHoldSent = m_clock.now();
   // What a silent worker runs counts as over once its leases have ended, so it
   // is granted none until it answers.
   if (!Worker.m_hasClock || !Worker.m_isHeld || !Worker.m_isReachable)
@@ -166,7 +165,6 @@
     logInfo("worker.reachable", {{"worker", Order.m_worker}});
   Worker.m_isReachable = true;
   Worker.m_unanswered = 0;
-  Worker.m_lastAnswer = m_clock.now();
   noteClock(Worker, Reply.m_look.m_clock);
   takeLook(Worker, SentAt, Reply.m_look);
   Worker.m_areTailsStale = true;
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -154,8 +154,6 @@
   bool m_hasClock = false;
   /// All that runs there has ended by then, as long as no lease is granted.
   TimePoint m_leaseEnd;
-  TimePoint m_lastAnswer;
-  TimePoint m_lastHoldSent;
   std::uint32_t m_unanswered = 0;
 
   /// Ends that were taken in, and ends whose effect is stored.
@@ -168,7 +166,6 @@
   TimePoint m_lastDone;
   bool m_hasDone = false;
   TimePoint m_shunnedUntil;
-  std::uint32_t m_shunnedTimes = 0;
 
   /// What is expected of its services, one entry an image; kept by
   /// Interference, stale after any change of runs, paces or reports.
@@ -185,8 +182,6 @@
   /// Sum of the processors that its services ask for.
   std::int64_t m_serviceProcessors = 0;
 
-  /// Worst tail of its services over their targets, as last seen.
-  double m_worstTail = 0.0;
   TimePoint m_pacedAt;
   /// The share of their processors that services are thought to use.
   double m_serviceLoad = 0.45;
--- a/catkinseam/settings/fault.cc
+++ b/catkinseam/settings/fault.cc
@@ -21,4 +21,8 @@
   return Text.str();
 }
 
+SettingsFault unreadableFile(const std::string &Path) {
+  return {"(file)", 0, "cannot read \"" + Path + "\""};
+}
+
 } // namespace catkinseam
--- a/catkinseam/settings/fault.h
+++ b/catkinseam/settings/fault.h
@@ -21,6 +21,9 @@
 /// Returns the file's text, or none when it cannot be read.
 std::optional<std::string> readSettingsFile(const std::string &Path);
 
+/// The fault of a file that cannot be read.
+SettingsFault unreadableFile(const std::string &Path);
+
 } // namespace catkinseam
 
 #endif // CATKINSEAM_SETTINGS_FAULT_H
--- a/catkinseam/settings/node_settings.cc
+++ b/catkinseam/settings/node_settings.cc
@@ -9,7 +9,8 @@
 
 using Field = SettingsField<NodeSettings>;
 
-constexpr std::int64_t Day = 24LL * 3600 * 1000;
+/// In seconds.
+constexpr std::int64_t Day = 24LL * 3600;
 
 const std::vector<Field> &fields() {
   static const std::vector<Field> All = {
@@ -19,18 +20,12 @@
       {"node", "readiness", &NodeSettings::m_readiness, true},
       {"node", "metrics", &NodeSettings::m_metrics, true},
       {"platform", "store", &NodeSettings::m_store, true},
-      {"platform", "machines", &NodeSettings::m_machines, false},
-      {"platform", "advice", &NodeSettings::m_advice, false},
       {"limits", "descriptors", &NodeSettings::m_descriptors, false, 64,
        1000000},
-      {"scheduling", "longest_lease_ms", &NodeSettings::m_longestLease, false,
-       500, Day},
-      {"scheduling", "stop_ms", &NodeSettings::m_stopTime, false, 1, 60000},
-      {"scheduling", "gang_timeout_ms", &NodeSettings::m_gangTimeout, false, 1,
+      {"scheduling", "longest_lease_s", &NodeSettings::m_longestLease, false, 1,
        Day},
-      {"scheduling", "job_memory_ms", &NodeSettings::m_jobMemory, false, 1000,
-       Day},
-      {"stop", "grace_ms", &NodeSettings::m_grace, false, 0, 600000},
+      {"scheduling", "job_memory_s", &NodeSettings::m_jobMemory, false, 1, Day},
+      {"stop", "grace_s", &NodeSettings::m_grace, false, 0, 600},
       {"telemetry", "log_level", &NodeSettings::m_logLevel, false},
   };
   return All;
@@ -48,26 +43,16 @@
 
 LoadedNodeSettings parseNodeSettings(const std::string &Text) {
   LoadedNodeSettings Loaded;
-  try {
-    const toml::table Root = toml::parse(Text);
-    TableReader<NodeSettings> Reader(fields(), Loaded.m_settings,
-                                     Loaded.m_faults);
-    Reader.read(Root);
-    checkTogether(Loaded.m_settings, Reader);
-    sortByLine(Loaded.m_faults);
-  } catch (const toml::parse_error &Fault) {
-    Loaded.m_faults.push_back({"(file)", Fault.source().begin.line,
-                               std::string(Fault.description())});
-  }
+  readSettingsText(Text, fields(), checkTogether, Loaded.m_settings,
+                   Loaded.m_faults);
   return Loaded;
 }
 
 LoadedNodeSettings loadNodeSettings(const std::string &Path) {
-  const std::optional<std::string> Text = readSettingsFile(Path);
-  if (Text)
+  if (const std::optional<std::string> Text = readSettingsFile(Path))
     return parseNodeSettings(*Text);
   LoadedNodeSettings Unreadable;
-  Unreadable.m_faults.push_back({"(file)", 0, "cannot read \"" + Path + "\""});
+  Unreadable.m_faults.push_back(unreadableFile(Path));
   return Unreadable;
 }
 
--- a/catkinseam/settings/node_settings.h
+++ b/catkinseam/settings/node_settings.h
@@ -25,22 +25,18 @@
 
   // [platform]
   Endpoint m_store;
-  Endpoint m_machines;
-  Endpoint m_advice;
 
   // [limits]
   std::int64_t m_descriptors = 4096;
 
   // [scheduling]
-  Milliseconds m_longestLease{6000};
-  Milliseconds m_stopTime{400};
-  Milliseconds m_gangTimeout{3000};
+  FractionalSeconds m_longestLease{6.0};
   /// How long the end of a job is remembered.
-  Milliseconds m_jobMemory{120000};
+  FractionalSeconds m_jobMemory{120.0};
 
   // [stop]
   /// From the stop signal to being killed.
-  Milliseconds m_grace{6000};
+  FractionalSeconds m_grace{6.0};
 
   // [telemetry]
   std::string m_logLevel = "info";
--- a/catkinseam/settings/settings.cc
+++ b/catkinseam/settings/settings.cc
@@ -85,25 +85,16 @@
 
 LoadedSettings parseSettings(const std::string &Text) {
   LoadedSettings Loaded;
-  try {
-    const toml::table Root = toml::parse(Text);
-    TableReader<Settings> Reader(fields(), Loaded.m_settings, Loaded.m_faults);
-    Reader.read(Root);
-    checkTogether(Loaded.m_settings, Reader);
-    sortByLine(Loaded.m_faults);
-  } catch (const toml::parse_error &Fault) {
-    Loaded.m_faults.push_back({"(file)", Fault.source().begin.line,
-                               std::string(Fault.description())});
-  }
+  readSettingsText(Text, fields(), checkTogether, Loaded.m_settings,
+                   Loaded.m_faults);
   return Loaded;
 }
 
 LoadedSettings loadSettings(const std::string &Path) {
-  const std::optional<std::string> Text = readSettingsFile(Path);
-  if (Text)
+  if (const std::optional<std::string> Text = readSettingsFile(Path))
     return parseSettings(*Text);
   LoadedSettings Unreadable;
-  Unreadable.m_faults.push_back({"(file)", 0, "cannot read \"" + Path + "\""});
+  Unreadable.m_faults.push_back(unreadableFile(Path));
   return Unreadable;
 }
 
--- a/catkinseam/settings/table_reader.h
+++ b/catkinseam/settings/table_reader.h
@@ -25,7 +25,8 @@
 template <class Values> struct SettingsField {
   using Member = std::variant<std::string Values::*, std::int64_t Values::*,
                               Milliseconds Values::*, Endpoint Values::*,
-                              std::vector<Endpoint> Values::*, bool Values::*>;
+                              std::vector<Endpoint> Values::*, bool Values::*,
+                              FractionalSeconds Values::*>;
 
   const char *m_section;
   const char *m_key;
@@ -182,6 +183,19 @@
     m_target.*Place = *Flag;
   }
 
+  void store(const Field &Known, std::int64_t Line, const toml::node &Node,
+             FractionalSeconds Values::*Place) {
+    const auto Found = Node.value<double>();
+    if (!Found || !Node.is_number())
+      return fault(Known.path(), Line, "must be a number");
+    if (*Found < static_cast<double>(Known.m_least) ||
+        *Found > static_cast<double>(Known.m_most))
+      return fault(Known.path(), Line,
+                   "must be from " + std::to_string(Known.m_least) + " to " +
+                       std::to_string(Known.m_most));
+    m_target.*Place = FractionalSeconds(*Found);
+  }
+
   const std::vector<Field> &m_fields;
   Values &m_target;
   std::vector<SettingsFault> &m_faults;
@@ -196,6 +210,25 @@
                    });
 }
 
+/// Reads a whole file's text; `CheckTogether(Values, Reader)` checks what
+/// the table of fields cannot.
+template <class Values, class Check>
+void readSettingsText(const std::string &Text,
+                      const std::vector<SettingsField<Values>> &Fields,
+                      Check &&CheckTogether, Values &Target,
+                      std::vector<SettingsFault> &Faults) {
+  try {
+    const toml::table Root = toml::parse(Text);
+    TableReader<Values> Reader(Fields, Target, Faults);
+    Reader.read(Root);
+    CheckTogether(Target, Reader);
+    sortByLine(Faults);
+  } catch (const toml::parse_error &Fault) {
+    Faults.push_back({"(file)", Fault.source().begin.line,
+                      std::string(Fault.description())});
+  }
+}
+
 } // namespace catkinseam
 
 #endif // CATKINSEAM_SETTINGS_TABLE_READER_H
--- a/standin/node_platform_main.cc
+++ b/standin/node_platform_main.cc
@@ -175,8 +175,7 @@
 /// One worker's orders over HTTP.
 class WorkerFront {
 public:
-  WorkerFront(FakeWorker &Worker)
-      : m_worker(Worker), m_link(Worker.connect()) {}
+  explicit WorkerFront(FakeWorker &Worker) : m_link(Worker.connect()) {}
 
   void onCall(const HttpRequest &Request, const HttpResponder &Respond) {
     auto Parsed = attempt([&] { return parseBody(Request.m_body); });
@@ -262,7 +261,6 @@
     });
   }
 
-  FakeWorker &m_worker;
   std::unique_ptr<WorkerLink> m_link;
 };
 
@@ -310,6 +308,7 @@
         Jobs[Each.m_task.m_job] = {Read.value(), TimePoint::max()};
     }
     std::vector<AskedJob> Asked;
+    Asked.reserve(Jobs.size());
     for (const auto &[Id, Job] : Jobs)
       Asked.push_back(Job);
     HistoryBounds Bounds;
