--- a/catkinseam/aio/http_caller.h
+++ b/catkinseam/aio/http_caller.h
@@ -1,7 +1,7 @@
 // Calls one HTTP server over kept connections, without threads.
 //
 //   HttpCaller Store(Loop, Address, {.m_maxConnections = 4});
-//   Store.call({.m_path = "/api/log-read", .m_timeout = Milliseconds(800)},
+//   Store.call({.m_target = "/records", .m_timeout = Milliseconds(800)},
 //              [](const HttpReply &Reply) { ... });
 //
 // A connection carries one call at a time, so a reply can only belong to the
