--- a/catkinseam/scheduler/pacing.cc
+++ b/catkinseam/scheduler/pacing.cc
@@ -23,12 +23,14 @@
 
 /// Notes which services are over their targets; returns whether one has been
 /// for `Limit`.
-bool noteOver(const WorkerRow &Worker, TimePoint Now, Milliseconds Limit) {
+bool noteOver(WorkerRow &Worker, TimePoint Now, Milliseconds Limit) {
   bool IsHarmed = false;
+  Worker.m_isOver = false;
   for (const RunRef &Each : Worker.m_runs) {
     if (!Each.m_task->m_step->m_spec->m_isService)
       continue;
     const bool IsOver = tailOf(Each) > 1.0;
+    Worker.m_isOver = Worker.m_isOver || IsOver;
     for (RunRow &Run : Each.m_task->m_runs) {
       if (Run.m_number != Each.m_run)
         continue;
--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -106,6 +106,9 @@
 }
 
 bool hasFillerRoom(const TaskRow &Task, const WorkerRow &Worker) {
+  // Whatever was learned, a new filler would start there at full pace.
+  if (Worker.m_isOver)
+    return false;
   const auto Request =
       static_cast<double>(Task.m_step->m_spec->m_request.m_milliProcessors);
   return static_cast<double>(spareProcessors(Worker)) >=
--- a/catkinseam/scheduler/scheduler_test.cc
+++ b/catkinseam/scheduler/scheduler_test.cc
@@ -321,6 +321,30 @@
   BOOST_TEST(Orders.m_paces[0].m_percent == 100);
 }
 
+// Pattern: fillers that end are followed by others on a worker whose service is
+// over its target. Each began at full pace, and the harm went on for four
+// seconds although all before it had been halted.
+BOOST_FIXTURE_TEST_CASE(NoFillerStartsBesideAServiceOverItsTarget, Fixture) {
+  addWorker("w1");
+  Submission Service = job("00000000000000e0", 1);
+  Service.m_spec.m_steps[0].m_isService = true;
+  Service.m_spec.m_steps[0].m_image = "clock";
+  Service.m_spec.m_steps[0].m_targetTail = Milliseconds(18);
+  m_plan.addJob(Service, nullptr);
+  BOOST_TEST(step() == 1U);
+  const TaskKey Task = m_sent["w1"].front().m_task;
+  Submission Filler = job(Id, 1);
+  Filler.m_spec.m_steps[0].m_isFiller = true;
+  Filler.m_spec.m_steps[0].m_request = {40, 100, 0};
+  Filler.m_spec.m_steps[0].m_image = "ledger";
+  look("w1", {{Task, 1, "", 100, 25}}, {});
+  m_plan.addJob(Filler, nullptr);
+  BOOST_TEST(step() == 0U);
+  look("w1", {{Task, 1, "", 100, 6}}, {});
+  m_clock.advance(Milliseconds(100));
+  BOOST_TEST(step() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(CancelledJobsAreStoppedAndNotStarted, Fixture) {
   addWorker("w1");
   m_plan.addJob(job(Id, 6), nullptr);
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -183,6 +183,8 @@
   std::int64_t m_serviceProcessors = 0;
 
   TimePoint m_pacedAt;
+  /// A service there was over its target at the last look.
+  bool m_isOver = false;
   /// The share of their processors that services are thought to use.
   double m_serviceLoad = 0.45;
   TimePoint m_fullUntil;
