--- a/catkinseam/cli/main.cc
+++ b/catkinseam/cli/main.cc
@@ -34,6 +34,9 @@
 }
 
 Result<ExitCode> check(const CommandContext &Context) {
+  const std::string Path = Context.m_options["settings"].as<std::string>();
+  if (isNodeSettings(Path))
+    return checkNode(Context);
   BOOST_LEAF_AUTO(Read, readSettings(Context));
   Context.m_out << "settings of entry \"" << Read.m_name << "\" are valid\n";
   return ExitCode::Success;
--- a/catkinseam/front/routing.cc
+++ b/catkinseam/front/routing.cc
@@ -3,11 +3,11 @@
 
 namespace catkinseam {
 
-const Route *OperatorConfig::find(std::string_view Host,
-                                  std::string_view Path) const {
+const QueueRoute *OperatorConfig::find(std::string_view Host,
+                                       std::string_view Path) const {
   const std::string_view Name = Host.substr(0, Host.find(':'));
-  const Route *Best = nullptr;
-  for (const Route &Each : m_routes) {
+  const QueueRoute *Best = nullptr;
+  for (const QueueRoute &Each : m_routes) {
     if (Each.m_host != Name || !Path.starts_with(Each.m_pathPrefix))
       continue;
     if (!Best || Each.m_pathPrefix.size() > Best->m_pathPrefix.size())
--- a/catkinseam/front/routing.h
+++ b/catkinseam/front/routing.h
@@ -1,6 +1,6 @@
 // The operator's configuration: which queue a call belongs to.
 //
-//   const Route *Found = Config.find("tally.example", "/counts/5c0e...");
+//   const QueueRoute *Found = Config.find("tally.example", "/counts/5c0e...");
 #ifndef CATKINSEAM_FRONT_ROUTING_H
 #define CATKINSEAM_FRONT_ROUTING_H
 
@@ -15,7 +15,7 @@
 namespace catkinseam {
 
 /// A queue and the calls that belong to it.
-struct Route {
+struct QueueRoute {
   std::string m_host;
   std::string m_pathPrefix;
   QueueTerms m_terms;
@@ -41,12 +41,12 @@
 /// One version of the operator's configuration.
 struct OperatorConfig {
   std::int64_t m_version = 0;
-  std::vector<Route> m_routes;
+  std::vector<QueueRoute> m_routes;
   std::map<std::string, ServiceTerms> m_services;
   CallLimits m_limits;
 
   /// The route of this host with the longest prefix of `Path`, or null.
-  const Route *find(std::string_view Host, std::string_view Path) const;
+  const QueueRoute *find(std::string_view Host, std::string_view Path) const;
 };
 
 } // namespace catkinseam
--- a/catkinseam/node/node_command.cc
+++ b/catkinseam/node/node_command.cc
@@ -36,6 +36,18 @@
       });
 }
 
+Result<NodeSettings> readNodeSettings(const CommandContext &Context) {
+  const std::string Path = Context.m_options["settings"].as<std::string>();
+  LoadedNodeSettings Loaded = loadNodeSettings(Path);
+  for (const SettingsFault &Each : Loaded.m_faults)
+    Context.m_err << Path << ": " << toString(Each) << "\n";
+  if (!Loaded.m_faults.empty())
+    return makeError(ErrorCode::Invalid,
+                     "settings have " + std::to_string(Loaded.m_faults.size()) +
+                         " faults");
+  return std::move(Loaded.m_settings);
+}
+
 } // namespace
 
 void addNodeOptions(po::options_description &Options) {
@@ -44,20 +56,25 @@
       "TOML settings file");
 }
 
+bool isNodeSettings(const std::string &Path) {
+  const std::optional<std::string> Text = readSettingsFile(Path);
+  return Text && Text->find("[node]") != std::string::npos;
+}
+
+Result<ExitCode> checkNode(const CommandContext &Context) {
+  BOOST_LEAF_AUTO(Read, readNodeSettings(Context));
+  Context.m_out << "settings of node \"" << Read.m_name << "\" are valid\n";
+  return ExitCode::Success;
+}
+
 Result<ExitCode> runNode(const CommandContext &Context) {
   const std::string Path = Context.m_options["settings"].as<std::string>();
-  const LoadedNodeSettings Loaded = loadNodeSettings(Path);
-  for (const SettingsFault &Each : Loaded.m_faults)
-    Context.m_err << Path << ": " << toString(Each) << "\n";
-  if (!Loaded.m_faults.empty())
-    return makeError(ErrorCode::Invalid,
-                     "settings have " + std::to_string(Loaded.m_faults.size()) +
-                         " faults");
-  startLogging(Loaded.m_settings.m_logLevel, LogStream::StandardOutput);
+  BOOST_LEAF_AUTO(Values, readNodeSettings(Context));
+  startLogging(Values.m_logLevel, LogStream::StandardOutput);
   std::signal(SIGPIPE, SIG_IGN);
   EventLoop Loop;
   boost::asio::signal_set Signals(Loop.context(), SIGTERM, SIGINT, SIGHUP);
-  Node Running(Loop, Loaded.m_settings);
+  Node Running(Loop, Values);
   BOOST_LEAF_CHECK(Running.start());
   waitForSignals(Signals, Running, Path);
   Loop.run();
--- a/catkinseam/ownership/owner.cc
+++ b/catkinseam/ownership/owner.cc
@@ -359,7 +359,7 @@
     return;
   if (Reply.m_outcome != OrderOutcome::Done)
     return lookLater(Id, m_options.m_lookRetry);
-  const WorkerRow *Row = m_scheduler.findWorker(Id);
+  const PlannedWorker *Row = m_scheduler.findWorker(Id);
   Met->m_awaitsStoring = Row && Row->m_lastEnd > Row->m_storedEnd;
   lookLater(Id, Met->m_awaitsStoring ? m_options.m_unstoredLookPause
                                      : Milliseconds(0));
--- a/catkinseam/platform/ingress.cc
+++ b/catkinseam/platform/ingress.cc
@@ -19,7 +19,7 @@
 /// the store a moment later.
 const char *const RetryAfterSeconds = "1";
 
-Milliseconds budgetOf(const HttpRequest &Request, const Route &Found) {
+Milliseconds budgetOf(const HttpRequest &Request, const QueueRoute &Found) {
   const std::string *Text = Request.header(DeadlineHeader);
   std::int64_t Asked = 0;
   if (Text)
@@ -38,7 +38,7 @@
 /// A customer's call whose queue has been found.
 struct Ingress::Call {
   HttpResponder m_respond;
-  const Route *m_route = nullptr;
+  const QueueRoute *m_route = nullptr;
   std::string m_queue;
   std::string m_job;
   const char *m_kind = "";
@@ -66,7 +66,8 @@
   if (!Config)
     return refuse(Asked, 503, "no_configuration", "no configuration yet");
   const std::string *Host = Request.header("Host");
-  const Route *Found = Host ? Config->find(*Host, Request.m_path) : nullptr;
+  const QueueRoute *Found =
+      Host ? Config->find(*Host, Request.m_path) : nullptr;
   if (!Found)
     return refuse(Asked, 404, "no_route",
                   "no queue at \"" + Request.m_path + "\"");
--- a/catkinseam/platform/operator_records.cc
+++ b/catkinseam/platform/operator_records.cc
@@ -15,8 +15,8 @@
   return Milliseconds(Count);
 }
 
-Result<Route> readRoute(const JsonValue &Item) {
-  Route Read;
+Result<QueueRoute> readRoute(const JsonValue &Item) {
+  QueueRoute Read;
   BOOST_LEAF_ASSIGN(Read.m_host, textMember(Item, "host"));
   BOOST_LEAF_ASSIGN(Read.m_pathPrefix, textMember(Item, "pathPrefix"));
   QueueTerms &Terms = Read.m_terms;
--- a/catkinseam/scheduler/interference.cc
+++ b/catkinseam/scheduler/interference.cc
@@ -10,15 +10,15 @@
 
 constexpr std::int64_t AtWork = 100;
 
-double capacityOf(const WorkerRow &Worker) {
+double capacityOf(const PlannedWorker &Worker) {
   return static_cast<double>(
       std::max<std::int64_t>(1, Worker.m_report.m_capacity.m_milliProcessors));
 }
 
 } // namespace
 
-const RunRow *runOf(const RunRef &Ref) {
-  for (const RunRow &Each : Ref.m_task->m_runs)
+const PlannedRun *runOf(const RunRef &Ref) {
+  for (const PlannedRun &Each : Ref.m_task->m_runs)
     if (Each.m_number == Ref.m_run)
       return &Each;
   return nullptr;
@@ -26,7 +26,7 @@
 
 double tailOf(const RunRef &Ref) {
   const StepSpec &Spec = *Ref.m_task->m_step->m_spec;
-  const RunRow *Run = runOf(Ref);
+  const PlannedRun *Run = runOf(Ref);
   if (!Run || !Spec.m_isService || Spec.m_targetTail <= Milliseconds::zero() ||
       Run->m_phase != RunPhase::Running || Run->m_percent != AtWork)
     return 0.0;
@@ -123,7 +123,7 @@
   return loadAt(Service, m_options.m_safeTail) - loadAt(Service, Tail);
 }
 
-void Interference::observe(WorkerRow &Worker, TimePoint Now) {
+void Interference::observe(PlannedWorker &Worker, TimePoint Now) {
   const Duration Since = Now - Worker.m_observedAt;
   if (Since < m_options.m_reportInterval)
     return;
@@ -131,8 +131,8 @@
   std::map<std::size_t, double> Shares;
   Shares[0] = 1.0;
   for (const RunRef &Each : Worker.m_runs) {
-    const StepRow &Step = *Each.m_task->m_step;
-    const RunRow *Run = Step.m_spec->m_isFiller ? runOf(Each) : nullptr;
+    const PlannedStep &Step = *Each.m_task->m_step;
+    const PlannedRun *Run = Step.m_spec->m_isFiller ? runOf(Each) : nullptr;
     if (Run)
       m_fillers.insert(Step.m_image);
     if (Run && Run->m_figure > 0)
@@ -148,7 +148,7 @@
     if (Of.m_leastTail == 0.0 || Tail < Of.m_leastTail)
       Of.m_leastTail = Tail;
     const double Load = loadAt(Image, Tail);
-    for (RunRow &Run : Each.m_task->m_runs)
+    for (PlannedRun &Run : Each.m_task->m_runs)
       if (Run.m_number == Each.m_run)
         noteTrend(Run, Load, Since);
     grow(Of);
@@ -165,7 +165,8 @@
   }
 }
 
-void Interference::noteTrend(RunRow &Run, double Load, Duration Since) const {
+void Interference::noteTrend(PlannedRun &Run, double Load,
+                             Duration Since) const {
   const double Seconds = std::chrono::duration<double>(Since).count();
   constexpr double LongestStep = 3.0;
   const double Trend = Run.m_load > 0.0 && Seconds < LongestStep
@@ -177,7 +178,7 @@
 }
 
 double Interference::expectedLoad(const RunRef &Service) const {
-  const RunRow *Run = runOf(Service);
+  const PlannedRun *Run = runOf(Service);
   if (!Run)
     return 0.0;
   const double Ahead =
@@ -218,23 +219,23 @@
   return m_services[Service].m_pressures[Filler + 1];
 }
 
-double Interference::added(const WorkerRow &Worker, ImageNumber Service,
+double Interference::added(const PlannedWorker &Worker, ImageNumber Service,
                            ImageNumber Filler, double MilliProcessors) const {
   return pressure(Service, Filler) * MilliProcessors / capacityOf(Worker);
 }
 
-void Interference::renewTails(WorkerRow &Worker) const {
+void Interference::renewTails(PlannedWorker &Worker) const {
   Worker.m_areTailsStale = false;
   Worker.m_tails.clear();
   for (const RunRef &Each : Worker.m_runs) {
-    const StepRow &Step = *Each.m_task->m_step;
+    const PlannedStep &Step = *Each.m_task->m_step;
     if (!Step.m_spec->m_isService ||
         Step.m_spec->m_targetTail <= Milliseconds::zero())
       continue;
     const double Load = expectedLoad(Each);
     const auto Found =
         std::find_if(Worker.m_tails.begin(), Worker.m_tails.end(),
-                     [&](const WorkerRow::ServiceTail &Tail) {
+                     [&](const PlannedWorker::ServiceTail &Tail) {
                        return Tail.m_image == Step.m_image;
                      });
     if (Found == Worker.m_tails.end())
@@ -242,11 +243,11 @@
     else
       Found->m_load = std::max(Found->m_load, Load);
   }
-  for (WorkerRow::ServiceTail &Tail : Worker.m_tails) {
+  for (PlannedWorker::ServiceTail &Tail : Worker.m_tails) {
     double Modelled = m_options.m_usualLoad;
     for (const RunRef &Each : Worker.m_runs) {
-      const StepRow &Step = *Each.m_task->m_step;
-      const RunRow *Run = Step.m_spec->m_isFiller ? runOf(Each) : nullptr;
+      const PlannedStep &Step = *Each.m_task->m_step;
+      const PlannedRun *Run = Step.m_spec->m_isFiller ? runOf(Each) : nullptr;
       if (Run)
         Modelled += added(
             Worker, Tail.m_image, Step.m_image,
@@ -265,18 +266,18 @@
       static_cast<double>(Borne) / static_cast<double>(m_fillers.size());
 }
 
-double Interference::bearablePart(WorkerRow &Worker) const {
+double Interference::bearablePart(PlannedWorker &Worker) const {
   if (Worker.m_areTailsStale)
     renewTails(Worker);
   return Worker.m_bearable;
 }
 
-double Interference::roomWith(WorkerRow &Worker, ImageNumber Filler,
+double Interference::roomWith(PlannedWorker &Worker, ImageNumber Filler,
                               double MilliProcessors) const {
   if (Worker.m_areTailsStale)
     renewTails(Worker);
   double Least = 1.0;
-  for (const WorkerRow::ServiceTail &Each : Worker.m_tails) {
+  for (const PlannedWorker::ServiceTail &Each : Worker.m_tails) {
     const double More = added(Worker, Each.m_image, Filler, MilliProcessors);
     if (More < m_options.m_leastAdded)
       continue;
--- a/catkinseam/scheduler/interference.h
+++ b/catkinseam/scheduler/interference.h
@@ -87,14 +87,14 @@
   ImageNumber numberOf(const std::string &Image);
 
   /// Takes in a worker's report.
-  void observe(WorkerRow &Worker, TimePoint Now);
+  void observe(PlannedWorker &Worker, TimePoint Now);
 
   /// Load that a filler using a full worker would add to a service.
   double pressure(ImageNumber Service, ImageNumber Filler) const;
 
   /// Load that a filler using `MilliProcessors` of this worker adds.
-  double added(const WorkerRow &Worker, ImageNumber Service, ImageNumber Filler,
-               double MilliProcessors) const;
+  double added(const PlannedWorker &Worker, ImageNumber Service,
+               ImageNumber Filler, double MilliProcessors) const;
 
   /// How far a service at this tail over target stands below the load that is
   /// safe; negative above it.
@@ -102,11 +102,11 @@
 
   /// The least room left to a service that a further filler would press on; 1
   /// when there is none. Renews the worker's m_tails.
-  double roomWith(WorkerRow &Worker, ImageNumber Filler,
+  double roomWith(PlannedWorker &Worker, ImageNumber Filler,
                   double MilliProcessors) const;
 
   /// The part of all images met as fillers that the worker would bear.
-  double bearablePart(WorkerRow &Worker) const;
+  double bearablePart(PlannedWorker &Worker) const;
 
 private:
   /// Sums of the least-squares fit of one service image. Column zero is its
@@ -126,8 +126,8 @@
   void fade(Fit &Of, TimePoint Now) const;
   void grow(Fit &Of) const;
   void solve(Fit &Of) const;
-  void renewTails(WorkerRow &Worker) const;
-  void noteTrend(RunRow &Run, double Load, Duration Since) const;
+  void renewTails(PlannedWorker &Worker) const;
+  void noteTrend(PlannedRun &Run, double Load, Duration Since) const;
   double expectedLoad(const RunRef &Service) const;
 
   const Options m_options;
@@ -138,7 +138,7 @@
 };
 
 /// The run that a reference names, or null.
-const RunRow *runOf(const RunRef &Ref);
+const PlannedRun *runOf(const RunRef &Ref);
 
 /// Tail over target of a service's run; zero when not known.
 double tailOf(const RunRef &Ref);
--- a/catkinseam/scheduler/interference_test.cc
+++ b/catkinseam/scheduler/interference_test.cc
@@ -16,13 +16,13 @@
   ManualClock m_clock;
   Interference m_learned{{}};
   Pacing m_pacing{{}};
-  WorkerRow m_worker;
+  PlannedWorker m_worker;
   StepSpec m_serviceSpec;
   StepSpec m_fillerSpec;
-  StepRow m_serviceStep;
-  StepRow m_fillerStep;
-  TaskRow m_service;
-  TaskRow m_filler;
+  PlannedStep m_serviceStep;
+  PlannedStep m_fillerStep;
+  PlannedTask m_service;
+  PlannedTask m_filler;
 
   Fixture() {
     m_worker.m_report.m_capacity = {10000, 64000, 0};
@@ -41,9 +41,9 @@
     m_worker.m_fillers = 1;
   }
 
-  void put(TaskRow &Task, StepRow &Step) {
+  void put(PlannedTask &Task, PlannedStep &Step) {
     Task.m_step = &Step;
-    RunRow Run;
+    PlannedRun Run;
     Run.m_number = 1;
     Run.m_phase = RunPhase::Running;
     Run.m_worker = &m_worker;
@@ -55,7 +55,7 @@
   /// The worker's next report: a filler at its pace, a service with a load of
   /// its own and what the filler adds.
   void report(double OwnLoad, double Pressure) {
-    RunRow &Filler = m_filler.m_runs.front();
+    PlannedRun &Filler = m_filler.m_runs.front();
     Filler.m_figure = 20 * Filler.m_pace;
     const double Share = static_cast<double>(Filler.m_figure) / 10000.0;
     const double Load = std::min(0.98, OwnLoad + Pressure * Share);
--- a/catkinseam/scheduler/pacing.cc
+++ b/catkinseam/scheduler/pacing.cc
@@ -12,10 +12,10 @@
 /// A filler that adds less load than this is no cause.
 constexpr double LeastPart = 0.01;
 
-RunRow *fillerRun(const RunRef &Ref) {
+PlannedRun *fillerRun(const RunRef &Ref) {
   if (!Ref.m_task->m_step->m_spec->m_isFiller)
     return nullptr;
-  for (RunRow &Each : Ref.m_task->m_runs)
+  for (PlannedRun &Each : Ref.m_task->m_runs)
     if (Each.m_number == Ref.m_run && Each.m_phase == RunPhase::Running)
       return &Each;
   return nullptr;
@@ -23,7 +23,7 @@
 
 /// Notes which services are over their targets; returns whether one has been
 /// for `Limit`.
-bool noteOver(WorkerRow &Worker, TimePoint Now, Milliseconds Limit) {
+bool noteOver(PlannedWorker &Worker, TimePoint Now, Milliseconds Limit) {
   bool IsHarmed = false;
   Worker.m_isOver = false;
   for (const RunRef &Each : Worker.m_runs) {
@@ -31,7 +31,7 @@
       continue;
     const bool IsOver = tailOf(Each) > 1.0;
     Worker.m_isOver = Worker.m_isOver || IsOver;
-    for (RunRow &Run : Each.m_task->m_runs) {
+    for (PlannedRun &Run : Each.m_task->m_runs) {
       if (Run.m_number != Each.m_run)
         continue;
       if (IsOver && !Run.m_isOver)
@@ -45,7 +45,7 @@
 
 } // namespace
 
-void Pacing::adjust(WorkerRow &Worker, const Interference &Learned,
+void Pacing::adjust(PlannedWorker &Worker, const Interference &Learned,
                     TimePoint Now) const {
   if (Worker.m_services == 0)
     return;
@@ -65,10 +65,10 @@
   }
 }
 
-bool Pacing::halt(WorkerRow &Worker, TimePoint Now) const {
+bool Pacing::halt(PlannedWorker &Worker, TimePoint Now) const {
   bool IsChanged = false;
   for (const RunRef &Each : Worker.m_runs) {
-    RunRow *Run = fillerRun(Each);
+    PlannedRun *Run = fillerRun(Each);
     if (!Run || Run->m_pace == 0)
       continue;
     if (Run->m_pace == FullPace)
@@ -79,20 +79,20 @@
   return IsChanged;
 }
 
-bool Pacing::slow(WorkerRow &Worker, const Interference &Learned,
+bool Pacing::slow(PlannedWorker &Worker, const Interference &Learned,
                   TimePoint Now) const {
   // The share of its pace that each cause is to keep.
-  std::map<RunRow *, double> Kept;
+  std::map<PlannedRun *, double> Kept;
   for (const RunRef &Service : Worker.m_runs) {
     const double Tail = tailOf(Service);
     const ImageNumber Image = Service.m_task->m_step->m_image;
     const double Room = Learned.roomAt(Image, Tail);
     if (Tail <= 0.0 || Room >= 0.0)
       continue;
-    std::map<RunRow *, double> Parts;
+    std::map<PlannedRun *, double> Parts;
     double Pressed = 0.0;
     for (const RunRef &Each : Worker.m_runs) {
-      RunRow *Run = fillerRun(Each);
+      PlannedRun *Run = fillerRun(Each);
       if (!Run)
         continue;
       const double Part =
@@ -122,12 +122,12 @@
   return IsChanged;
 }
 
-bool Pacing::raise(WorkerRow &Worker, const Interference &Learned) const {
+bool Pacing::raise(PlannedWorker &Worker, const Interference &Learned) const {
   for (const RunRef &Each : Worker.m_runs) {
-    RunRow *Run = fillerRun(Each);
+    PlannedRun *Run = fillerRun(Each);
     if (!Run || Run->m_pace > FullPace - 1)
       continue;
-    const StepRow &Step = *Each.m_task->m_step;
+    const PlannedStep &Step = *Each.m_task->m_step;
     const auto Request =
         static_cast<double>(Step.m_spec->m_request.m_milliProcessors);
     // The largest of a few raises that leaves room.
--- a/catkinseam/scheduler/pacing.h
+++ b/catkinseam/scheduler/pacing.h
@@ -33,14 +33,14 @@
   explicit Pacing(const Options &Values) : m_options(Values) {}
 
   /// Reads the worker's figures and sets the pace wanted of its fillers.
-  void adjust(WorkerRow &Worker, const Interference &Learned,
+  void adjust(PlannedWorker &Worker, const Interference &Learned,
               TimePoint Now) const;
 
 private:
-  bool halt(WorkerRow &Worker, TimePoint Now) const;
-  bool slow(WorkerRow &Worker, const Interference &Learned,
+  bool halt(PlannedWorker &Worker, TimePoint Now) const;
+  bool slow(PlannedWorker &Worker, const Interference &Learned,
             TimePoint Now) const;
-  bool raise(WorkerRow &Worker, const Interference &Learned) const;
+  bool raise(PlannedWorker &Worker, const Interference &Learned) const;
 
   const Options m_options;
 };
--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -30,7 +30,8 @@
 /// this image does not bear.
 constexpr double OtherImageCost = 0.6;
 
-std::uint32_t runsOfStepOn(const StepRow &Step, const WorkerRow &Worker) {
+std::uint32_t runsOfStepOn(const PlannedStep &Step,
+                           const PlannedWorker &Worker) {
   std::uint32_t Count = 0;
   for (const RunRef &Each : Worker.m_runs)
     if (Each.m_task->m_step == &Step)
@@ -38,7 +39,7 @@
   return Count;
 }
 
-double shareUsed(const WorkerRow &Worker) {
+double shareUsed(const PlannedWorker &Worker) {
   const Resources &Capacity = Worker.m_report.m_capacity;
   const double Processors =
       static_cast<double>(Worker.m_reserved.m_milliProcessors) /
@@ -51,7 +52,8 @@
 }
 
 /// Lower is better. What is common to all kinds of tasks.
-double riskOf(const TaskRow &Task, const WorkerRow &Worker, TimePoint Now) {
+double riskOf(const PlannedTask &Task, const PlannedWorker &Worker,
+              TimePoint Now) {
   constexpr Milliseconds ProvenFor{10000};
   double Cost = 0.0;
   if (std::find(Task.m_avoid.begin(), Task.m_avoid.end(),
@@ -68,7 +70,7 @@
 }
 
 /// Share of a worker's services that run another image.
-double otherImages(const TaskRow &Task, const WorkerRow &Worker) {
+double otherImages(const PlannedTask &Task, const PlannedWorker &Worker) {
   double Same = 0.0;
   double Other = 0.0;
   for (const RunRef &Each : Worker.m_runs) {
@@ -82,7 +84,8 @@
   return Other > 0.0 ? Other / (Same + Other) : 0.0;
 }
 
-double fillerCost(const TaskRow &Task, const WorkerRow &Worker, double Room) {
+double fillerCost(const PlannedTask &Task, const PlannedWorker &Worker,
+                  double Room) {
   const double Request = static_cast<double>(std::max<std::int64_t>(
       1, Task.m_step->m_spec->m_request.m_milliProcessors));
   const double Spare = static_cast<double>(spareProcessors(Worker));
@@ -90,12 +93,13 @@
          Spare / (4.0 * Request);
 }
 
-double serviceCost(const TaskRow &Task, const WorkerRow &Worker) {
+double serviceCost(const PlannedTask &Task, const PlannedWorker &Worker) {
   return shareUsed(Worker) + SameStepCost * runsOfStepOn(*Task.m_step, Worker) +
          0.05 * Worker.m_fillers;
 }
 
-double placeCost(const TaskRow &Task, const WorkerRow &Worker, double Room) {
+double placeCost(const PlannedTask &Task, const PlannedWorker &Worker,
+                 double Room) {
   const StepSpec &Spec = *Task.m_step->m_spec;
   if (Spec.m_isFiller)
     return fillerCost(Task, Worker, Room);
@@ -105,7 +109,7 @@
   return serviceCost(Task, Worker);
 }
 
-bool hasFillerRoom(const TaskRow &Task, const WorkerRow &Worker) {
+bool hasFillerRoom(const PlannedTask &Task, const PlannedWorker &Worker) {
   // Whatever was learned, a new filler would start there at full pace.
   if (Worker.m_isOver)
     return false;
@@ -117,13 +121,13 @@
 
 } // namespace
 
-bool isOpen(const WorkerRow &Worker, TimePoint Now) {
+bool isOpen(const PlannedWorker &Worker, TimePoint Now) {
   return Worker.m_isListed && Worker.m_isHeld && Worker.m_isReachable &&
          !Worker.m_report.m_isDraining && Worker.m_hasClock &&
          Worker.m_fullUntil <= Now && Worker.m_shunnedUntil <= Now;
 }
 
-bool isAllowed(const TaskRow &Task, const WorkerRow &Worker) {
+bool isAllowed(const PlannedTask &Task, const PlannedWorker &Worker) {
   const StepSpec &Spec = *Task.m_step->m_spec;
   if (!Spec.m_requiredLabel.empty() && !Worker.hasLabel(Spec.m_requiredLabel))
     return false;
@@ -136,13 +140,13 @@
       runsOfStepOn(*Task.m_step, Worker) >= Spec.m_maxPerWorker)
     return false;
   // Copies of one task are of use on different workers only.
-  for (const RunRow &Each : Task.m_runs)
+  for (const PlannedRun &Each : Task.m_runs)
     if (Each.m_worker == &Worker)
       return false;
   return true;
 }
 
-std::int64_t spareProcessors(const WorkerRow &Worker) {
+std::int64_t spareProcessors(const PlannedWorker &Worker) {
   const std::int64_t Services = Worker.m_serviceProcessors;
   const std::int64_t Others = Worker.m_reserved.m_milliProcessors - Services;
   return Worker.m_report.m_capacity.m_milliProcessors - Others -
@@ -151,7 +155,7 @@
          Worker.m_fillerProcessors;
 }
 
-bool isStarved(const StepSpec &Spec, const RunRow &Run, TimePoint Now) {
+bool isStarved(const StepSpec &Spec, const PlannedRun &Run, TimePoint Now) {
   return Spec.m_isFiller && Run.m_phase == RunPhase::Running &&
          Run.m_paceSent == 100 && Now - Run.m_confirmedAt >= StarvedAfter &&
          Now - Run.m_percentChangedAt >= StarvedAfter &&
@@ -160,14 +164,14 @@
                  static_cast<double>(Spec.m_request.m_milliProcessors);
 }
 
-void learnServiceLoad(WorkerRow &Worker, TimePoint Now) {
+void learnServiceLoad(PlannedWorker &Worker, TimePoint Now) {
   if (Worker.m_serviceProcessors == 0)
     return;
   std::int64_t Used = 0;
   bool HasStarved = false;
   for (const RunRef &Each : Worker.m_runs) {
     const StepSpec &Spec = *Each.m_task->m_step->m_spec;
-    const RunRow *Run = runOf(Each);
+    const PlannedRun *Run = runOf(Each);
     if (!Run || Spec.m_isService)
       continue;
     Used += Run->m_figure;
@@ -184,13 +188,13 @@
     Known = std::min(Known + FadePart * (UsualServiceLoad - Known), Load);
 }
 
-WorkerRow *chooseWorker(const TaskRow &Task,
-                        const std::vector<WorkerRow *> &Candidates,
-                        const Interference &Learned, TimePoint Now) {
+PlannedWorker *chooseWorker(const PlannedTask &Task,
+                            const std::vector<PlannedWorker *> &Candidates,
+                            const Interference &Learned, TimePoint Now) {
   const StepSpec &Spec = *Task.m_step->m_spec;
-  WorkerRow *Best = nullptr;
+  PlannedWorker *Best = nullptr;
   double BestCost = 0.0;
-  for (WorkerRow *Each : Candidates) {
+  for (PlannedWorker *Each : Candidates) {
     if (!isOpen(*Each, Now) || !isAllowed(Task, *Each))
       continue;
     double Room = 0.0;
--- a/catkinseam/scheduler/placement.h
+++ b/catkinseam/scheduler/placement.h
@@ -1,6 +1,7 @@
 // Chooses the worker of a task.
 //
-//   WorkerRow *Chosen = chooseWorker(Task, Candidates, Learned, Clock.now());
+//   PlannedWorker *Chosen = chooseWorker(Task, Candidates, Learned,
+//   Clock.now());
 #ifndef CATKINSEAM_SCHEDULER_PLACEMENT_H
 #define CATKINSEAM_SCHEDULER_PLACEMENT_H
 
@@ -13,26 +14,26 @@
 namespace catkinseam {
 
 /// Whether a worker may be sent starts at all.
-bool isOpen(const WorkerRow &Worker, TimePoint Now);
+bool isOpen(const PlannedWorker &Worker, TimePoint Now);
 
 /// Whether this task may run there, by rules and by room.
-bool isAllowed(const TaskRow &Task, const WorkerRow &Worker);
+bool isAllowed(const PlannedTask &Task, const PlannedWorker &Worker);
 
 /// The processors that a worker's fillers can still be given, in thousandths,
 /// by what its other tasks are thought to use.
-std::int64_t spareProcessors(const WorkerRow &Worker);
+std::int64_t spareProcessors(const PlannedWorker &Worker);
 
 /// Corrects what the worker's services are thought to use by what its fillers
 /// got: with less than they asked for, the rest was in use.
-void learnServiceLoad(WorkerRow &Worker, TimePoint Now);
+void learnServiceLoad(PlannedWorker &Worker, TimePoint Now);
 
 /// Whether a filler at full pace gets next to nothing where it is.
-bool isStarved(const StepSpec &Spec, const RunRow &Run, TimePoint Now);
+bool isStarved(const StepSpec &Spec, const PlannedRun &Run, TimePoint Now);
 
 /// The best worker that is open and allowed, or null.
-WorkerRow *chooseWorker(const TaskRow &Task,
-                        const std::vector<WorkerRow *> &Candidates,
-                        const Interference &Learned, TimePoint Now);
+PlannedWorker *chooseWorker(const PlannedTask &Task,
+                            const std::vector<PlannedWorker *> &Candidates,
+                            const Interference &Learned, TimePoint Now);
 
 } // namespace catkinseam
 
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -64,8 +64,8 @@
 
 Scheduler::~Scheduler() = default;
 
-Scheduler::StepOrder Scheduler::orderOf(const StepRow &Step) {
-  const JobRow &Job = *Step.m_occurrence->m_job;
+Scheduler::StepOrder Scheduler::orderOf(const PlannedStep &Step) {
+  const PlannedJob &Job = *Step.m_occurrence->m_job;
   const std::int64_t Delay =
       Step.m_occurrence->m_dueMs - Job.m_submission.m_acceptedMs;
   return {Job.terms().m_priority, Job.m_objectiveMs + Delay,
@@ -91,7 +91,7 @@
   return Next;
 }
 
-const std::vector<WorkerRow *> &
+const std::vector<PlannedWorker *> &
 Scheduler::workersOf(const std::string &Service) {
   return m_byService[Service];
 }
@@ -108,8 +108,8 @@
   // Jobs that have missed their objective come after those that still can meet
   // theirs: under overload one late job would make all that follow late.
   const std::int64_t NowMs = m_clock.wallNow().time_since_epoch().count();
-  std::vector<StepRow *> Order;
-  std::vector<StepRow *> Late;
+  std::vector<PlannedStep *> Order;
+  std::vector<PlannedStep *> Late;
   Order.reserve(m_toPlace.size());
   for (const auto &[Key, Step] : m_toPlace) {
     const bool IsLate = !Step->m_spec->m_isService && Key.m_objectiveMs < NowMs;
@@ -117,15 +117,15 @@
   }
   Order.insert(Order.end(), Late.begin(), Late.end());
   const TimePoint Now = m_clock.now();
-  for (StepRow *Step : Order) {
+  for (PlannedStep *Step : Order) {
     if (Step->m_retryAt > Now)
       continue;
     if (Step->m_spec->m_isGang) {
       placeGang(*Step, Next);
       continue;
     }
-    const std::vector<TaskRow *> Waiting = Step->m_waiting;
-    for (TaskRow *Task : Waiting) {
+    const std::vector<PlannedTask *> Waiting = Step->m_waiting;
+    for (PlannedTask *Task : Waiting) {
       if (Task->m_notBefore > Now)
         continue;
       if (placeTask(*Task, Next))
@@ -136,10 +136,10 @@
   }
 }
 
-bool Scheduler::placeTask(TaskRow &Task, Decisions &Next) {
+bool Scheduler::placeTask(PlannedTask &Task, Decisions &Next) {
   const std::string &Service =
       Task.m_step->m_occurrence->m_job->terms().m_service;
-  WorkerRow *Chosen =
+  PlannedWorker *Chosen =
       chooseWorker(Task, workersOf(Service), m_interference, m_clock.now());
   if (!Chosen)
     return false;
@@ -147,24 +147,24 @@
   ++Task.m_lastRun;
   addRun(Task, Task.m_lastRun, *Chosen, RunPhase::Recording);
   Next.m_starts.push_back({keyOf(Task), Task.m_lastRun});
-  JobRow &Job = *Task.m_step->m_occurrence->m_job;
+  PlannedJob &Job = *Task.m_step->m_occurrence->m_job;
   if (Job.m_state == JobState::Queued)
     Job.m_state = JobState::InProgress;
   markDirty(Job);
   return true;
 }
 
-bool Scheduler::needsCopy(const TaskRow &Task) const {
+bool Scheduler::needsCopy(const PlannedTask &Task) const {
   // A copy may fail too, and must not be an attempt too many.
   const std::uint32_t Attempts =
       Task.m_step->m_occurrence->m_job->terms().m_maxAttempts;
   if (Task.m_isDone || Task.m_runs.size() != 1 ||
       Task.m_failures + 2 > Attempts)
     return false;
-  const RunRow &Run = Task.m_runs.front();
+  const PlannedRun &Run = Task.m_runs.front();
   if (!Run.m_worker->m_isReachable)
     return true;
-  const StepRow &Step = *Task.m_step;
+  const PlannedStep &Step = *Task.m_step;
   if (Run.m_phase != RunPhase::Running ||
       Step.m_doneTimes.size() < CopyEvidence)
     return false;
@@ -174,10 +174,10 @@
 }
 
 void Scheduler::placeCopies(Decisions &Next) {
-  for (StepRow *Step : m_speculative) {
+  for (PlannedStep *Step : m_speculative) {
     if (Step->m_retryAt > m_clock.now())
       continue;
-    for (TaskRow &Task : Step->m_tasks) {
+    for (PlannedTask &Task : Step->m_tasks) {
       if (!needsCopy(Task))
         continue;
       if (!placeTask(Task, Next)) {
@@ -190,21 +190,21 @@
   }
 }
 
-bool Scheduler::placeGang(StepRow &Step, Decisions &Next) {
+bool Scheduler::placeGang(PlannedStep &Step, Decisions &Next) {
   // All members or none, under one run number.
   if (Step.m_waiting.size() != Step.m_tasks.size())
     return false;
   const std::size_t Begin = Next.m_starts.size();
   RunNumber Last = 0;
-  for (TaskRow &Each : Step.m_tasks) {
+  for (PlannedTask &Each : Step.m_tasks) {
     if (!Each.m_runs.empty() || Each.m_notBefore > m_clock.now())
       return false;
     Last = std::max(Last, Each.m_lastRun);
   }
-  for (TaskRow &Each : Step.m_tasks)
+  for (PlannedTask &Each : Step.m_tasks)
     Each.m_lastRun = Last;
   std::size_t Placed = 0;
-  for (TaskRow &Each : Step.m_tasks) {
+  for (PlannedTask &Each : Step.m_tasks) {
     if (!placeTask(Each, Next))
       break;
     ++Placed;
@@ -213,7 +213,7 @@
     return true;
   Next.m_starts.resize(Begin);
   for (std::size_t At = 0; At < Placed; ++At) {
-    TaskRow &Task = Step.m_tasks[At];
+    PlannedTask &Task = Step.m_tasks[At];
     removeRun(Task, Task.m_lastRun);
     waitAgain(Task, Duration::zero());
   }
@@ -227,16 +227,16 @@
     if (Found == m_workers.end() ||
         Found->second->m_report.m_bornMs != Each.m_bornMs)
       continue;
-    WorkerRow &Worker = *Found->second;
+    PlannedWorker &Worker = *Found->second;
     Worker.m_storedEnd = std::max(Worker.m_storedEnd, Each.m_number);
   }
   std::vector<StartOrder> Starts;
   for (const Decisions::PlannedStart &Each : Stored.m_starts) {
-    TaskRow *Task = findTask(Each.m_task);
-    RunRow *Run = Task ? findRun(*Task, Each.m_run) : nullptr;
+    PlannedTask *Task = findTask(Each.m_task);
+    PlannedRun *Run = Task ? findRun(*Task, Each.m_run) : nullptr;
     if (!Run || Run->m_phase != RunPhase::Recording)
       continue;
-    WorkerRow &Worker = *Run->m_worker;
+    PlannedWorker &Worker = *Run->m_worker;
     if (AreStale || !isOpen(Worker, m_clock.now())) {
       voidRun(*Task, Each.m_run, Duration::zero());
       continue;
@@ -257,7 +257,7 @@
   return Starts;
 }
 
-void Scheduler::requestStop(TaskRow &Task, RunRow &Run) {
+void Scheduler::requestStop(PlannedTask &Task, PlannedRun &Run) {
   if (Run.m_phase == RunPhase::Stopping)
     return;
   if (Run.m_phase == RunPhase::Recording)
@@ -268,12 +268,12 @@
   Run.m_isStopAnswered = false;
 }
 
-void Scheduler::stopAllRuns(TaskRow &Task) {
+void Scheduler::stopAllRuns(PlannedTask &Task) {
   std::vector<RunNumber> Numbers;
-  for (const RunRow &Each : Task.m_runs)
+  for (const PlannedRun &Each : Task.m_runs)
     Numbers.push_back(Each.m_number);
   for (const RunNumber Each : Numbers)
-    if (RunRow *Run = findRun(Task, Each))
+    if (PlannedRun *Run = findRun(Task, Each))
       requestStop(Task, *Run);
 }
 
@@ -289,7 +289,7 @@
     if (!Worker->m_isHeld)
       continue;
     for (const RunRef &Ref : Worker->m_runs) {
-      RunRow *Run = findRun(*Ref.m_task, Ref.m_run);
+      PlannedRun *Run = findRun(*Ref.m_task, Ref.m_run);
       if (Run && Run->m_phase == RunPhase::Stopping)
         collectStop(*Worker, Ref, *Run, Next);
       else if (Run && Run->m_phase == RunPhase::Running)
@@ -306,7 +306,7 @@
       continue;
     const std::vector<RunRef> Runs = Worker->m_runs;
     for (const RunRef &Ref : Runs) {
-      RunRow *Run = findRun(*Ref.m_task, Ref.m_run);
+      PlannedRun *Run = findRun(*Ref.m_task, Ref.m_run);
       const StepSpec &Spec = *Ref.m_task->m_step->m_spec;
       if (!Run || !Spec.m_isFiller || Run->m_phase != RunPhase::Running ||
           Now - Run->m_moveTriedAt < MoveRetry)
@@ -321,7 +321,7 @@
         continue;
       const std::string &Service =
           Ref.m_task->m_step->m_occurrence->m_job->terms().m_service;
-      const WorkerRow *Better =
+      const PlannedWorker *Better =
           chooseWorker(*Ref.m_task, workersOf(Service), m_interference, Now);
       if (!Better)
         continue;
@@ -335,8 +335,8 @@
   }
 }
 
-void Scheduler::collectStop(const WorkerRow &Worker, const RunRef &Ref,
-                            RunRow &Run, Controls &Next) const {
+void Scheduler::collectStop(const PlannedWorker &Worker, const RunRef &Ref,
+                            PlannedRun &Run, Controls &Next) const {
   const Duration Pause = Run.m_isStopAnswered ? StopRepeat : StopRetry;
   if (m_clock.now() - Run.m_stopSentAt < Pause)
     return;
@@ -344,8 +344,8 @@
   Next.m_stops.push_back({Worker.m_report.m_id, keyOf(*Ref.m_task), Ref.m_run});
 }
 
-void Scheduler::collectPace(const WorkerRow &Worker, const RunRef &Ref,
-                            RunRow &Run, Controls &Next) const {
+void Scheduler::collectPace(const PlannedWorker &Worker, const RunRef &Ref,
+                            PlannedRun &Run, Controls &Next) const {
   if (!Ref.m_task->m_step->m_spec->m_isFiller || Run.m_isPaceUnderWay ||
       Run.m_paceSent == Run.m_pace)
     return;
@@ -355,7 +355,7 @@
 }
 
 void Scheduler::onStart(const StartOrder &Order, const OrderReply &Reply) {
-  WorkerRow &Worker = workerRow(Order.m_worker);
+  PlannedWorker &Worker = workerRow(Order.m_worker);
   if (Reply.m_clock)
     noteClock(Worker, *Reply.m_clock);
   if (Reply.m_outcome != OrderOutcome::Done)
@@ -364,8 +364,8 @@
              {"run", std::to_string(Order.m_run)},
              {"worker", Order.m_worker},
              {"outcome", orderOutcomeName(Reply.m_outcome)}});
-  TaskRow *Task = findTask(Order.m_task);
-  RunRow *Run = Task ? findRun(*Task, Order.m_run) : nullptr;
+  PlannedTask *Task = findTask(Order.m_task);
+  PlannedRun *Run = Task ? findRun(*Task, Order.m_run) : nullptr;
   if (!Run)
     return;
   constexpr Milliseconds FullPause{150};
@@ -403,11 +403,11 @@
 }
 
 void Scheduler::onStop(const StopOrder &Order, const OrderReply &Reply) {
-  WorkerRow &Worker = workerRow(Order.m_worker);
+  PlannedWorker &Worker = workerRow(Order.m_worker);
   if (Reply.m_clock)
     noteClock(Worker, *Reply.m_clock);
-  TaskRow *Task = findTask(Order.m_task);
-  RunRow *Run = Task ? findRun(*Task, Order.m_run) : nullptr;
+  PlannedTask *Task = findTask(Order.m_task);
+  PlannedRun *Run = Task ? findRun(*Task, Order.m_run) : nullptr;
   if (!Run || Run->m_phase != RunPhase::Stopping)
     return;
   if (Reply.m_outcome == OrderOutcome::Done) {
@@ -419,8 +419,8 @@
 }
 
 void Scheduler::onPace(const PaceOrder &Order, const OrderReply &Reply) {
-  TaskRow *Task = findTask(Order.m_task);
-  RunRow *Run = Task ? findRun(*Task, Order.m_run) : nullptr;
+  PlannedTask *Task = findTask(Order.m_task);
+  PlannedRun *Run = Task ? findRun(*Task, Order.m_run) : nullptr;
   if (!Run)
     return;
   Run->m_isPaceUnderWay = false;
@@ -438,7 +438,7 @@
   for (const auto &[Id, Worker] : m_workers) {
     Now.m_openWorkers += isOpen(*Worker, m_clock.now());
     for (const RunRef &Each : Worker->m_runs) {
-      const RunRow *Run = runOf(Each);
+      const PlannedRun *Run = runOf(Each);
       const StepSpec &Spec = *Each.m_task->m_step->m_spec;
       ++Now.m_runs;
       Now.m_stopping += Run->m_phase == RunPhase::Stopping;
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -127,7 +127,7 @@
 
   /// Workers to be held.
   std::vector<std::string> workersToHold() const;
-  const WorkerRow *findWorker(const std::string &Id) const;
+  const PlannedWorker *findWorker(const std::string &Id) const;
 
   /// When decide() is due even though nothing became known.
   TimePoint nextWake() const;
@@ -151,75 +151,77 @@
 
 private:
   // Jobs.
-  void openOccurrence(OccurrenceRow &Occurrence);
-  void makeSteps(OccurrenceRow &Occurrence);
-  void beginReadySteps(OccurrenceRow &Occurrence);
-  void beginStep(StepRow &Step);
-  void restore(JobRow &Job, const JobProgress &Recorded);
-  void restoreTask(TaskRow &Task, const TaskRecord &Recorded);
-  void markDirty(JobRow &Job);
-  void finishStepTask(TaskRow &Task);
-  void endJob(JobRow &Job, JobState State);
-  void waitAgain(TaskRow &Task, Duration Delay);
-  void leaveWaiting(TaskRow &Task);
-  JobProgress progressOf(const JobRow &Job) const;
+  void openOccurrence(PlannedOccurrence &Occurrence);
+  void makeSteps(PlannedOccurrence &Occurrence);
+  void beginReadySteps(PlannedOccurrence &Occurrence);
+  void beginStep(PlannedStep &Step);
+  void restore(PlannedJob &Job, const JobProgress &Recorded);
+  void restoreTask(PlannedTask &Task, const TaskRecord &Recorded);
+  void markDirty(PlannedJob &Job);
+  void finishStepTask(PlannedTask &Task);
+  void endJob(PlannedJob &Job, JobState State);
+  void waitAgain(PlannedTask &Task, Duration Delay);
+  void leaveWaiting(PlannedTask &Task);
+  JobProgress progressOf(const PlannedJob &Job) const;
   void openDueOccurrences();
   void forgetOldJobs(Decisions &Next);
 
   // Runs.
-  TaskRow *findTask(const TaskKey &Key);
-  static RunRow *findRun(TaskRow &Task, RunNumber Number);
-  RunRow &addRun(TaskRow &Task, RunNumber Number, WorkerRow &Worker,
-                 RunPhase Phase);
-  void removeRun(TaskRow &Task, RunNumber Number);
-  void takeEnd(TaskRow &Task, RunNumber Number, RunEnd End,
+  PlannedTask *findTask(const TaskKey &Key);
+  static PlannedRun *findRun(PlannedTask &Task, RunNumber Number);
+  PlannedRun &addRun(PlannedTask &Task, RunNumber Number, PlannedWorker &Worker,
+                     RunPhase Phase);
+  void removeRun(PlannedTask &Task, RunNumber Number);
+  void takeEnd(PlannedTask &Task, RunNumber Number, RunEnd End,
                const std::string &Checkpoint);
   /// The run is over and has done nothing that counts.
-  void voidRun(TaskRow &Task, RunNumber Number, Duration Delay);
+  void voidRun(PlannedTask &Task, RunNumber Number, Duration Delay);
   /// It has failed as often as it may.
-  static bool isSpent(const TaskRow &Task);
-  void requestStop(TaskRow &Task, RunRow &Run);
-  void stopAllRuns(TaskRow &Task);
-  static TaskKey keyOf(const TaskRow &Task);
+  static bool isSpent(const PlannedTask &Task);
+  void requestStop(PlannedTask &Task, PlannedRun &Run);
+  void stopAllRuns(PlannedTask &Task);
+  static TaskKey keyOf(const PlannedTask &Task);
 
   // Workers.
-  WorkerRow &workerRow(const std::string &Id);
-  void beginLife(WorkerRow &Worker, std::int64_t BornMs);
-  void voidRunsOf(WorkerRow &Worker, const char *Reason);
-  void noteClock(WorkerRow &Worker, Milliseconds Clock);
-  void noteLease(WorkerRow &Worker, Milliseconds Expires);
-  Milliseconds leaseExpiry(const WorkerRow &Worker) const;
-  void takeLook(WorkerRow &Worker, TimePoint SentAt, const WorkerLook &Look);
-  void takeActive(WorkerRow &Worker, TimePoint SentAt, const WorkerLook &Look);
-  void stopForeign(WorkerRow &Worker, const ActiveRun &Active);
+  PlannedWorker &workerRow(const std::string &Id);
+  void beginLife(PlannedWorker &Worker, std::int64_t BornMs);
+  void voidRunsOf(PlannedWorker &Worker, const char *Reason);
+  void noteClock(PlannedWorker &Worker, Milliseconds Clock);
+  void noteLease(PlannedWorker &Worker, Milliseconds Expires);
+  Milliseconds leaseExpiry(const PlannedWorker &Worker) const;
+  void takeLook(PlannedWorker &Worker, TimePoint SentAt,
+                const WorkerLook &Look);
+  void takeActive(PlannedWorker &Worker, TimePoint SentAt,
+                  const WorkerLook &Look);
+  void stopForeign(PlannedWorker &Worker, const ActiveRun &Active);
   void lapseSilentWorkers();
   void leaveDrainingWorkers();
   /// Stops fillers that are held back where they are and fit elsewhere.
   void moveSlowedFillers();
-  void noteFailure(WorkerRow &Worker, const std::string &Job);
-  void noteDone(WorkerRow &Worker);
+  void noteFailure(PlannedWorker &Worker, const std::string &Job);
+  void noteDone(PlannedWorker &Worker);
 
   // Decisions.
   void listOpenWorkers();
   void placeWaiting(Decisions &Next);
-  bool placeTask(TaskRow &Task, Decisions &Next);
-  const std::vector<WorkerRow *> &workersOf(const std::string &Service);
-  bool placeGang(StepRow &Step, Decisions &Next);
+  bool placeTask(PlannedTask &Task, Decisions &Next);
+  const std::vector<PlannedWorker *> &workersOf(const std::string &Service);
+  bool placeGang(PlannedStep &Step, Decisions &Next);
   /// Starts copies of speculative tasks whose only run is slow or silent.
   void placeCopies(Decisions &Next);
-  bool needsCopy(const TaskRow &Task) const;
-  void collectStop(const WorkerRow &Worker, const RunRef &Ref, RunRow &Run,
-                   Controls &Next) const;
-  void collectPace(const WorkerRow &Worker, const RunRef &Ref, RunRow &Run,
-                   Controls &Next) const;
+  bool needsCopy(const PlannedTask &Task) const;
+  void collectStop(const PlannedWorker &Worker, const RunRef &Ref,
+                   PlannedRun &Run, Controls &Next) const;
+  void collectPace(const PlannedWorker &Worker, const RunRef &Ref,
+                   PlannedRun &Run, Controls &Next) const;
 
   const Clock &m_clock;
   const Options m_options;
   Pacing m_pacing;
   Interference m_interference;
   bool m_isStoreReachable = true;
-  std::unordered_map<std::string, std::unique_ptr<JobRow>> m_jobs;
-  std::unordered_map<std::string, std::unique_ptr<WorkerRow>> m_workers;
+  std::unordered_map<std::string, std::unique_ptr<PlannedJob>> m_jobs;
+  std::unordered_map<std::string, std::unique_ptr<PlannedWorker>> m_workers;
   /// Steps with tasks to place, in the order in which they get room: by
   /// priority, then by the job's objective.
   struct StepOrder {
@@ -230,12 +232,12 @@
     std::uint32_t m_step;
     auto operator<=>(const StepOrder &) const = default;
   };
-  static StepOrder orderOf(const StepRow &Step);
-  std::map<StepOrder, StepRow *> m_toPlace;
+  static StepOrder orderOf(const PlannedStep &Step);
+  std::map<StepOrder, PlannedStep *> m_toPlace;
   /// Speculative steps under way.
-  std::set<StepRow *> m_speculative;
+  std::set<PlannedStep *> m_speculative;
   /// Open workers by service; listed anew by each decide() and control().
-  std::map<std::string, std::vector<WorkerRow *>> m_byService;
+  std::map<std::string, std::vector<PlannedWorker *>> m_byService;
   std::set<std::string> m_dirty;
   std::vector<Decisions::TakenEnd> m_takenEnds;
   /// Runs to stop that belong to no job known here.
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -30,30 +30,30 @@
 
 } // namespace
 
-TaskKey Scheduler::keyOf(const TaskRow &Task) {
-  const OccurrenceRow &Occurrence = *Task.m_step->m_occurrence;
+TaskKey Scheduler::keyOf(const PlannedTask &Task) {
+  const PlannedOccurrence &Occurrence = *Task.m_step->m_occurrence;
   return {Occurrence.m_job->m_submission.m_id, Occurrence.m_number,
           Task.m_step->m_number, Task.m_index};
 }
 
-TaskRow *Scheduler::findTask(const TaskKey &Key) {
+PlannedTask *Scheduler::findTask(const TaskKey &Key) {
   const auto Found = m_jobs.find(Key.m_job);
   if (Found == m_jobs.end())
     return nullptr;
-  for (OccurrenceRow &Each : Found->second->m_occurrences) {
+  for (PlannedOccurrence &Each : Found->second->m_occurrences) {
     if (Each.m_number != Key.m_occurrence)
       continue;
     if (Key.m_step >= Each.m_steps.size())
       return nullptr;
-    StepRow &Step = Each.m_steps[Key.m_step];
+    PlannedStep &Step = Each.m_steps[Key.m_step];
     return Key.m_index < Step.m_tasks.size() ? &Step.m_tasks[Key.m_index]
                                              : nullptr;
   }
   return nullptr;
 }
 
-RunRow *Scheduler::findRun(TaskRow &Task, RunNumber Number) {
-  for (RunRow &Each : Task.m_runs)
+PlannedRun *Scheduler::findRun(PlannedTask &Task, RunNumber Number) {
+  for (PlannedRun &Each : Task.m_runs)
     if (Each.m_number == Number)
       return &Each;
   return nullptr;
@@ -62,8 +62,8 @@
 void Scheduler::addJob(const Submission &Job, const JobProgress *Recorded) {
   if (m_jobs.contains(Job.m_id))
     return;
-  auto Made = std::make_unique<JobRow>();
-  JobRow &Row = *Made;
+  auto Made = std::make_unique<PlannedJob>();
+  PlannedJob &Row = *Made;
   Row.m_submission = Job;
   const auto Chain = static_cast<double>(longestChain(Job.m_spec).count());
   Row.m_objectiveMs = Job.m_acceptedMs +
@@ -80,7 +80,7 @@
   const std::uint32_t First = Recorded ? Recorded->m_firstOpen : 0;
   const std::uint32_t Count = std::max(1U, Job.m_spec.m_occurrences);
   for (std::uint32_t Number = First; Number < Count; ++Number) {
-    OccurrenceRow &Occurrence = Row.m_occurrences.emplace_back();
+    PlannedOccurrence &Occurrence = Row.m_occurrences.emplace_back();
     Occurrence.m_job = &Row;
     Occurrence.m_number = Number;
     Occurrence.m_dueMs =
@@ -99,7 +99,7 @@
   for (const auto &[Id, Job] : m_jobs) {
     if (Job->m_submission.m_spec.m_occurrences == 0 || isFinal(Job->m_state))
       continue;
-    for (OccurrenceRow &Each : Job->m_occurrences) {
+    for (PlannedOccurrence &Each : Job->m_occurrences) {
       if (Each.m_dueMs > NowMs)
         break;
       openOccurrence(Each);
@@ -107,7 +107,7 @@
   }
 }
 
-void Scheduler::openOccurrence(OccurrenceRow &Occurrence) {
+void Scheduler::openOccurrence(PlannedOccurrence &Occurrence) {
   if (Occurrence.m_isOpen)
     return;
   Occurrence.m_isOpen = true;
@@ -116,11 +116,11 @@
   beginReadySteps(Occurrence);
 }
 
-void Scheduler::makeSteps(OccurrenceRow &Occurrence) {
+void Scheduler::makeSteps(PlannedOccurrence &Occurrence) {
   const JobSpec &Spec = Occurrence.m_job->m_submission.m_spec;
   Occurrence.m_steps.resize(Spec.m_steps.size());
   for (std::uint32_t At = 0; At < Spec.m_steps.size(); ++At) {
-    StepRow &Step = Occurrence.m_steps[At];
+    PlannedStep &Step = Occurrence.m_steps[At];
     Step.m_spec = &Spec.m_steps[At];
     Step.m_image = m_interference.numberOf(Spec.m_steps[At].m_image);
     Step.m_occurrence = &Occurrence;
@@ -128,14 +128,14 @@
   }
 }
 
-void Scheduler::beginReadySteps(OccurrenceRow &Occurrence) {
-  for (StepRow &Step : Occurrence.m_steps) {
+void Scheduler::beginReadySteps(PlannedOccurrence &Occurrence) {
+  for (PlannedStep &Step : Occurrence.m_steps) {
     if (Step.m_hasBegun)
       continue;
     const bool IsReady =
         std::all_of(Step.m_spec->m_after.begin(), Step.m_spec->m_after.end(),
                     [&](std::uint32_t Earlier) {
-                      const StepRow &Other = Occurrence.m_steps[Earlier];
+                      const PlannedStep &Other = Occurrence.m_steps[Earlier];
                       return Other.m_done == Other.m_spec->m_count;
                     });
     if (IsReady)
@@ -143,35 +143,35 @@
   }
 }
 
-void Scheduler::beginStep(StepRow &Step) {
+void Scheduler::beginStep(PlannedStep &Step) {
   Step.m_hasBegun = true;
   if (Step.m_spec->m_isSpeculative)
     m_speculative.insert(&Step);
   Step.m_tasks.resize(Step.m_spec->m_count);
   for (std::uint32_t At = 0; At < Step.m_tasks.size(); ++At) {
-    TaskRow &Task = Step.m_tasks[At];
+    PlannedTask &Task = Step.m_tasks[At];
     Task.m_step = &Step;
     Task.m_index = At;
     waitAgain(Task, Duration::zero());
   }
 }
 
-void Scheduler::restore(JobRow &Job, const JobProgress &Recorded) {
+void Scheduler::restore(PlannedJob &Job, const JobProgress &Recorded) {
   for (const OccurrenceRecord &Each : Recorded.m_occurrences) {
     const auto Found =
         std::find_if(Job.m_occurrences.begin(), Job.m_occurrences.end(),
-                     [&](const OccurrenceRow &Row) {
+                     [&](const PlannedOccurrence &Row) {
                        return Row.m_number == Each.m_number;
                      });
     if (Found == Job.m_occurrences.end())
       continue;
-    OccurrenceRow &Occurrence = *Found;
+    PlannedOccurrence &Occurrence = *Found;
     Occurrence.m_isOpen = true;
     makeSteps(Occurrence);
     const std::size_t Steps =
         std::min(Each.m_steps.size(), Occurrence.m_steps.size());
     for (std::size_t At = 0; At < Steps; ++At) {
-      StepRow &Step = Occurrence.m_steps[At];
+      PlannedStep &Step = Occurrence.m_steps[At];
       const std::vector<TaskRecord> &Tasks = Each.m_steps[At].m_tasks;
       if (Tasks.size() != Step.m_spec->m_count)
         continue;
@@ -192,7 +192,7 @@
   }
 }
 
-void Scheduler::restoreTask(TaskRow &Task, const TaskRecord &Recorded) {
+void Scheduler::restoreTask(PlannedTask &Task, const TaskRecord &Recorded) {
   Task.m_isDone = Recorded.m_isDone;
   Task.m_failures = Recorded.m_failures;
   Task.m_lastRun = Recorded.m_lastRun;
@@ -202,7 +202,7 @@
     return;
   }
   for (const RunRecord &Each : Recorded.m_runs) {
-    WorkerRow &Worker = workerRow(Each.m_worker);
+    PlannedWorker &Worker = workerRow(Each.m_worker);
     // Another life has begun there since: nothing of this run is left.
     if (Worker.m_report.m_bornMs > Each.m_workerBornMs)
       continue;
@@ -220,14 +220,14 @@
   endJob(*Found->second, JobState::Cancelled);
 }
 
-void Scheduler::endJob(JobRow &Job, JobState State) {
+void Scheduler::endJob(PlannedJob &Job, JobState State) {
   Job.m_state = State;
   Job.m_endedAt = m_clock.now();
   --m_liveJobs;
-  for (OccurrenceRow &Occurrence : Job.m_occurrences)
-    for (StepRow &Step : Occurrence.m_steps) {
+  for (PlannedOccurrence &Occurrence : Job.m_occurrences)
+    for (PlannedStep &Step : Occurrence.m_steps) {
       m_speculative.erase(&Step);
-      for (TaskRow &Task : Step.m_tasks) {
+      for (PlannedTask &Task : Step.m_tasks) {
         leaveWaiting(Task);
         stopAllRuns(Task);
       }
@@ -238,15 +238,15 @@
                         {"state", std::to_string(static_cast<int>(State))}});
 }
 
-void Scheduler::markDirty(JobRow &Job) {
+void Scheduler::markDirty(PlannedJob &Job) {
   if (Job.m_isDirty)
     return;
   Job.m_isDirty = true;
   m_dirty.insert(Job.m_submission.m_id);
 }
 
-void Scheduler::waitAgain(TaskRow &Task, Duration Delay) {
-  StepRow &Step = *Task.m_step;
+void Scheduler::waitAgain(PlannedTask &Task, Duration Delay) {
+  PlannedStep &Step = *Task.m_step;
   if (Task.m_isWaiting || Task.m_isDone ||
       isFinal(Step.m_occurrence->m_job->m_state))
     return;
@@ -257,19 +257,19 @@
   m_toPlace[orderOf(Step)] = &Step;
 }
 
-void Scheduler::leaveWaiting(TaskRow &Task) {
+void Scheduler::leaveWaiting(PlannedTask &Task) {
   if (!Task.m_isWaiting)
     return;
   Task.m_isWaiting = false;
-  StepRow &Step = *Task.m_step;
+  PlannedStep &Step = *Task.m_step;
   std::erase(Step.m_waiting, &Task);
   if (Step.m_waiting.empty())
     m_toPlace.erase(orderOf(Step));
 }
 
-RunRow &Scheduler::addRun(TaskRow &Task, RunNumber Number, WorkerRow &Worker,
-                          RunPhase Phase) {
-  RunRow Run;
+PlannedRun &Scheduler::addRun(PlannedTask &Task, RunNumber Number,
+                              PlannedWorker &Worker, RunPhase Phase) {
+  PlannedRun Run;
   Run.m_number = Number;
   Run.m_phase = Phase;
   Run.m_worker = &Worker;
@@ -294,9 +294,9 @@
   return Task.m_runs.back();
 }
 
-void Scheduler::removeRun(TaskRow &Task, RunNumber Number) {
-  RunRow *Run = findRun(Task, Number);
-  WorkerRow &Worker = *Run->m_worker;
+void Scheduler::removeRun(PlannedTask &Task, RunNumber Number) {
+  PlannedRun *Run = findRun(Task, Number);
+  PlannedWorker &Worker = *Run->m_worker;
   const StepSpec &Spec = *Task.m_step->m_spec;
   Resources Held = Spec.m_request;
   if (Spec.m_isFiller) {
@@ -311,41 +311,41 @@
   Worker.m_reserved -= Held;
   Worker.m_areTailsStale = true;
   std::erase(Worker.m_runs, RunRef{&Task, Number});
-  std::erase_if(Task.m_runs, [Number](const RunRow &Each) {
+  std::erase_if(Task.m_runs, [Number](const PlannedRun &Each) {
     return Each.m_number == Number;
   });
   --Task.m_step->m_occurrence->m_job->m_liveRuns;
 }
 
-void Scheduler::voidRun(TaskRow &Task, RunNumber Number, Duration Delay) {
+void Scheduler::voidRun(PlannedTask &Task, RunNumber Number, Duration Delay) {
   removeRun(Task, Number);
   markDirty(*Task.m_step->m_occurrence->m_job);
   if (Task.m_avoid.size() > MaxAvoided)
     Task.m_avoid.erase(Task.m_avoid.begin());
   if (Task.m_step->m_spec->m_isGang)
-    for (TaskRow &Each : Task.m_step->m_tasks)
+    for (PlannedTask &Each : Task.m_step->m_tasks)
       stopAllRuns(Each);
   if (!Task.m_runs.empty())
     return;
-  JobRow &Job = *Task.m_step->m_occurrence->m_job;
+  PlannedJob &Job = *Task.m_step->m_occurrence->m_job;
   if (isSpent(Task) && !isFinal(Job.m_state))
     endJob(Job, JobState::Failed);
   else
     waitAgain(Task, Delay);
 }
 
-bool Scheduler::isSpent(const TaskRow &Task) {
+bool Scheduler::isSpent(const PlannedTask &Task) {
   return !Task.m_step->m_spec->m_isService &&
          Task.m_failures >=
              Task.m_step->m_occurrence->m_job->terms().m_maxAttempts;
 }
 
-void Scheduler::takeEnd(TaskRow &Task, RunNumber Number, RunEnd End,
+void Scheduler::takeEnd(PlannedTask &Task, RunNumber Number, RunEnd End,
                         const std::string &Checkpoint) {
-  StepRow &Step = *Task.m_step;
-  JobRow &Job = *Step.m_occurrence->m_job;
-  RunRow *Run = findRun(Task, Number);
-  WorkerRow &Worker = *Run->m_worker;
+  PlannedStep &Step = *Task.m_step;
+  PlannedJob &Job = *Step.m_occurrence->m_job;
+  PlannedRun *Run = findRun(Task, Number);
+  PlannedWorker &Worker = *Run->m_worker;
   const Duration RanFor = m_clock.now() - Run->m_since;
   if (!Checkpoint.empty())
     Task.m_checkpoint = Checkpoint;
@@ -372,10 +372,10 @@
     endJob(Job, JobState::Failed);
 }
 
-void Scheduler::finishStepTask(TaskRow &Task) {
-  StepRow &Step = *Task.m_step;
-  OccurrenceRow &Occurrence = *Step.m_occurrence;
-  JobRow &Job = *Occurrence.m_job;
+void Scheduler::finishStepTask(PlannedTask &Task) {
+  PlannedStep &Step = *Task.m_step;
+  PlannedOccurrence &Occurrence = *Step.m_occurrence;
+  PlannedJob &Job = *Occurrence.m_job;
   // A copy, or another member of a gang, has ended before.
   if (Task.m_isDone)
     return;
@@ -386,7 +386,7 @@
       waitAgain(Task, ServiceRestartDelay);
     return;
   }
-  const auto Finish = [&](TaskRow &Each) {
+  const auto Finish = [&](PlannedTask &Each) {
     leaveWaiting(Each);
     stopAllRuns(Each);
     Each.m_isDone = true;
@@ -404,30 +404,30 @@
     return beginReadySteps(Occurrence);
   const bool IsLast = std::all_of(
       Job.m_occurrences.begin(), Job.m_occurrences.end(),
-      [](const OccurrenceRow &Each) {
+      [](const PlannedOccurrence &Each) {
         return Each.m_isOpen && Each.m_stepsDone == Each.m_steps.size();
       });
   if (IsLast)
     endJob(Job, JobState::Completed);
 }
 
-JobProgress Scheduler::progressOf(const JobRow &Job) const {
+JobProgress Scheduler::progressOf(const PlannedJob &Job) const {
   JobProgress Progress;
   Progress.m_state = Job.m_state;
   if (isFinal(Job.m_state))
     return Progress;
   Progress.m_firstOpen =
       Job.m_occurrences.empty() ? 0 : Job.m_occurrences.front().m_number;
-  for (const OccurrenceRow &Occurrence : Job.m_occurrences) {
+  for (const PlannedOccurrence &Occurrence : Job.m_occurrences) {
     if (!Occurrence.m_isOpen)
       continue;
     OccurrenceRecord &Record = Progress.m_occurrences.emplace_back();
     Record.m_number = Occurrence.m_number;
-    for (const StepRow &Step : Occurrence.m_steps) {
+    for (const PlannedStep &Step : Occurrence.m_steps) {
       StepRecord &StepTo = Record.m_steps.emplace_back();
       if (!Step.m_hasBegun)
         continue;
-      for (const TaskRow &Task : Step.m_tasks) {
+      for (const PlannedTask &Task : Step.m_tasks) {
         TaskRecord &To = StepTo.m_tasks.emplace_back();
         To.m_isDone = Task.m_isDone;
         To.m_failures = Task.m_failures;
@@ -435,7 +435,7 @@
         if (Task.m_isDone)
           continue;
         To.m_checkpoint = Task.m_checkpoint;
-        for (const RunRow &Run : Task.m_runs)
+        for (const PlannedRun &Run : Task.m_runs)
           To.m_runs.push_back({Run.m_number, Run.m_worker->m_report.m_id,
                                Run.m_worker->m_report.m_bornMs});
       }
@@ -447,7 +447,7 @@
 void Scheduler::forgetOldJobs(Decisions &Next) {
   const TimePoint Now = m_clock.now();
   for (auto Each = m_jobs.begin(); Each != m_jobs.end();) {
-    const JobRow &Job = *Each->second;
+    const PlannedJob &Job = *Each->second;
     if (isFinal(Job.m_state) && Job.m_liveRuns == 0 && !Job.m_isDirty &&
         Now - Job.m_endedAt > m_options.m_memory) {
       Next.m_forgotten.push_back(Each->first);
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -23,23 +23,23 @@
 
 } // namespace
 
-WorkerRow &Scheduler::workerRow(const std::string &Id) {
-  std::unique_ptr<WorkerRow> &Row = m_workers[Id];
+PlannedWorker &Scheduler::workerRow(const std::string &Id) {
+  std::unique_ptr<PlannedWorker> &Row = m_workers[Id];
   if (!Row) {
-    Row = std::make_unique<WorkerRow>();
+    Row = std::make_unique<PlannedWorker>();
     Row->m_report.m_id = Id;
     Row->m_leaseEnd = m_clock.now() + m_options.m_foreignLease;
   }
   return *Row;
 }
 
-const WorkerRow *Scheduler::findWorker(const std::string &Id) const {
+const PlannedWorker *Scheduler::findWorker(const std::string &Id) const {
   const auto Found = m_workers.find(Id);
   return Found == m_workers.end() ? nullptr : Found->second.get();
 }
 
 void Scheduler::updateWorker(const WorkerReport &Report) {
-  WorkerRow &Worker = workerRow(Report.m_id);
+  PlannedWorker &Worker = workerRow(Report.m_id);
   // An entry of an earlier life that arrives late.
   if (Report.m_bornMs < Worker.m_report.m_bornMs)
     return;
@@ -65,7 +65,7 @@
   logInfo("worker.unlisted", {{"worker", Id}});
 }
 
-void Scheduler::beginLife(WorkerRow &Worker, std::int64_t BornMs) {
+void Scheduler::beginLife(PlannedWorker &Worker, std::int64_t BornMs) {
   if (Worker.m_report.m_bornMs != 0) {
     logInfo("worker.new_life", {{"worker", Worker.m_report.m_id},
                                 {"born", std::to_string(BornMs)}});
@@ -83,7 +83,7 @@
   Worker.m_shunnedUntil = TimePoint();
 }
 
-void Scheduler::voidRunsOf(WorkerRow &Worker, const char *Reason) {
+void Scheduler::voidRunsOf(PlannedWorker &Worker, const char *Reason) {
   const std::vector<RunRef> Runs = Worker.m_runs;
   for (const RunRef &Each : Runs) {
     if (!findRun(*Each.m_task, Each.m_run))
@@ -96,27 +96,27 @@
   }
 }
 
-void Scheduler::noteClock(WorkerRow &Worker, Milliseconds Clock) {
+void Scheduler::noteClock(PlannedWorker &Worker, Milliseconds Clock) {
   Worker.m_clock = Clock;
   Worker.m_clockAt = m_clock.now();
   Worker.m_hasClock = true;
 }
 
-void Scheduler::noteLease(WorkerRow &Worker, Milliseconds Expires) {
+void Scheduler::noteLease(PlannedWorker &Worker, Milliseconds Expires) {
   const double Left = static_cast<double>((Expires - Worker.m_clock).count());
   const Milliseconds Longest(static_cast<std::int64_t>(Left / SlowestClock));
   Worker.m_leaseEnd = std::max<TimePoint>(
       Worker.m_leaseEnd, Worker.m_clockAt + Longest + LeaseMargin);
 }
 
-Milliseconds Scheduler::leaseExpiry(const WorkerRow &Worker) const {
+Milliseconds Scheduler::leaseExpiry(const PlannedWorker &Worker) const {
   const Milliseconds Since = toMilliseconds(m_clock.now() - Worker.m_clockAt);
   return Worker.m_clock + Since +
          (m_isStoreReachable ? m_options.m_lease : m_options.m_longLease);
 }
 
 std::optional<HoldOrder> Scheduler::nextHold(const std::string &Id) {
-  WorkerRow &Worker = workerRow(Id);
+  PlannedWorker &Worker = workerRow(Id);
   if (!Worker.m_isListed && Worker.m_runs.empty())
     return std::nullopt;
   HoldOrder Order;
@@ -146,7 +146,7 @@
 
 void Scheduler::onHold(const HoldOrder &Order, TimePoint SentAt,
                        const HoldReply &Reply) {
-  WorkerRow &Worker = workerRow(Order.m_worker);
+  PlannedWorker &Worker = workerRow(Order.m_worker);
   if (Reply.m_outcome != OrderOutcome::Done) {
     ++Worker.m_unanswered;
     if (Worker.m_isReachable && Worker.m_unanswered >= MaxUnanswered) {
@@ -177,13 +177,13 @@
   m_pacing.adjust(Worker, m_interference, m_clock.now());
 }
 
-void Scheduler::takeLook(WorkerRow &Worker, TimePoint SentAt,
+void Scheduler::takeLook(PlannedWorker &Worker, TimePoint SentAt,
                          const WorkerLook &Look) {
   for (const EndedRun &Each : Look.m_ended) {
     if (Each.m_number <= Worker.m_lastEnd)
       continue;
     Worker.m_lastEnd = Each.m_number;
-    if (TaskRow *Task = findTask(Each.m_task);
+    if (PlannedTask *Task = findTask(Each.m_task);
         Task && findRun(*Task, Each.m_run))
       takeEnd(*Task, Each.m_run, Each.m_end, Each.m_checkpoint);
   }
@@ -193,12 +193,12 @@
   takeActive(Worker, SentAt, Look);
 }
 
-void Scheduler::takeActive(WorkerRow &Worker, TimePoint SentAt,
+void Scheduler::takeActive(PlannedWorker &Worker, TimePoint SentAt,
                            const WorkerLook &Look) {
   std::set<RunRef> Listed;
   for (const ActiveRun &Each : Look.m_active) {
-    TaskRow *Task = findTask(Each.m_task);
-    RunRow *Run = Task ? findRun(*Task, Each.m_run) : nullptr;
+    PlannedTask *Task = findTask(Each.m_task);
+    PlannedRun *Run = Task ? findRun(*Task, Each.m_run) : nullptr;
     if (!Run || Run->m_worker != &Worker) {
       stopForeign(Worker, Each);
       continue;
@@ -225,7 +225,7 @@
   for (const RunRef &Each : Runs) {
     if (Listed.contains(Each))
       continue;
-    RunRow *Run = findRun(*Each.m_task, Each.m_run);
+    PlannedRun *Run = findRun(*Each.m_task, Each.m_run);
     if (!Run)
       continue;
     // Under this owner's token nothing that an earlier one sent begins any
@@ -245,7 +245,7 @@
   }
 }
 
-void Scheduler::stopForeign(WorkerRow &Worker, const ActiveRun &Active) {
+void Scheduler::stopForeign(PlannedWorker &Worker, const ActiveRun &Active) {
   const std::string Name = toString(Active.m_task) + "#" +
                            std::to_string(Active.m_run) + "@" +
                            Worker.m_report.m_id;
@@ -280,7 +280,7 @@
     const std::vector<RunRef> Runs = Worker->m_runs;
     for (const RunRef &Each : Runs) {
       const StepSpec &Spec = *Each.m_task->m_step->m_spec;
-      RunRow *Run = findRun(*Each.m_task, Each.m_run);
+      PlannedRun *Run = findRun(*Each.m_task, Each.m_run);
       const bool MovesWell = Spec.m_isService || Spec.m_savesCheckpoints;
       if (Run && MovesWell && Run->m_phase == RunPhase::Running)
         requestStop(*Each.m_task, *Run);
@@ -288,7 +288,7 @@
   }
 }
 
-void Scheduler::noteFailure(WorkerRow &Worker, const std::string &Job) {
+void Scheduler::noteFailure(PlannedWorker &Worker, const std::string &Job) {
   ++Worker.m_failuresInRow;
   Worker.m_failedJobs.insert(Job);
   if (Worker.m_failedJobs.size() < MaxFailedJobs)
@@ -299,7 +299,7 @@
            {"failures", std::to_string(Worker.m_failuresInRow)}});
 }
 
-void Scheduler::noteDone(WorkerRow &Worker) {
+void Scheduler::noteDone(PlannedWorker &Worker) {
   Worker.m_failuresInRow = 0;
   Worker.m_failedJobs.clear();
   Worker.m_lastDone = m_clock.now();
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -15,11 +15,11 @@
 
 namespace catkinseam {
 
-struct JobRow;
-struct OccurrenceRow;
-struct StepRow;
-struct TaskRow;
-struct WorkerRow;
+struct PlannedJob;
+struct PlannedOccurrence;
+struct PlannedStep;
+struct PlannedTask;
+struct PlannedWorker;
 
 enum class RunPhase {
   Recording, ///< Its record is on the way to the store; not sent.
@@ -32,10 +32,10 @@
 /// Stands for a pace that an earlier owner may have set.
 constexpr int UnknownPace = -1;
 
-struct RunRow {
+struct PlannedRun {
   RunNumber m_number = 0;
   RunPhase m_phase = RunPhase::Recording;
-  WorkerRow *m_worker = nullptr;
+  PlannedWorker *m_worker = nullptr;
   TimePoint m_since;
   /// When the worker first listed it or answered its start.
   TimePoint m_confirmedAt;
@@ -63,14 +63,14 @@
   TimePoint m_percentChangedAt;
 };
 
-struct TaskRow {
-  StepRow *m_step = nullptr;
+struct PlannedTask {
+  PlannedStep *m_step = nullptr;
   std::uint32_t m_index = 0;
   bool m_isDone = false;
   std::uint32_t m_failures = 0;
   RunNumber m_lastRun = 0;
   std::string m_checkpoint;
-  std::vector<RunRow> m_runs;
+  std::vector<PlannedRun> m_runs;
   /// Workers on which it failed or that refused it, newest last.
   std::vector<std::string> m_avoid;
   TimePoint m_notBefore;
@@ -83,36 +83,36 @@
 /// Numbers the images that have been met; cheaper to compare than names.
 using ImageNumber = std::size_t;
 
-struct StepRow {
+struct PlannedStep {
   const StepSpec *m_spec = nullptr;
   ImageNumber m_image = 0;
-  OccurrenceRow *m_occurrence = nullptr;
+  PlannedOccurrence *m_occurrence = nullptr;
   std::uint32_t m_number = 0;
-  std::vector<TaskRow> m_tasks;
+  std::vector<PlannedTask> m_tasks;
   std::uint32_t m_done = 0;
   bool m_hasBegun = false;
   /// Found no place: not tried again before.
   TimePoint m_retryAt;
   /// Tasks to place, by index.
-  std::vector<TaskRow *> m_waiting;
+  std::vector<PlannedTask *> m_waiting;
   /// Run times of tasks that are done, for stragglers.
   std::vector<Duration> m_doneTimes;
 };
 
-struct OccurrenceRow {
-  JobRow *m_job = nullptr;
+struct PlannedOccurrence {
+  PlannedJob *m_job = nullptr;
   std::uint32_t m_number = 0;
   /// Milliseconds since 1970.
   std::int64_t m_dueMs = 0;
-  std::vector<StepRow> m_steps;
+  std::vector<PlannedStep> m_steps;
   std::uint32_t m_stepsDone = 0;
   bool m_isOpen = false;
 };
 
-struct JobRow {
+struct PlannedJob {
   Submission m_submission;
   JobState m_state = JobState::Queued;
-  std::deque<OccurrenceRow> m_occurrences;
+  std::deque<PlannedOccurrence> m_occurrences;
   /// Changed since its progress was last handed out to be stored.
   bool m_isDirty = false;
   /// Runs of all its tasks that may still be somewhere.
@@ -126,13 +126,13 @@
 
 /// A run by task; the run itself stands in the task.
 struct RunRef {
-  TaskRow *m_task = nullptr;
+  PlannedTask *m_task = nullptr;
   RunNumber m_run = 0;
 
   auto operator<=>(const RunRef &) const = default;
 };
 
-struct WorkerRow {
+struct PlannedWorker {
   WorkerReport m_report;
   /// Present in the registry.
   bool m_isListed = false;
