Fit pressures between instances, and each service's own swing

Fitted by how instances of one service differ in the same half second, pairs stand at 0 to 0.15 or 1.0 to 2.0, and what is left over is 0.045 instead of 0.135. Ruled out: a line through the last second as forecast (0.084 to 0.123 off one second ahead; the harmonic 0.029-0.036); pressures that change within seconds (what is left is the same beside pressing fillers). Change: scheduler/swing: mean and one harmonic by least squares over a row of periods, helped by what other services say of the period. Interference fits differences from a fading mean of the service's reports. Pacing sets paces from the load foreseen until the next look in place of correcting by the last tail.

--- a/catkinseam/scheduler/interference.cc
+++ b/catkinseam/scheduler/interference.cc
@@ -46,6 +46,7 @@
       Learned.m_services.push_back({Learned.m_images[Number], Of.m_squares,
                                     Of.m_products, Of.m_leastTail});
   }
+  Learned.m_periods.assign(m_periods.begin(), m_periods.end());
   return Learned;
 }
 
@@ -55,11 +56,14 @@
   for (const std::string &Each : Learned.m_images)
     numberOf(Each);
   m_fillers.insert(Learned.m_fillers.begin(), Learned.m_fillers.end());
+  if (Learned.m_periods.size() == m_periods.size())
+    std::copy(Learned.m_periods.begin(), Learned.m_periods.end(),
+              m_periods.begin());
   for (const Knowledge::Service &Each : Learned.m_services) {
     Fit &Of = m_services[numberOf(Each.m_image)];
     const bool IsSquare =
         Each.m_squares.size() == Each.m_products.size() &&
-        Each.m_products.size() <= m_numbers.size() + 1 &&
+        Each.m_products.size() <= m_numbers.size() &&
         std::all_of(Each.m_squares.begin(), Each.m_squares.end(),
                     [&](const std::vector<double> &Row) {
                       return Row.size() == Each.m_products.size();
@@ -85,7 +89,7 @@
 }
 
 void Interference::grow(Fit &Of) const {
-  const std::size_t Size = m_numbers.size() + 1;
+  const std::size_t Size = m_numbers.size();
   if (Of.m_products.size() == Size)
     return;
   Of.m_products.resize(Size, 0.0);
@@ -119,72 +123,130 @@
   return 1.0 - Idle / std::max(Tail, Idle);
 }
 
-double Interference::roomAt(ImageNumber Service, double Tail) const {
-  return loadAt(Service, m_options.m_safeTail) - loadAt(Service, Tail);
+double Interference::roomOf(const RunRef &Service, TimePoint From,
+                            Duration For) const {
+  return loadAt(Service.m_task->m_step->m_image, m_options.m_safeTail) -
+         ownLoad(Service, From, For);
 }
 
-void Interference::observe(PlannedWorker &Worker, TimePoint Now) {
-  const Duration Since = Now - Worker.m_observedAt;
-  if (Since < m_options.m_reportInterval)
-    return;
-  Worker.m_observedAt = Now;
-  std::map<std::size_t, double> Shares;
-  Shares[0] = 1.0;
+Interference::Shares Interference::sharesOf(const PlannedWorker &Worker) const {
+  Shares Used(m_numbers.size(), 0.0);
   for (const RunRef &Each : Worker.m_runs) {
     const PlannedStep &Step = *Each.m_task->m_step;
     const PlannedRun *Run = Step.m_spec->m_isFiller ? runOf(Each) : nullptr;
-    if (Run)
-      m_fillers.insert(Step.m_image);
     if (Run && Run->m_figure > 0)
-      Shares[Step.m_image + 1] +=
+      Used[Step.m_image] +=
           static_cast<double>(Run->m_figure) / capacityOf(Worker);
   }
+  return Used;
+}
+
+void Interference::observe(PlannedWorker &Worker, TimePoint Now) {
+  const Duration Since = Now - Worker.m_observedAt;
+  if (Since < m_options.m_reportInterval)
+    return;
+  Worker.m_observedAt = Now;
+  for (const RunRef &Each : Worker.m_runs)
+    if (Each.m_task->m_step->m_spec->m_isFiller)
+      m_fillers.insert(Each.m_task->m_step->m_image);
+  const Shares Used = sharesOf(Worker);
   for (const RunRef &Each : Worker.m_runs) {
     const double Tail = tailOf(Each);
     if (Tail <= 0.0)
       continue;
-    const ImageNumber Image = Each.m_task->m_step->m_image;
-    Fit &Of = m_services[Image];
+    PlannedStep &Step = *Each.m_task->m_step;
+    if (!Step.m_habits)
+      Step.m_habits = std::make_unique<ServiceHabits>();
+    Fit &Of = m_services[Step.m_image];
     if (Of.m_leastTail == 0.0 || Tail < Of.m_leastTail)
       Of.m_leastTail = Tail;
-    const double Load = loadAt(Image, Tail);
-    for (PlannedRun &Run : Each.m_task->m_runs)
-      if (Run.m_number == Each.m_run)
-        noteTrend(Run, Load, Since);
-    grow(Of);
+    const double Load = loadAt(Step.m_image, Tail);
+    learn(Of, *Step.m_habits, Load, Used, Now);
+    double Pressed = 0.0;
+    for (ImageNumber Filler = 0; Filler < Used.size(); ++Filler)
+      if (Used[Filler] > 0.0)
+        Pressed += pressure(Step.m_image, Filler) * Used[Filler];
+    noteOwn(Each, Load, Pressed, Since, Now);
+  }
+}
+
+void Interference::learn(Fit &Of, ServiceHabits &Habits, double Load,
+                         const Shares &Used, TimePoint Now) const {
+  const double Left =
+      std::exp(-std::chrono::duration<double>(Now - Habits.m_meanAt).count() /
+               std::chrono::duration<double>(m_options.m_compareTime).count());
+  Habits.m_meanAt = Now;
+  Habits.m_weight *= Left;
+  Habits.m_shares.resize(Used.size(), 0.0);
+  grow(Of);
+  constexpr double LeastWeight = 0.3;
+  if (Habits.m_weight >= LeastWeight) {
+    // The fewer reports the mean rests on, the less the difference says.
+    const double Weight = Habits.m_weight / (1.0 + Habits.m_weight);
+    Shares Differences = Used;
+    for (ImageNumber Image = 0; Image < Used.size(); ++Image)
+      Differences[Image] -= Habits.m_shares[Image];
+    const double Difference = Load - Habits.m_load;
     fade(Of, Now);
-    for (const auto &[Row, Left] : Shares) {
-      for (const auto &[Column, Right] : Shares)
-        Of.m_squares[Row][Column] += Left * Right;
-      Of.m_products[Row] += Left * Load;
+    for (ImageNumber Row = 0; Row < Used.size(); ++Row) {
+      if (Differences[Row] == 0.0)
+        continue;
+      for (ImageNumber Column = 0; Column < Used.size(); ++Column)
+        Of.m_squares[Row][Column] +=
+            Weight * Differences[Row] * Differences[Column];
+      Of.m_products[Row] += Weight * Differences[Row] * Difference;
     }
-    if (Now - Of.m_fittedAt < m_options.m_fitInterval)
-      continue;
+  }
+  Habits.m_weight += 1.0;
+  Habits.m_load += (Load - Habits.m_load) / Habits.m_weight;
+  for (ImageNumber Image = 0; Image < Used.size(); ++Image)
+    Habits.m_shares[Image] +=
+        (Used[Image] - Habits.m_shares[Image]) / Habits.m_weight;
+  if (Now - Of.m_fittedAt >= m_options.m_fitInterval) {
     Of.m_fittedAt = Now;
     solve(Of);
   }
 }
 
-void Interference::noteTrend(PlannedRun &Run, double Load,
-                             Duration Since) const {
-  const double Seconds = std::chrono::duration<double>(Since).count();
-  constexpr double LongestStep = 3.0;
-  const double Trend = Run.m_load > 0.0 && Seconds < LongestStep
-                           ? (Load - Run.m_load) / Seconds
-                           : 0.0;
-  Run.m_loadTrend = (1.0 - m_options.m_trendPart) * Run.m_loadTrend +
-                    m_options.m_trendPart * Trend;
-  Run.m_load = Load;
+void Interference::noteOwn(const RunRef &Service, double Load, double Pressed,
+                           Duration Since, TimePoint Now) {
+  ServiceHabits &Habits = *Service.m_task->m_step->m_habits;
+  const TimePoint At = Now - m_options.m_reportAge;
+  const double Own = Load - Pressed;
+  Habits.m_swing.observe(At, Own);
+  if (Now - Habits.m_fittedAt >= m_options.m_habitsInterval) {
+    Habits.m_fittedAt = Now;
+    Habits.m_swing.fit(m_periods);
+  }
+  for (PlannedRun &Run : Service.m_task->m_runs) {
+    if (Run.m_number != Service.m_run)
+      continue;
+    const double Seconds = std::chrono::duration<double>(Since).count();
+    constexpr double LongestStep = 3.0;
+    const double Trend = Run.m_ownLoad > 0.0 && Seconds < LongestStep
+                             ? (Own - Run.m_ownLoad) / Seconds
+                             : 0.0;
+    Run.m_ownTrend += m_options.m_trendPart * (Trend - Run.m_ownTrend);
+    Run.m_ownLoad = Own;
+    const double Excess =
+        Habits.m_swing.isKnown() ? Own - Habits.m_swing.at(At) : 0.0;
+    Run.m_ownExcess += m_options.m_excessPart * (Excess - Run.m_ownExcess);
+  }
 }
 
-double Interference::expectedLoad(const RunRef &Service) const {
+double Interference::ownLoad(const RunRef &Service, TimePoint From,
+                             Duration For) const {
   const PlannedRun *Run = runOf(Service);
-  if (!Run)
-    return 0.0;
+  const ServiceHabits *Habits = Service.m_task->m_step->m_habits.get();
+  const double Excess = Run ? std::max(0.0, Run->m_ownExcess) : 0.0;
+  if (Habits && Habits->m_swing.isKnown())
+    return Habits->m_swing.most(From, For) + Excess;
+  if (!Run || tailOf(Service) <= 0.0)
+    return m_options.m_usualLoad;
   const double Ahead =
       std::chrono::duration<double>(m_options.m_lookAhead).count();
-  return loadAt(Service.m_task->m_step->m_image, tailOf(Service)) +
-         std::max(0.0, Run->m_loadTrend) * Ahead;
+  return std::max(m_options.m_usualLoad,
+                  Run->m_ownLoad + std::max(0.0, Run->m_ownTrend) * Ahead);
 }
 
 void Interference::solve(Fit &Of) const {
@@ -193,10 +255,8 @@
   std::vector<std::vector<double>> Rows = Of.m_squares;
   std::vector<double> Right = Of.m_products;
   for (std::size_t At = 0; At < Size; ++At) {
-    const double Assumed =
-        At == 0 ? m_options.m_usualLoad : m_options.m_assumed;
     Rows[At][At] += m_options.m_assumedWeight;
-    Right[At] += m_options.m_assumedWeight * Assumed;
+    Right[At] += m_options.m_assumedWeight * m_options.m_assumed;
   }
   for (std::size_t At = 0; At < Size; ++At) {
     for (std::size_t Other = 0; Other < Size; ++Other) {
@@ -214,9 +274,9 @@
 
 double Interference::pressure(ImageNumber Service, ImageNumber Filler) const {
   if (Service >= m_services.size() ||
-      Filler + 1 >= m_services[Service].m_pressures.size())
+      Filler >= m_services[Service].m_pressures.size())
     return m_options.m_assumed;
-  return m_services[Service].m_pressures[Filler + 1];
+  return m_services[Service].m_pressures[Filler];
 }
 
 double Interference::added(const PlannedWorker &Worker, ImageNumber Service,
@@ -224,7 +284,7 @@
   return pressure(Service, Filler) * MilliProcessors / capacityOf(Worker);
 }
 
-void Interference::renewTails(PlannedWorker &Worker) const {
+void Interference::renewTails(PlannedWorker &Worker, TimePoint Now) const {
   Worker.m_areTailsStale = false;
   Worker.m_tails.clear();
   for (const RunRef &Each : Worker.m_runs) {
@@ -232,7 +292,7 @@
     if (!Step.m_spec->m_isService ||
         Step.m_spec->m_targetTail <= Milliseconds::zero())
       continue;
-    const double Load = expectedLoad(Each);
+    const double Load = ownLoad(Each, Now, m_options.m_placeAhead);
     const auto Found =
         std::find_if(Worker.m_tails.begin(), Worker.m_tails.end(),
                      [&](const PlannedWorker::ServiceTail &Tail) {
@@ -244,38 +304,30 @@
       Found->m_load = std::max(Found->m_load, Load);
   }
   for (PlannedWorker::ServiceTail &Tail : Worker.m_tails) {
-    double Modelled = m_options.m_usualLoad;
     for (const RunRef &Each : Worker.m_runs) {
       const PlannedStep &Step = *Each.m_task->m_step;
       const PlannedRun *Run = Step.m_spec->m_isFiller ? runOf(Each) : nullptr;
       if (Run)
-        Modelled += added(
+        Tail.m_load += added(
             Worker, Tail.m_image, Step.m_image,
             static_cast<double>(Step.m_spec->m_request.m_milliProcessors) *
                 Run->m_pace / 100.0);
     }
-    Tail.m_load = std::max(Tail.m_load, Modelled);
   }
   if (m_fillers.empty())
     return;
   const auto Borne =
       std::count_if(m_fillers.begin(), m_fillers.end(), [&](ImageNumber Each) {
-        return roomWith(Worker, Each, m_options.m_usualFiller) >= 0.0;
+        return roomWith(Worker, Each, m_options.m_usualFiller, Now) >= 0.0;
       });
   Worker.m_bearable =
       static_cast<double>(Borne) / static_cast<double>(m_fillers.size());
 }
 
-double Interference::bearablePart(PlannedWorker &Worker) const {
-  if (Worker.m_areTailsStale)
-    renewTails(Worker);
-  return Worker.m_bearable;
-}
-
 double Interference::roomWith(PlannedWorker &Worker, ImageNumber Filler,
-                              double MilliProcessors) const {
+                              double MilliProcessors, TimePoint Now) const {
   if (Worker.m_areTailsStale)
-    renewTails(Worker);
+    renewTails(Worker, Now);
   double Least = 1.0;
   for (const PlannedWorker::ServiceTail &Each : Worker.m_tails) {
     const double More = added(Worker, Each.m_image, Filler, MilliProcessors);
--- a/catkinseam/scheduler/interference.h
+++ b/catkinseam/scheduler/interference.h
@@ -7,8 +7,9 @@
 // The model: a service's tail grows as that of a queue, with one over the idle
 // part of its load. Its load is its own, plus, for each filler beside it, a
 // pressure of the pair of images times the share of the worker's processors
-// that the filler uses. Pressures are fitted by least squares over what workers
-// report; old reports fade.
+// that the filler uses. Its own load is that of all instances of the service at
+// that time (see swing.h), so pressures are fitted by least squares over how
+// instances differ from one another; old reports fade.
 #ifndef CATKINSEAM_SCHEDULER_INTERFERENCE_H
 #define CATKINSEAM_SCHEDULER_INTERFERENCE_H
 
@@ -39,16 +40,28 @@
     double m_assumedWeight = 0.05;
     /// The load that a service is assumed to have of its own.
     double m_usualLoad = 0.50;
-    /// A load that grows is expected to go on so for this time.
+    /// While a service's habits are not known, a load that grows is expected
+    /// to go on so for this time.
     Milliseconds m_lookAhead{900};
-    /// Part of a new trend that is believed.
+    /// Part of a new trend, and of a new excess over the habits, that is
+    /// believed.
     double m_trendPart = 0.6;
+    double m_excessPart = 0.4;
+    /// Reports cover the last half second: what they say was so this long ago.
+    Milliseconds m_reportAge{250};
+    /// Reports of one service are compared with those of this time before; it
+    /// is little beside the periods in which services swing.
+    Milliseconds m_compareTime{350};
+    /// Habits are fitted anew after this time.
+    Milliseconds m_habitsInterval{400};
+    /// A filler must bear the load of its neighbours for this time.
+    Milliseconds m_placeAhead{1500};
     /// The tail of an idle service over the least that was ever reported.
     double m_idlePart = 0.8;
     /// The same over its target before any report.
     double m_idleTail = 0.25;
     /// A filler that would add less load than this counts as harmless.
-    double m_leastAdded = 0.01;
+    double m_leastAdded = 0.02;
     /// Processors of a usual filler, in thousandths.
     double m_usualFiller = 2000.0;
     /// A service is to stay below this share of its target tail.
@@ -73,9 +86,10 @@
     std::vector<std::string> m_images;
     std::vector<ImageNumber> m_fillers;
     std::vector<Service> m_services;
+    std::vector<double> m_periods;
 
     template <class Archive> void serialize(Archive &Target) {
-      Target(m_images, m_fillers, m_services);
+      Target(m_images, m_fillers, m_services, m_periods);
     }
   };
 
@@ -96,21 +110,18 @@
   double added(const PlannedWorker &Worker, ImageNumber Service,
                ImageNumber Filler, double MilliProcessors) const;
 
-  /// How far a service at this tail over target stands below the load that is
-  /// safe; negative above it.
-  double roomAt(ImageNumber Service, double Tail) const;
+  /// The load that fillers may add to a service at most within a span of time;
+  /// negative when its own is above what is safe.
+  double roomOf(const RunRef &Service, TimePoint From, Duration For) const;
 
   /// The least room left to a service that a further filler would press on; 1
   /// when there is none. Renews the worker's m_tails.
   double roomWith(PlannedWorker &Worker, ImageNumber Filler,
-                  double MilliProcessors) const;
-
-  /// The part of all images met as fillers that the worker would bear.
-  double bearablePart(PlannedWorker &Worker) const;
+                  double MilliProcessors, TimePoint Now) const;
 
 private:
-  /// Sums of the least-squares fit of one service image. Column zero is its
-  /// own load, column N + 1 the filler of image N.
+  /// Sums of the least-squares fit of one service image; column N is the filler
+  /// of image N.
   struct Fit {
     std::vector<std::vector<double>> m_squares;
     std::vector<double> m_products;
@@ -121,20 +132,29 @@
     TimePoint m_fittedAt;
   };
 
+  /// What one report says of the fillers beside a service: by image, the share
+  /// of the worker that they used.
+  using Shares = std::vector<double>;
+
+  Shares sharesOf(const PlannedWorker &Worker) const;
+  void learn(Fit &Of, ServiceHabits &Habits, double Load, const Shares &Used,
+             TimePoint Now) const;
+  void noteOwn(const RunRef &Service, double Load, double Pressed,
+               Duration Since, TimePoint Now);
+  double ownLoad(const RunRef &Service, TimePoint From, Duration For) const;
   double idleTail(ImageNumber Service) const;
   double loadAt(ImageNumber Service, double Tail) const;
   void fade(Fit &Of, TimePoint Now) const;
   void grow(Fit &Of) const;
   void solve(Fit &Of) const;
-  void renewTails(PlannedWorker &Worker) const;
-  void noteTrend(PlannedRun &Run, double Load, Duration Since) const;
-  double expectedLoad(const RunRef &Service) const;
+  void renewTails(PlannedWorker &Worker, TimePoint Now) const;
 
   const Options m_options;
   std::map<std::string, ImageNumber> m_numbers;
   std::set<ImageNumber> m_fillers;
   /// By the number of the service's image.
   std::vector<Fit> m_services;
+  Swing::Votes m_periods{};
 };
 
 /// The run that a reference names, or null.
--- a/catkinseam/scheduler/pacing.cc
+++ b/catkinseam/scheduler/pacing.cc
@@ -2,7 +2,6 @@
 #include "catkinseam/scheduler/pacing.h"
 
 #include <algorithm>
-#include <map>
 
 namespace catkinseam {
 
@@ -10,7 +9,7 @@
 
 constexpr int FullPace = 100;
 /// A filler that adds less load than this is no cause.
-constexpr double LeastPart = 0.01;
+constexpr double LeastPart = 0.02;
 
 PlannedRun *fillerRun(const RunRef &Ref) {
   if (!Ref.m_task->m_step->m_spec->m_isFiller)
@@ -57,9 +56,21 @@
     Worker.m_areTailsStale = true;
     return;
   }
-  if (IsHarmed || Now - Worker.m_pacedAt < m_options.m_settleTime)
+  if (IsHarmed)
     return;
-  if (slow(Worker, Learned, Now) || raise(Worker, Learned)) {
+  std::vector<Pressing> Fillers;
+  for (const RunRef &Each : Worker.m_runs) {
+    const PlannedStep &Step = *Each.m_task->m_step;
+    if (PlannedRun *Run = fillerRun(Each))
+      Fillers.push_back({&Step, Run, demandOf(*Step.m_spec, *Run, Now), 1.0});
+  }
+  for (const RunRef &Each : Worker.m_runs)
+    if (Each.m_task->m_step->m_spec->m_isService)
+      fit(Fillers, Worker, Each, Learned, Now);
+  bool IsChanged = false;
+  for (const Pressing &Each : Fillers)
+    IsChanged = take(Each, Now) || IsChanged;
+  if (IsChanged) {
     Worker.m_pacedAt = Now;
     Worker.m_areTailsStale = true;
   }
@@ -79,70 +90,60 @@
   return IsChanged;
 }
 
-bool Pacing::slow(PlannedWorker &Worker, const Interference &Learned,
-                  TimePoint Now) const {
-  // The share of its pace that each cause is to keep.
-  std::map<PlannedRun *, double> Kept;
-  for (const RunRef &Service : Worker.m_runs) {
-    const double Tail = tailOf(Service);
-    const ImageNumber Image = Service.m_task->m_step->m_image;
-    const double Room = Learned.roomAt(Image, Tail);
-    if (Tail <= 0.0 || Room >= 0.0)
-      continue;
-    std::map<PlannedRun *, double> Parts;
-    double Pressed = 0.0;
-    for (const RunRef &Each : Worker.m_runs) {
-      PlannedRun *Run = fillerRun(Each);
-      if (!Run)
-        continue;
-      const double Part =
-          Learned.added(Worker, Image, Each.m_task->m_step->m_image,
-                        static_cast<double>(Run->m_figure));
-      if (Part < LeastPart)
-        continue;
-      Parts[Run] = Part;
-      Pressed += Part;
-    }
-    for (const auto &[Run, Part] : Parts) {
-      const double Share = std::max(0.0, 1.0 + Room / Pressed);
-      const auto Known = Kept.emplace(Run, Share).first;
-      Known->second = std::min(Known->second, Share);
-    }
-  }
-  bool IsChanged = false;
-  for (const auto &[Run, Share] : Kept) {
-    int Pace = static_cast<int>(Run->m_pace * Share);
-    if (Pace < m_options.m_leastPace)
-      Pace = 0;
-    IsChanged = IsChanged || Pace != Run->m_pace;
-    if (Run->m_pace == FullPace)
-      Run->m_slowSince = Now;
-    Run->m_pace = Pace;
-  }
-  return IsChanged;
+double Pacing::demandOf(const StepSpec &Spec, const PlannedRun &Run,
+                        TimePoint Now) const {
+  const auto Request = static_cast<double>(Spec.m_request.m_milliProcessors);
+  // What it used at a pace says what it will use at another, once it shows.
+  const bool IsSettled =
+      Now - Run.m_confirmedAt >= m_options.m_settleTime &&
+      Now - Run.m_worker->m_pacedAt >= m_options.m_settleTime;
+  constexpr int TellingPace = 50;
+  constexpr double Spread = 1.2;
+  if (!IsSettled || Run.m_paceSent < TellingPace)
+    return Request;
+  return std::min(Request, Spread * static_cast<double>(Run.m_figure) *
+                               FullPace / Run.m_paceSent);
 }
 
-bool Pacing::raise(PlannedWorker &Worker, const Interference &Learned) const {
-  for (const RunRef &Each : Worker.m_runs) {
-    PlannedRun *Run = fillerRun(Each);
-    if (!Run || Run->m_pace > FullPace - 1)
+void Pacing::fit(std::vector<Pressing> &Fillers, const PlannedWorker &Worker,
+                 const RunRef &Service, const Interference &Learned,
+                 TimePoint Now) const {
+  const StepSpec &Spec = *Service.m_task->m_step->m_spec;
+  if (Spec.m_targetTail <= Milliseconds::zero())
+    return;
+  const ImageNumber Image = Service.m_task->m_step->m_image;
+  double Pressed = 0.0;
+  std::vector<Pressing *> Causes;
+  for (Pressing &Each : Fillers) {
+    const double Part =
+        Learned.added(Worker, Image, Each.m_step->m_image, Each.m_demand);
+    if (Part < LeastPart)
       continue;
-    const PlannedStep &Step = *Each.m_task->m_step;
-    const auto Request =
-        static_cast<double>(Step.m_spec->m_request.m_milliProcessors);
-    // The largest of a few raises that leaves room.
-    for (const int Pace : {FullPace, Run->m_pace + 50, Run->m_pace + 25}) {
-      if (Pace > FullPace ||
-          (Pace < FullPace && Pace - Run->m_pace < m_options.m_leastRaise))
-        continue;
-      const double More = Request * (Pace - Run->m_pace) / FullPace;
-      if (Learned.roomWith(Worker, Step.m_image, More) < 0.0)
-        continue;
-      Run->m_pace = Pace;
-      return true;
-    }
+    Causes.push_back(&Each);
+    Pressed += Part * Each.m_pace;
   }
-  return false;
+  const double Room = Learned.roomOf(Service, Now, m_options.m_ahead);
+  if (Pressed <= Room)
+    return;
+  const double Share = std::max(0.0, Room) / Pressed;
+  for (Pressing *Each : Causes)
+    Each->m_pace *= Share;
+}
+
+bool Pacing::take(const Pressing &Planned, TimePoint Now) const {
+  PlannedRun &Run = *Planned.m_run;
+  int Pace = static_cast<int>(Planned.m_pace * FullPace);
+  if (Pace < m_options.m_leastPace)
+    Pace = 0;
+  const int Change = Pace - Run.m_pace;
+  const bool IsEnd = Pace == 0 || Pace == FullPace;
+  if (Change == 0 || (!IsEnd && Change < m_options.m_leastRaise &&
+                      -Change < m_options.m_leastFall))
+    return false;
+  if (Run.m_pace == FullPace)
+    Run.m_slowSince = Now;
+  Run.m_pace = Pace;
+  return true;
 }
 
 } // namespace catkinseam
--- a/catkinseam/scheduler/pacing.h
+++ b/catkinseam/scheduler/pacing.h
@@ -3,11 +3,10 @@
 //   Pacing Control({});
 //   Control.adjust(Worker, Learned, Now);   // sets the pace of its fillers
 //
-// Workers report each service's tail latency over the last half second. While
-// one is too close to its target, the fillers that press on it are slowed by as
-// much as the model says is needed; while all have room, they are let go faster
-// by as much as it bears. A service whose own load brings it to its target
-// slows nobody.
+// Each service bears so much load from fillers as lies between its own, over
+// the time until the next look, and what is safe. Where the fillers that press
+// on it would add more at full pace, they are slowed in proportion. A service
+// whose own load brings it to its target slows only those that press on it.
 #ifndef CATKINSEAM_SCHEDULER_PACING_H
 #define CATKINSEAM_SCHEDULER_PACING_H
 
@@ -24,9 +23,12 @@
     Milliseconds m_harmTime{1200};
     /// Below this pace a filler stands still.
     int m_leastPace = 10;
-    /// A raise of less than this is not worth an order.
-    int m_leastRaise = 15;
-    /// The figures cover the last half second, so a change shows by then.
+    /// A change of less than this is not worth an order.
+    int m_leastRaise = 10;
+    int m_leastFall = 4;
+    /// A pace holds until the next look and its answer.
+    Milliseconds m_ahead{700};
+    /// The figures cover the last half second, so a pace shows by then.
     Milliseconds m_settleTime{550};
   };
 
@@ -37,10 +39,23 @@
               TimePoint Now) const;
 
 private:
+  /// A filler that presses on some service, and the pace planned for it.
+  struct Pressing {
+    const PlannedStep *m_step = nullptr;
+    PlannedRun *m_run = nullptr;
+    /// Thousandths of a processor that it uses at full pace.
+    double m_demand = 0.0;
+    double m_pace = 1.0;
+  };
+
   bool halt(PlannedWorker &Worker, TimePoint Now) const;
-  bool slow(PlannedWorker &Worker, const Interference &Learned,
-            TimePoint Now) const;
-  bool raise(PlannedWorker &Worker, const Interference &Learned) const;
+  double demandOf(const StepSpec &Spec, const PlannedRun &Run,
+                  TimePoint Now) const;
+  /// Slows all that press on this service until it bears them.
+  void fit(std::vector<Pressing> &Fillers, const PlannedWorker &Worker,
+           const RunRef &Service, const Interference &Learned,
+           TimePoint Now) const;
+  bool take(const Pressing &Planned, TimePoint Now) const;
 
   const Options m_options;
 };
--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -203,7 +203,7 @@
         continue;
       Room = Learned.roomWith(
           *Each, Task.m_step->m_image,
-          static_cast<double>(Spec.m_request.m_milliProcessors));
+          static_cast<double>(Spec.m_request.m_milliProcessors), Now);
       if (Room < 0.0)
         continue;
     }
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -5,6 +5,7 @@
 #define CATKINSEAM_SCHEDULER_TABLES_H
 
 #include "catkinseam/scheduler/model.h"
+#include "catkinseam/scheduler/swing.h"
 
 #include <deque>
 #include <memory>
@@ -45,10 +46,12 @@
   bool m_isStopAnswered = false;
   std::int64_t m_percent = 0;
   std::int64_t m_figure = 0;
-  /// Services: the load behind the reported tail, and how fast it grows, a
-  /// second.
-  double m_load = 0.0;
-  double m_loadTrend = 0.0;
+  /// Services: the load behind the reported tail less what fillers add, how
+  /// fast it grows, a second, and what it lately was above the habits of its
+  /// step.
+  double m_ownLoad = 0.0;
+  double m_ownTrend = 0.0;
+  double m_ownExcess = 0.0;
   /// Services: since when its tail has been over its target.
   TimePoint m_overSince;
   bool m_isOver = false;
@@ -83,6 +86,18 @@
 /// Numbers the images that have been met; cheaper to compare than names.
 using ImageNumber = std::size_t;
 
+/// What is known of the load of a service, pooled over its instances.
+struct ServiceHabits {
+  Swing m_swing{{}};
+  TimePoint m_fittedAt;
+  /// Fading means of the load and of the shares of the worker that each image
+  /// of fillers used, and the weight of the reports behind them.
+  TimePoint m_meanAt;
+  double m_weight = 0.0;
+  double m_load = 0.0;
+  std::vector<double> m_shares;
+};
+
 struct PlannedStep {
   const StepSpec *m_spec = nullptr;
   ImageNumber m_image = 0;
@@ -97,6 +112,8 @@
   std::vector<PlannedTask *> m_waiting;
   /// Run times of tasks that are done, for stragglers.
   std::vector<Duration> m_doneTimes;
+  /// Services with reports.
+  std::unique_ptr<ServiceHabits> m_habits;
 };
 
 struct PlannedOccurrence {
