Full workers first for services; ended fillers in the fit

Fillers that ended within the last half second still show in tails (misfit 0.061 beside them, 0.001 elsewhere). An instance's excess over its service fades with a time of 1 s (correlation 0.61, 0.35, 0.18 after 0.5, 1.0, 1.5 s). Change: services and ordinary tasks go to the fullest worker that holds them; ended fillers count for the rest of their half second; the excess is two-sided and fades; light pressures are summed.

--- a/catkinseam/ownership/owner.cc
+++ b/catkinseam/ownership/owner.cc
@@ -196,6 +196,13 @@
   const Scheduler::Summary Now = m_scheduler.summarize();
   logInfo("owner.summary", {{"jobs", std::to_string(Now.m_liveJobs)},
                             {"waiting", std::to_string(Now.m_waitingTasks)},
+                            {"waiting_services",
+                             std::to_string(Now.m_waitingServices)},
+                            {"waiting_fillers",
+                             std::to_string(Now.m_waitingFillers)},
+                            {"free", std::to_string(Now.m_freeProcessors)},
+                            {"most_free",
+                             std::to_string(Now.m_mostFreeProcessors)},
                             {"runs", std::to_string(Now.m_runs)},
                             {"stopping", std::to_string(Now.m_stopping)},
                             {"fillers", std::to_string(Now.m_fillers)},
--- a/catkinseam/scheduler/interference.cc
+++ b/catkinseam/scheduler/interference.cc
@@ -129,7 +129,8 @@
          ownLoad(Service, From, For);
 }
 
-Interference::Shares Interference::sharesOf(const PlannedWorker &Worker) const {
+Interference::Shares Interference::sharesOf(PlannedWorker &Worker,
+                                            TimePoint Now) const {
   Shares Used(m_numbers.size(), 0.0);
   for (const RunRef &Each : Worker.m_runs) {
     const PlannedStep &Step = *Each.m_task->m_step;
@@ -138,6 +139,17 @@
       Used[Step.m_image] +=
           static_cast<double>(Run->m_figure) / capacityOf(Worker);
   }
+  const Duration Span = m_options.m_reportSpan;
+  std::erase_if(Worker.m_endedFillers,
+                [&](const PlannedWorker::EndedFiller &Each) {
+                  return Now - Each.m_endedAt >= Span;
+                });
+  for (const PlannedWorker::EndedFiller &Each : Worker.m_endedFillers) {
+    const double Part =
+        1.0 - std::chrono::duration<double>(Now - Each.m_endedAt) / Span;
+    Used[Each.m_image] +=
+        Part * static_cast<double>(Each.m_figure) / capacityOf(Worker);
+  }
   return Used;
 }
 
@@ -149,7 +161,7 @@
   for (const RunRef &Each : Worker.m_runs)
     if (Each.m_task->m_step->m_spec->m_isFiller)
       m_fillers.insert(Each.m_task->m_step->m_image);
-  const Shares Used = sharesOf(Worker);
+  const Shares Used = sharesOf(Worker, Now);
   for (const RunRef &Each : Worker.m_runs) {
     const double Tail = tailOf(Each);
     if (Tail <= 0.0)
@@ -211,7 +223,7 @@
 void Interference::noteOwn(const RunRef &Service, double Load, double Pressed,
                            Duration Since, TimePoint Now) {
   ServiceHabits &Habits = *Service.m_task->m_step->m_habits;
-  const TimePoint At = Now - m_options.m_reportAge;
+  const TimePoint At = Now - m_options.m_reportSpan / 2;
   const double Own = Load - Pressed;
   Habits.m_swing.observe(At, Own);
   if (Now - Habits.m_fittedAt >= m_options.m_habitsInterval) {
@@ -231,6 +243,7 @@
     const double Excess =
         Habits.m_swing.isKnown() ? Own - Habits.m_swing.at(At) : 0.0;
     Run.m_ownExcess += m_options.m_excessPart * (Excess - Run.m_ownExcess);
+    Run.m_ownAt = At;
   }
 }
 
@@ -238,9 +251,14 @@
                              Duration For) const {
   const PlannedRun *Run = runOf(Service);
   const ServiceHabits *Habits = Service.m_task->m_step->m_habits.get();
-  const double Excess = Run ? std::max(0.0, Run->m_ownExcess) : 0.0;
-  if (Habits && Habits->m_swing.isKnown())
-    return Habits->m_swing.most(From, For) + Excess;
+  if (Habits && Habits->m_swing.isKnown()) {
+    const Duration Age = From + For / 2 - (Run ? Run->m_ownAt : From);
+    const double Left =
+        std::exp(-std::chrono::duration<double>(Age).count() /
+                 std::chrono::duration<double>(m_options.m_excessTime).count());
+    return Habits->m_swing.most(From, For) +
+           (Run ? Run->m_ownExcess * Left : 0.0);
+  }
   if (!Run || tailOf(Service) <= 0.0)
     return m_options.m_usualLoad;
   const double Ahead =
@@ -331,10 +349,9 @@
   double Least = 1.0;
   for (const PlannedWorker::ServiceTail &Each : Worker.m_tails) {
     const double More = added(Worker, Each.m_image, Filler, MilliProcessors);
-    if (More < m_options.m_leastAdded)
-      continue;
-    Least = std::min(Least, loadAt(Each.m_image, m_options.m_safeTail) -
-                                Each.m_load - More);
+    if (More >= m_options.m_leastAdded)
+      Least = std::min(Least, loadAt(Each.m_image, m_options.m_safeTail) -
+                                  Each.m_load - More);
   }
   return Least;
 }
--- a/catkinseam/scheduler/interference.h
+++ b/catkinseam/scheduler/interference.h
@@ -46,9 +46,12 @@
     /// Part of a new trend, and of a new excess over the habits, that is
     /// believed.
     double m_trendPart = 0.6;
-    double m_excessPart = 0.4;
-    /// Reports cover the last half second: what they say was so this long ago.
-    Milliseconds m_reportAge{250};
+    double m_excessPart = 0.7;
+    /// How fast an instance comes back to the habits of its service: after this
+    /// time a third of its excess is left.
+    Milliseconds m_excessTime{1000};
+    /// Reports cover so long.
+    Milliseconds m_reportSpan{500};
     /// Reports of one service are compared with those of this time before; it
     /// is little beside the periods in which services swing.
     Milliseconds m_compareTime{350};
@@ -65,7 +68,7 @@
     /// Processors of a usual filler, in thousandths.
     double m_usualFiller = 2000.0;
     /// A service is to stay below this share of its target tail.
-    double m_safeTail = 0.7;
+    double m_safeTail = 0.75;
   };
 
   explicit Interference(const Options &Values) : m_options(Values) {}
@@ -136,7 +139,7 @@
   /// of the worker that they used.
   using Shares = std::vector<double>;
 
-  Shares sharesOf(const PlannedWorker &Worker) const;
+  Shares sharesOf(PlannedWorker &Worker, TimePoint Now) const;
   void learn(Fit &Of, ServiceHabits &Habits, double Load, const Shares &Used,
              TimePoint Now) const;
   void noteOwn(const RunRef &Service, double Load, double Pressed,
--- a/catkinseam/scheduler/pacing.cc
+++ b/catkinseam/scheduler/pacing.cc
@@ -8,8 +8,8 @@
 namespace {
 
 constexpr int FullPace = 100;
-/// A filler that adds less load than this is no cause.
-constexpr double LeastPart = 0.02;
+/// A filler that adds less load than this is harmless but among many.
+constexpr double LightPart = 0.03;
 
 PlannedRun *fillerRun(const RunRef &Ref) {
   if (!Ref.m_task->m_step->m_spec->m_isFiller)
@@ -112,22 +112,31 @@
   if (Spec.m_targetTail <= Milliseconds::zero())
     return;
   const ImageNumber Image = Service.m_task->m_step->m_image;
-  double Pressed = 0.0;
-  std::vector<Pressing *> Causes;
+  // Those that press hard are slowed first, all others only if that is too
+  // little.
+  struct Group {
+    double m_pressed = 0.0;
+    std::vector<Pressing *> m_members;
+  };
+  Group Hard;
+  Group Light;
   for (Pressing &Each : Fillers) {
     const double Part =
         Learned.added(Worker, Image, Each.m_step->m_image, Each.m_demand);
-    if (Part < LeastPart)
+    Group &Of = Part < LightPart ? Light : Hard;
+    Of.m_members.push_back(&Each);
+    Of.m_pressed += Part * Each.m_pace;
+  }
+  double Excess = Hard.m_pressed + Light.m_pressed -
+                  Learned.roomOf(Service, Now, m_options.m_ahead);
+  for (const Group *Of : {&Hard, &Light}) {
+    if (Excess <= 0.0 || Of->m_pressed <= 0.0)
       continue;
-    Causes.push_back(&Each);
-    Pressed += Part * Each.m_pace;
+    const double Share = std::max(0.0, 1.0 - Excess / Of->m_pressed);
+    for (Pressing *Each : Of->m_members)
+      Each->m_pace *= Share;
+    Excess -= Of->m_pressed * (1.0 - Share);
   }
-  const double Room = Learned.roomOf(Service, Now, m_options.m_ahead);
-  if (Pressed <= Room)
-    return;
-  const double Share = std::max(0.0, Room) / Pressed;
-  for (Pressing *Each : Causes)
-    Each->m_pace *= Share;
 }
 
 bool Pacing::take(const Pressing &Planned, TimePoint Now) const {
--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -93,9 +93,9 @@
          Spare / (4.0 * Request);
 }
 
-double serviceCost(const PlannedTask &Task, const PlannedWorker &Worker) {
-  return shareUsed(Worker) + SameStepCost * runsOfStepOn(*Task.m_step, Worker) +
-         0.05 * Worker.m_fillers;
+/// Full workers first: a worker without services bears any filler.
+double packingCost(const PlannedTask &Task, const PlannedWorker &Worker) {
+  return SameStepCost * runsOfStepOn(*Task.m_step, Worker) - shareUsed(Worker);
 }
 
 double placeCost(const PlannedTask &Task, const PlannedWorker &Worker,
@@ -104,9 +104,9 @@
   if (Spec.m_isFiller)
     return fillerCost(Task, Worker, Room);
   if (Spec.m_isService)
-    return serviceCost(Task, Worker) +
+    return packingCost(Task, Worker) +
            OtherImageCost * otherImages(Task, Worker);
-  return serviceCost(Task, Worker);
+  return packingCost(Task, Worker);
 }
 
 bool hasFillerRoom(const PlannedTask &Task, const PlannedWorker &Worker) {
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -433,10 +433,21 @@
 Scheduler::Summary Scheduler::summarize() const {
   Summary Now;
   Now.m_liveJobs = m_liveJobs;
-  for (const auto &[Key, Step] : m_toPlace)
+  for (const auto &[Key, Step] : m_toPlace) {
     Now.m_waitingTasks += Step->m_waiting.size();
+    if (Step->m_spec->m_isService)
+      Now.m_waitingServices += Step->m_waiting.size();
+    if (Step->m_spec->m_isFiller)
+      Now.m_waitingFillers += Step->m_waiting.size();
+  }
   for (const auto &[Id, Worker] : m_workers) {
-    Now.m_openWorkers += isOpen(*Worker, m_clock.now());
+    if (isOpen(*Worker, m_clock.now())) {
+      ++Now.m_openWorkers;
+      const std::int64_t Free = Worker->m_report.m_capacity.m_milliProcessors -
+                                Worker->m_reserved.m_milliProcessors;
+      Now.m_freeProcessors += Free;
+      Now.m_mostFreeProcessors = std::max(Now.m_mostFreeProcessors, Free);
+    }
     for (const RunRef &Each : Worker->m_runs) {
       const PlannedRun *Run = runOf(Each);
       const StepSpec &Spec = *Each.m_task->m_step->m_spec;
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -136,6 +136,13 @@
   struct Summary {
     std::size_t m_liveJobs = 0;
     std::size_t m_waitingTasks = 0;
+    /// Of these.
+    std::size_t m_waitingServices = 0;
+    std::size_t m_waitingFillers = 0;
+    /// Thousandths of a processor that open workers have free, all together
+    /// and the most of one.
+    std::int64_t m_freeProcessors = 0;
+    std::int64_t m_mostFreeProcessors = 0;
     std::size_t m_runs = 0;
     std::size_t m_stopping = 0;
     std::size_t m_fillers = 0;
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -302,6 +302,9 @@
   if (Spec.m_isFiller) {
     Worker.m_fillerProcessors -= Held.m_milliProcessors;
     --Worker.m_fillers;
+    if (Run->m_figure > 0)
+      Worker.m_endedFillers.push_back(
+          {Task.m_step->m_image, Run->m_figure, m_clock.now()});
     Held.m_milliProcessors = 0;
   }
   if (Spec.m_isService) {
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -52,6 +52,7 @@
   double m_ownLoad = 0.0;
   double m_ownTrend = 0.0;
   double m_ownExcess = 0.0;
+  TimePoint m_ownAt;
   /// Services: since when its tail has been over its target.
   TimePoint m_overSince;
   bool m_isOver = false;
@@ -196,6 +197,13 @@
   /// m_tails.
   double m_bearable = 1.0;
   TimePoint m_observedAt;
+  /// Fillers that ended lately still show in the services' tails.
+  struct EndedFiller {
+    ImageNumber m_image = 0;
+    std::int64_t m_figure = 0;
+    TimePoint m_endedAt;
+  };
+  std::vector<EndedFiller> m_endedFillers;
   /// Sum of the processors that its services ask for.
   std::int64_t m_serviceProcessors = 0;
 
