Instances of one service may share a worker

Cause: instances of one service are in phase, so together they leave room at the same time; spreading them (0.25 a neighbour) mixed phases on every worker. Change: cost of a neighbour of the same service 0.25 to 0.08.

--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -26,6 +26,7 @@
 constexpr double UnprovenCost = 10.0;
 constexpr double RemoteDataCost = 2.0;
 constexpr double SameStepCost = 0.25;
+constexpr double SameServiceCost = 0.08;
 /// Services of one image together leave other workers to the fillers that
 /// this image does not bear.
 constexpr double OtherImageCost = 0.6;
@@ -104,7 +105,7 @@
   if (Spec.m_isFiller)
     return fillerCost(Task, Worker, Room);
   if (Spec.m_isService)
-    return packingCost(Task, Worker) +
+    return SameServiceCost * runsOfStepOn(*Task.m_step, Worker) - shareUsed(Worker) +
            OtherImageCost * otherImages(Task, Worker);
   return packingCost(Task, Worker);
 }
