Fillers may start at a part of their pace

Cause: a filler was placed only where its whole request had room; where half had, nothing ran. Change: placement offers a pace; at 40 percent or more a filler starts.

--- a/catkinseam/scheduler/interference.cc
+++ b/catkinseam/scheduler/interference.cc
@@ -336,22 +336,28 @@
     return;
   const auto Borne =
       std::count_if(m_fillers.begin(), m_fillers.end(), [&](ImageNumber Each) {
-        return roomWith(Worker, Each, m_options.m_usualFiller, Now) >= 0.0;
+        return offerTo(Worker, Each, m_options.m_usualFiller, Now).m_room >=
+               0.0;
       });
   Worker.m_bearable =
       static_cast<double>(Borne) / static_cast<double>(m_fillers.size());
 }
 
-double Interference::roomWith(PlannedWorker &Worker, ImageNumber Filler,
-                              double MilliProcessors, TimePoint Now) const {
+Interference::Offer Interference::offerTo(PlannedWorker &Worker,
+                                          ImageNumber Filler,
+                                          double MilliProcessors,
+                                          TimePoint Now) const {
   if (Worker.m_areTailsStale)
     renewTails(Worker, Now);
-  double Least = 1.0;
+  Offer Least;
   for (const PlannedWorker::ServiceTail &Each : Worker.m_tails) {
     const double More = added(Worker, Each.m_image, Filler, MilliProcessors);
-    if (More >= m_options.m_leastAdded)
-      Least = std::min(Least, loadAt(Each.m_image, m_options.m_safeTail) -
-                                  Each.m_load - More);
+    if (More < m_options.m_leastAdded)
+      continue;
+    const double Room =
+        loadAt(Each.m_image, m_options.m_safeTail) - Each.m_load;
+    Least.m_room = std::min(Least.m_room, Room - More);
+    Least.m_pace = std::min(Least.m_pace, std::max(0.0, Room / More));
   }
   return Least;
 }
--- a/catkinseam/scheduler/interference.h
+++ b/catkinseam/scheduler/interference.h
@@ -68,7 +68,7 @@
     /// Processors of a usual filler, in thousandths.
     double m_usualFiller = 2000.0;
     /// A service is to stay below this share of its target tail.
-    double m_safeTail = 0.75;
+    double m_safeTail = 0.65;
   };
 
   explicit Interference(const Options &Values) : m_options(Values) {}
@@ -117,10 +117,16 @@
   /// negative when its own is above what is safe.
   double roomOf(const RunRef &Service, TimePoint From, Duration For) const;
 
-  /// The least room left to a service that a further filler would press on; 1
-  /// when there is none. Renews the worker's m_tails.
-  double roomWith(PlannedWorker &Worker, ImageNumber Filler,
-                  double MilliProcessors, TimePoint Now) const;
+  /// What a worker offers a further filler. Renews the worker's m_tails.
+  struct Offer {
+    /// The least load left to a service that it would press on; 1 when there is
+    /// none.
+    double m_room = 1.0;
+    /// The share of its pace, 0 to 1, at which all services bear it.
+    double m_pace = 1.0;
+  };
+  Offer offerTo(PlannedWorker &Worker, ImageNumber Filler,
+                double MilliProcessors, TimePoint Now) const;
 
 private:
   /// Sums of the least-squares fit of one service image; column N is the filler
--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -10,6 +10,10 @@
 /// A filler is placed where it gets at least this share of what it asks for.
 constexpr double LeastFillerShare = 0.5;
 
+/// A filler is placed where it may go at this pace at least, and where it may
+/// go faster first.
+constexpr double LeastStartPace = 0.4;
+constexpr double SlowStartCost = 3.0;
 /// A worker that bears any filler is left to those that few workers bear.
 constexpr double OpennessCost = 1.5;
 /// A filler that got less than this share for so long is starved.
@@ -105,8 +109,8 @@
   if (Spec.m_isFiller)
     return fillerCost(Task, Worker, Room);
   if (Spec.m_isService)
-    return SameServiceCost * runsOfStepOn(*Task.m_step, Worker) - shareUsed(Worker) +
-           OtherImageCost * otherImages(Task, Worker);
+    return SameServiceCost * runsOfStepOn(*Task.m_step, Worker) -
+           shareUsed(Worker) + OtherImageCost * otherImages(Task, Worker);
   return packingCost(Task, Worker);
 }
 
@@ -189,28 +193,30 @@
     Known = std::min(Known + FadePart * (UsualServiceLoad - Known), Load);
 }
 
-PlannedWorker *chooseWorker(const PlannedTask &Task,
-                            const std::vector<PlannedWorker *> &Candidates,
-                            const Interference &Learned, TimePoint Now) {
+Place chooseWorker(const PlannedTask &Task,
+                   const std::vector<PlannedWorker *> &Candidates,
+                   const Interference &Learned, TimePoint Now) {
   const StepSpec &Spec = *Task.m_step->m_spec;
-  PlannedWorker *Best = nullptr;
+  Place Best;
   double BestCost = 0.0;
   for (PlannedWorker *Each : Candidates) {
     if (!isOpen(*Each, Now) || !isAllowed(Task, *Each))
       continue;
-    double Room = 0.0;
+    Interference::Offer Offer;
     if (Spec.m_isFiller) {
       if (!hasFillerRoom(Task, *Each))
         continue;
-      Room = Learned.roomWith(
+      Offer = Learned.offerTo(
           *Each, Task.m_step->m_image,
           static_cast<double>(Spec.m_request.m_milliProcessors), Now);
-      if (Room < 0.0)
+      if (Offer.m_pace < LeastStartPace)
         continue;
     }
-    const double Cost = riskOf(Task, *Each, Now) + placeCost(Task, *Each, Room);
-    if (!Best || Cost < BestCost) {
-      Best = Each;
+    const double Cost = riskOf(Task, *Each, Now) +
+                        placeCost(Task, *Each, Offer.m_room) +
+                        SlowStartCost * (1.0 - Offer.m_pace);
+    if (!Best.m_worker || Cost < BestCost) {
+      Best = {Each, static_cast<int>(Offer.m_pace * 100.0)};
       BestCost = Cost;
     }
   }
--- a/catkinseam/scheduler/placement.h
+++ b/catkinseam/scheduler/placement.h
@@ -1,7 +1,6 @@
 // Chooses the worker of a task.
 //
-//   PlannedWorker *Chosen = chooseWorker(Task, Candidates, Learned,
-//   Clock.now());
+//   Place Chosen = chooseWorker(Task, Candidates, Learned, Clock.now());
 #ifndef CATKINSEAM_SCHEDULER_PLACEMENT_H
 #define CATKINSEAM_SCHEDULER_PLACEMENT_H
 
@@ -30,10 +29,16 @@
 /// Whether a filler at full pace gets next to nothing where it is.
 bool isStarved(const StepSpec &Spec, const PlannedRun &Run, TimePoint Now);
 
-/// The best worker that is open and allowed, or null.
-PlannedWorker *chooseWorker(const PlannedTask &Task,
-                            const std::vector<PlannedWorker *> &Candidates,
-                            const Interference &Learned, TimePoint Now);
+/// Where a task is to run and, for a filler, at what pace, in percent.
+struct Place {
+  PlannedWorker *m_worker = nullptr;
+  int m_pace = 100;
+};
+
+/// The best worker that is open and allowed; none when m_worker is null.
+Place chooseWorker(const PlannedTask &Task,
+                   const std::vector<PlannedWorker *> &Candidates,
+                   const Interference &Learned, TimePoint Now);
 
 } // namespace catkinseam
 
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -43,6 +43,8 @@
 /// would lose more than this share of its work, in percent.
 constexpr int MovePace = 30;
 constexpr Milliseconds MoveAfter{700};
+/// It is moved where it may go at this pace at least, in percent.
+constexpr int BetterPace = 80;
 constexpr std::int64_t MostWorkLost = 30;
 /// A copy is made of a task that runs so many times longer than the longest of
 /// at least so many of its step.
@@ -139,13 +141,16 @@
 bool Scheduler::placeTask(PlannedTask &Task, Decisions &Next) {
   const std::string &Service =
       Task.m_step->m_occurrence->m_job->terms().m_service;
-  PlannedWorker *Chosen =
+  const Place Chosen =
       chooseWorker(Task, workersOf(Service), m_interference, m_clock.now());
-  if (!Chosen)
+  if (!Chosen.m_worker)
     return false;
   leaveWaiting(Task);
   ++Task.m_lastRun;
-  addRun(Task, Task.m_lastRun, *Chosen, RunPhase::Recording);
+  PlannedRun &Run =
+      addRun(Task, Task.m_lastRun, *Chosen.m_worker, RunPhase::Recording);
+  if (Task.m_step->m_spec->m_isFiller)
+    Run.m_pace = Chosen.m_pace;
   Next.m_starts.push_back({keyOf(Task), Task.m_lastRun});
   PlannedJob &Job = *Task.m_step->m_occurrence->m_job;
   if (Job.m_state == JobState::Queued)
@@ -321,9 +326,9 @@
         continue;
       const std::string &Service =
           Ref.m_task->m_step->m_occurrence->m_job->terms().m_service;
-      const PlannedWorker *Better =
+      const Place Better =
           chooseWorker(*Ref.m_task, workersOf(Service), m_interference, Now);
-      if (!Better)
+      if (!Better.m_worker || Better.m_pace < BetterPace)
         continue;
       logInfo("run.moved", {{"task", toString(keyOf(*Ref.m_task))},
                             {"run", std::to_string(Ref.m_run)},
