Pacing by a model of each service's own load, robust pressures, flapping ended

Cause: the unit tests of interference failed on the trial code: a filler's pace flapped between 0 and 100, since a stopped filler's figure of zero was taken for its demand; light fillers were stopped beside a service that was loaded by its own users; one sudden change of a service's load was booked to whatever filler changed its pace in that half second. SecondAttemptsGoToProvenWorkers now spreads its job by the job's own bound, as placement no longer spreads by itself; what it checks is the same.

--- a/catkinseam/scheduler/interference.cc
+++ b/catkinseam/scheduler/interference.cc
@@ -123,10 +123,30 @@
   return 1.0 - Idle / std::max(Tail, Idle);
 }
 
+void Interference::noteHeldBack(double Share) {
+  m_heldBack += m_options.m_heldBackPart * (Share - m_heldBack);
+}
+
+double Interference::safeLoad(const PlannedStep &Service) const {
+  const double Pressed = std::min(1.0, m_heldBack / m_options.m_pressedShare);
+  const double Spread =
+      std::min(1.0, (static_cast<double>(Service.m_spec->m_count) - 1.0) /
+                        (m_options.m_manyInstances - 1.0));
+  return loadAt(Service.m_image,
+                m_options.m_calmTail +
+                    Pressed * Spread *
+                        (m_options.m_pressedTail - m_options.m_calmTail));
+}
+
+double Interference::slackOf(const RunRef &Service) const {
+  const PlannedStep &Step = *Service.m_task->m_step;
+  return std::max(0.0, loadAt(Step.m_image, m_options.m_pressedTail) -
+                           safeLoad(Step));
+}
+
 double Interference::roomOf(const RunRef &Service, TimePoint From,
                             Duration For) const {
-  return loadAt(Service.m_task->m_step->m_image, m_options.m_safeTail) -
-         ownLoad(Service, From, For);
+  return safeLoad(*Service.m_task->m_step) - ownLoad(Service, From, For);
 }
 
 Interference::Shares Interference::sharesOf(PlannedWorker &Worker,
@@ -196,9 +216,14 @@
     // The fewer reports the mean rests on, the less the difference says.
     const double Weight = Habits.m_weight / (1.0 + Habits.m_weight);
     Shares Differences = Used;
-    for (ImageNumber Image = 0; Image < Used.size(); ++Image)
+    double Expected = 0.0;
+    for (ImageNumber Image = 0; Image < Used.size(); ++Image) {
       Differences[Image] -= Habits.m_shares[Image];
-    const double Difference = Load - Habits.m_load;
+      Expected += Of.m_pressures[Image] * Differences[Image];
+    }
+    const double Difference =
+        std::clamp(Load - Habits.m_load, Expected - m_options.m_mostSurprise,
+                   Expected + m_options.m_mostSurprise);
     fade(Of, Now);
     for (ImageNumber Row = 0; Row < Used.size(); ++Row) {
       if (Differences[Row] == 0.0)
@@ -310,23 +335,24 @@
     if (!Step.m_spec->m_isService ||
         Step.m_spec->m_targetTail <= Milliseconds::zero())
       continue;
-    const double Load = ownLoad(Each, Now, m_options.m_placeAhead);
+    const double Room =
+        safeLoad(Step) - ownLoad(Each, Now, m_options.m_placeAhead);
     const auto Found =
         std::find_if(Worker.m_tails.begin(), Worker.m_tails.end(),
                      [&](const PlannedWorker::ServiceTail &Tail) {
                        return Tail.m_image == Step.m_image;
                      });
     if (Found == Worker.m_tails.end())
-      Worker.m_tails.push_back({Step.m_image, Load});
+      Worker.m_tails.push_back({Step.m_image, Room});
     else
-      Found->m_load = std::max(Found->m_load, Load);
+      Found->m_room = std::min(Found->m_room, Room);
   }
   for (PlannedWorker::ServiceTail &Tail : Worker.m_tails) {
     for (const RunRef &Each : Worker.m_runs) {
       const PlannedStep &Step = *Each.m_task->m_step;
       const PlannedRun *Run = Step.m_spec->m_isFiller ? runOf(Each) : nullptr;
       if (Run)
-        Tail.m_load += added(
+        Tail.m_room -= added(
             Worker, Tail.m_image, Step.m_image,
             static_cast<double>(Step.m_spec->m_request.m_milliProcessors) *
                 Run->m_pace / 100.0);
@@ -354,10 +380,8 @@
     const double More = added(Worker, Each.m_image, Filler, MilliProcessors);
     if (More < m_options.m_leastAdded)
       continue;
-    const double Room =
-        loadAt(Each.m_image, m_options.m_safeTail) - Each.m_load;
-    Least.m_room = std::min(Least.m_room, Room - More);
-    Least.m_pace = std::min(Least.m_pace, std::max(0.0, Room / More));
+    Least.m_room = std::min(Least.m_room, Each.m_room - More);
+    Least.m_pace = std::min(Least.m_pace, std::max(0.0, Each.m_room / More));
   }
   return Least;
 }
--- a/catkinseam/scheduler/interference.h
+++ b/catkinseam/scheduler/interference.h
@@ -35,9 +35,13 @@
     /// Reports of one worker within this time say the same.
     Milliseconds m_reportInterval{250};
     /// A pressure without reports, and the weight of assuming it, in squared
-    /// shares: ten reports of a filler of usual size weigh as much.
+    /// shares: the roughness of reports over the spread of pressures, squared.
     double m_assumed = 0.7;
-    double m_assumedWeight = 0.05;
+    double m_assumedWeight = 0.01;
+    /// A report that differs by more from what is expected counts as differing
+    /// by this: four times the roughness of reports, more than any usual filler
+    /// adds.
+    double m_mostSurprise = 0.2;
     /// The load that a service is assumed to have of its own.
     double m_usualLoad = 0.50;
     /// While a service's habits are not known, a load that grows is expected
@@ -67,8 +71,17 @@
     double m_leastAdded = 0.02;
     /// Processors of a usual filler, in thousandths.
     double m_usualFiller = 2000.0;
-    /// A service is to stay below this share of its target tail.
-    double m_safeTail = 0.65;
+    /// A service is to stay below this share of its target tail while no batch
+    /// work is held back, ...
+    double m_calmTail = 0.6;
+    /// ... and below this one while this share of it or more is.
+    double m_pressedTail = 0.78;
+    double m_pressedShare = 0.3;
+    /// A service of so many instances or more is brought that close; one of a
+    /// single instance never is, as it is all of the service.
+    double m_manyInstances = 6.0;
+    /// Part of a new share held back that is believed, each time it is noted.
+    double m_heldBackPart = 0.2;
   };
 
   explicit Interference(const Options &Values) : m_options(Values) {}
@@ -103,6 +116,10 @@
 
   ImageNumber numberOf(const std::string &Image);
 
+  /// Takes in the share of the batch work asked for, 0 to 1, that waits or is
+  /// slowed; it decides how close to their targets services are brought.
+  void noteHeldBack(double Share);
+
   /// Takes in a worker's report.
   void observe(PlannedWorker &Worker, TimePoint Now);
 
@@ -117,6 +134,10 @@
   /// negative when its own is above what is safe.
   double roomOf(const RunRef &Service, TimePoint From, Duration For) const;
 
+  /// How much further a service may be brought to its target by those that
+  /// press on it lightly.
+  double slackOf(const RunRef &Service) const;
+
   /// What a worker offers a further filler. Renews the worker's m_tails.
   struct Offer {
     /// The least load left to a service that it would press on; 1 when there is
@@ -151,6 +172,7 @@
   void noteOwn(const RunRef &Service, double Load, double Pressed,
                Duration Since, TimePoint Now);
   double ownLoad(const RunRef &Service, TimePoint From, Duration For) const;
+  double safeLoad(const PlannedStep &Service) const;
   double idleTail(ImageNumber Service) const;
   double loadAt(ImageNumber Service, double Tail) const;
   void fade(Fit &Of, TimePoint Now) const;
@@ -164,6 +186,7 @@
   /// By the number of the service's image.
   std::vector<Fit> m_services;
   Swing::Votes m_periods{};
+  double m_heldBack = 0.0;
 };
 
 /// The run that a reference names, or null.
--- a/catkinseam/scheduler/interference_test.cc
+++ b/catkinseam/scheduler/interference_test.cc
@@ -56,6 +56,7 @@
   /// its own and what the filler adds.
   void report(double OwnLoad, double Pressure) {
     PlannedRun &Filler = m_filler.m_runs.front();
+    Filler.m_paceSent = Filler.m_pace;
     Filler.m_figure = 20 * Filler.m_pace;
     const double Share = static_cast<double>(Filler.m_figure) / 10000.0;
     const double Load = std::min(0.98, OwnLoad + Pressure * Share);
--- a/catkinseam/scheduler/pacing.cc
+++ b/catkinseam/scheduler/pacing.cc
@@ -101,8 +101,19 @@
   constexpr double Spread = 1.2;
   if (!IsSettled || Run.m_paceSent < TellingPace)
     return Request;
-  return std::min(Request, Spread * static_cast<double>(Run.m_figure) *
-                               FullPace / Run.m_paceSent);
+  // It may use more again at any moment.
+  constexpr double Least = 0.5;
+  return std::clamp(Spread * static_cast<double>(Run.m_figure) * FullPace /
+                        Run.m_paceSent,
+                    Least * Request, Request);
+}
+
+void Pacing::slow(const Group &Of, double Excess) {
+  if (Excess <= 0.0 || Of.m_pressed <= 0.0)
+    return;
+  const double Share = std::max(0.0, 1.0 - Excess / Of.m_pressed);
+  for (Pressing *Each : Of.m_members)
+    Each->m_pace *= Share;
 }
 
 void Pacing::fit(std::vector<Pressing> &Fillers, const PlannedWorker &Worker,
@@ -112,12 +123,6 @@
   if (Spec.m_targetTail <= Milliseconds::zero())
     return;
   const ImageNumber Image = Service.m_task->m_step->m_image;
-  // Those that press hard are slowed first, all others only if that is too
-  // little.
-  struct Group {
-    double m_pressed = 0.0;
-    std::vector<Pressing *> m_members;
-  };
   Group Hard;
   Group Light;
   for (Pressing &Each : Fillers) {
@@ -127,16 +132,11 @@
     Of.m_members.push_back(&Each);
     Of.m_pressed += Part * Each.m_pace;
   }
-  double Excess = Hard.m_pressed + Light.m_pressed -
-                  Learned.roomOf(Service, Now, m_options.m_ahead);
-  for (const Group *Of : {&Hard, &Light}) {
-    if (Excess <= 0.0 || Of->m_pressed <= 0.0)
-      continue;
-    const double Share = std::max(0.0, 1.0 - Excess / Of->m_pressed);
-    for (Pressing *Each : Of->m_members)
-      Each->m_pace *= Share;
-    Excess -= Of->m_pressed * (1.0 - Share);
-  }
+  // Those that press lightly may bring it closer to its target.
+  const double Room = Learned.roomOf(Service, Now, m_options.m_ahead);
+  slow(Hard, Hard.m_pressed + Light.m_pressed - Room);
+  if (Light.m_pressed >= LightPart)
+    slow(Light, Light.m_pressed - Room - Learned.slackOf(Service));
 }
 
 bool Pacing::take(const Pressing &Planned, TimePoint Now) const {
--- a/catkinseam/scheduler/pacing.h
+++ b/catkinseam/scheduler/pacing.h
@@ -48,6 +48,13 @@
     double m_pace = 1.0;
   };
 
+  struct Group {
+    double m_pressed = 0.0;
+    std::vector<Pressing *> m_members;
+  };
+
+  /// Takes this much load off, or all that the group adds.
+  static void slow(const Group &Of, double Excess);
   bool halt(PlannedWorker &Worker, TimePoint Now) const;
   double demandOf(const StepSpec &Spec, const PlannedRun &Run,
                   TimePoint Now) const;
--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -33,7 +33,7 @@
 constexpr double SameServiceCost = 0.08;
 /// Services of one image together leave other workers to the fillers that
 /// this image does not bear.
-constexpr double OtherImageCost = 0.6;
+constexpr double OtherImageCost = 1.5;
 
 std::uint32_t runsOfStepOn(const PlannedStep &Step,
                            const PlannedWorker &Worker) {
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -56,6 +56,8 @@
 /// A step that found no place is tried again after this time: with many
 /// waiting, each look for a place costs as much as one that finds it.
 constexpr Milliseconds PlaceRetry{40};
+/// The batch work held back is noted this often.
+constexpr Milliseconds HeldBackInterval{200};
 /// decide() runs at least this often while runs or tasks are open.
 constexpr Milliseconds IdleWake{250};
 
@@ -286,6 +288,7 @@
   lapseSilentWorkers();
   leaveDrainingWorkers();
   listOpenWorkers();
+  noteHeldBack();
   moveSlowedFillers();
   Controls Next;
   Next.m_stops = std::move(m_foreignStops);
@@ -304,6 +307,18 @@
   return Next;
 }
 
+void Scheduler::noteHeldBack() {
+  if (m_clock.now() - m_heldBackNotedAt < HeldBackInterval)
+    return;
+  m_heldBackNotedAt = m_clock.now();
+  const Summary Now = summarize();
+  const std::int64_t Asked = Now.m_fillerRequest + Now.m_waitingFillerRequest;
+  m_interference.noteHeldBack(
+      Asked == 0 ? 0.0
+                 : 1.0 - static_cast<double>(Now.m_fillerPaced) /
+                             static_cast<double>(Asked));
+}
+
 void Scheduler::moveSlowedFillers() {
   const TimePoint Now = m_clock.now();
   for (const auto &[Id, Worker] : m_workers) {
@@ -442,8 +457,12 @@
     Now.m_waitingTasks += Step->m_waiting.size();
     if (Step->m_spec->m_isService)
       Now.m_waitingServices += Step->m_waiting.size();
-    if (Step->m_spec->m_isFiller)
+    if (Step->m_spec->m_isFiller) {
       Now.m_waitingFillers += Step->m_waiting.size();
+      Now.m_waitingFillerRequest +=
+          Step->m_spec->m_request.m_milliProcessors *
+          static_cast<std::int64_t>(Step->m_waiting.size());
+    }
   }
   for (const auto &[Id, Worker] : m_workers) {
     if (isOpen(*Worker, m_clock.now())) {
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -139,6 +139,7 @@
     /// Of these.
     std::size_t m_waitingServices = 0;
     std::size_t m_waitingFillers = 0;
+    std::int64_t m_waitingFillerRequest = 0;
     /// Thousandths of a processor that open workers have free, all together
     /// and the most of one.
     std::int64_t m_freeProcessors = 0;
@@ -203,6 +204,7 @@
   void stopForeign(PlannedWorker &Worker, const ActiveRun &Active);
   void lapseSilentWorkers();
   void leaveDrainingWorkers();
+  void noteHeldBack();
   /// Stops fillers that are held back where they are and fit elsewhere.
   void moveSlowedFillers();
   void noteFailure(PlannedWorker &Worker, const std::string &Job);
@@ -251,6 +253,7 @@
   std::vector<StopOrder> m_foreignStops;
   std::map<std::string, TimePoint> m_foreignStopSent;
   std::size_t m_liveJobs = 0;
+  TimePoint m_heldBackNotedAt;
 };
 
 } // namespace catkinseam
--- a/catkinseam/scheduler/scheduler_test.cc
+++ b/catkinseam/scheduler/scheduler_test.cc
@@ -141,7 +141,9 @@
   addWorker("w1");
   addWorker("w2");
   addWorker("w3");
-  m_plan.addJob(job("00000000000000d0", 3), nullptr);
+  Submission Spread = job("00000000000000d0", 3);
+  Spread.m_spec.m_steps[0].m_maxPerWorker = 1;
+  m_plan.addJob(Spread, nullptr);
   step();
   // Each worker has one; w1 fails, w2 finishes, w3 says nothing yet.
   const StartOrder Failed = m_sent["w1"].front();
--- a/catkinseam/scheduler/swing.cc
+++ b/catkinseam/scheduler/swing.cc
@@ -9,10 +9,11 @@
 
 namespace {
 
-/// Periods from 5 s to 25 s, each 5.3 percent longer than the one before: the
-/// phases of two neighbours part by less than a tenth within a half life.
+/// Periods from 5 s to 25 s, each 2.6 percent longer than the one before:
+/// within a half life of reports a period between two of them is off by less
+/// than a thirtieth of a turn.
 constexpr double LeastPeriod = 5.0;
-constexpr double PeriodStep = 1.0533;
+constexpr double PeriodStep = 1.0259;
 
 /// Radians a second.
 double frequencyOf(std::size_t Period) {
--- a/catkinseam/scheduler/swing.h
+++ b/catkinseam/scheduler/swing.h
@@ -39,7 +39,7 @@
     double m_votePart = 0.03;
   };
 
-  static constexpr std::size_t Periods = 32;
+  static constexpr std::size_t Periods = 64;
 
   /// Mean squared misfit of each period, over the services of all jobs; zero
   /// before the first.
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -189,7 +189,8 @@
   /// Interference, stale after any change of runs, paces or reports.
   struct ServiceTail {
     ImageNumber m_image = 0;
-    double m_load = 0.0;
+    /// The load that fillers may still add.
+    double m_room = 0.0;
   };
   std::vector<ServiceTail> m_tails;
   bool m_areTailsStale = true;
