--- a/catkinseam/scheduler/interference.cc
+++ b/catkinseam/scheduler/interference.cc
@@ -327,9 +327,22 @@
   return pressure(Service, Filler) * MilliProcessors / capacityOf(Worker);
 }
 
+double Interference::processorsOf(const PlannedWorker &Worker, TimePoint From,
+                                  Duration For) const {
+  double Used = 0.0;
+  for (const RunRef &Each : Worker.m_runs) {
+    const StepSpec &Spec = *Each.m_task->m_step->m_spec;
+    if (Spec.m_isService)
+      Used += static_cast<double>(Spec.m_request.m_milliProcessors) *
+              std::clamp(ownLoad(Each, From, For), 0.0, 1.0);
+  }
+  return Used;
+}
+
 void Interference::renewTails(PlannedWorker &Worker, TimePoint Now) const {
   Worker.m_areTailsStale = false;
   Worker.m_tails.clear();
+  Worker.m_serviceUse = processorsOf(Worker, Now, m_options.m_placeAhead);
   for (const RunRef &Each : Worker.m_runs) {
     const PlannedStep &Step = *Each.m_task->m_step;
     if (!Step.m_spec->m_isService ||
@@ -337,15 +350,18 @@
       continue;
     const double Room =
         safeLoad(Step) - ownLoad(Each, Now, m_options.m_placeAhead);
+    const double Part = 1.0 / static_cast<double>(Step.m_spec->m_count);
     const auto Found =
         std::find_if(Worker.m_tails.begin(), Worker.m_tails.end(),
                      [&](const PlannedWorker::ServiceTail &Tail) {
                        return Tail.m_image == Step.m_image;
                      });
     if (Found == Worker.m_tails.end())
-      Worker.m_tails.push_back({Step.m_image, Room});
-    else
+      Worker.m_tails.push_back({Step.m_image, Room, Part});
+    else {
       Found->m_room = std::min(Found->m_room, Room);
+      Found->m_parts += Part;
+    }
   }
   for (PlannedWorker::ServiceTail &Tail : Worker.m_tails) {
     for (const RunRef &Each : Worker.m_runs) {
@@ -380,6 +396,7 @@
     const double More = added(Worker, Each.m_image, Filler, MilliProcessors);
     if (More < m_options.m_leastAdded)
       continue;
+    Least.m_pressed += Each.m_parts;
     Least.m_room = std::min(Least.m_room, Each.m_room - More);
     Least.m_pace = std::min(Least.m_pace, std::max(0.0, Each.m_room / More));
   }
--- a/catkinseam/scheduler/interference.h
+++ b/catkinseam/scheduler/interference.h
@@ -134,6 +134,11 @@
   /// negative when its own is above what is safe.
   double roomOf(const RunRef &Service, TimePoint From, Duration For) const;
 
+  /// Thousandths of a processor that a worker's services use at most within a
+  /// span of time.
+  double processorsOf(const PlannedWorker &Worker, TimePoint From,
+                      Duration For) const;
+
   /// How much further a service may be brought to its target by those that
   /// press on it lightly.
   double slackOf(const RunRef &Service) const;
@@ -145,6 +150,8 @@
     double m_room = 1.0;
     /// The share of its pace, 0 to 1, at which all services bear it.
     double m_pace = 1.0;
+    /// The sum of the parts of services that it would press on.
+    double m_pressed = 0.0;
   };
   Offer offerTo(PlannedWorker &Worker, ImageNumber Filler,
                 double MilliProcessors, TimePoint Now) const;
--- a/catkinseam/scheduler/pacing.cc
+++ b/catkinseam/scheduler/pacing.cc
@@ -67,6 +67,7 @@
   for (const RunRef &Each : Worker.m_runs)
     if (Each.m_task->m_step->m_spec->m_isService)
       fit(Fillers, Worker, Each, Learned, Now);
+  fitProcessors(Fillers, Worker, Learned, Now);
   bool IsChanged = false;
   for (const Pressing &Each : Fillers)
     IsChanged = take(Each, Now) || IsChanged;
@@ -139,6 +140,23 @@
     slow(Light, Light.m_pressed - Room - Learned.slackOf(Service));
 }
 
+void Pacing::fitProcessors(std::vector<Pressing> &Fillers,
+                           const PlannedWorker &Worker,
+                           const Interference &Learned, TimePoint Now) const {
+  const std::int64_t Others =
+      Worker.m_reserved.m_milliProcessors - Worker.m_serviceProcessors;
+  const double Idle =
+      static_cast<double>(Worker.m_report.m_capacity.m_milliProcessors -
+                          Others) -
+      Learned.processorsOf(Worker, Now, m_options.m_ahead);
+  Group All;
+  for (Pressing &Each : Fillers) {
+    All.m_members.push_back(&Each);
+    All.m_pressed += Each.m_demand * Each.m_pace;
+  }
+  slow(All, All.m_pressed - std::max(0.0, Idle));
+}
+
 bool Pacing::take(const Pressing &Planned, TimePoint Now) const {
   PlannedRun &Run = *Planned.m_run;
   int Pace = static_cast<int>(Planned.m_pace * FullPace);
--- a/catkinseam/scheduler/pacing.h
+++ b/catkinseam/scheduler/pacing.h
@@ -62,6 +62,11 @@
   void fit(std::vector<Pressing> &Fillers, const PlannedWorker &Worker,
            const RunRef &Service, const Interference &Learned,
            TimePoint Now) const;
+  /// Slows all until services and fillers together leave processors idle: as a
+  /// worker runs full, every filler presses on every service.
+  void fitProcessors(std::vector<Pressing> &Fillers,
+                     const PlannedWorker &Worker, const Interference &Learned,
+                     TimePoint Now) const;
   bool take(const Pressing &Planned, TimePoint Now) const;
 
   const Options m_options;
--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -14,6 +14,8 @@
 /// go faster first.
 constexpr double LeastStartPace = 0.4;
 constexpr double SlowStartCost = 3.0;
+/// The fewer services it presses on, and the smaller their part, the better.
+constexpr double PressedCost = 0.5;
 /// A worker that bears any filler is left to those that few workers bear.
 constexpr double OpennessCost = 1.5;
 /// A filler that got less than this share for so long is starved.
@@ -93,7 +95,7 @@
                   double Room) {
   const double Request = static_cast<double>(std::max<std::int64_t>(
       1, Task.m_step->m_spec->m_request.m_milliProcessors));
-  const double Spare = static_cast<double>(spareProcessors(Worker));
+  const double Spare = spareProcessors(Worker);
   return OpennessCost * Worker.m_bearable - std::min(Room, MostRoom) -
          Spare / (4.0 * Request);
 }
@@ -120,8 +122,7 @@
     return false;
   const auto Request =
       static_cast<double>(Task.m_step->m_spec->m_request.m_milliProcessors);
-  return static_cast<double>(spareProcessors(Worker)) >=
-         LeastFillerShare * Request;
+  return spareProcessors(Worker) >= LeastFillerShare * Request;
 }
 
 } // namespace
@@ -151,13 +152,12 @@
   return true;
 }
 
-std::int64_t spareProcessors(const PlannedWorker &Worker) {
-  const std::int64_t Services = Worker.m_serviceProcessors;
-  const std::int64_t Others = Worker.m_reserved.m_milliProcessors - Services;
-  return Worker.m_report.m_capacity.m_milliProcessors - Others -
-         static_cast<std::int64_t>(Worker.m_serviceLoad *
-                                   static_cast<double>(Services)) -
-         Worker.m_fillerProcessors;
+double spareProcessors(const PlannedWorker &Worker) {
+  const std::int64_t Others =
+      Worker.m_reserved.m_milliProcessors - Worker.m_serviceProcessors;
+  return static_cast<double>(Worker.m_report.m_capacity.m_milliProcessors -
+                             Others - Worker.m_fillerProcessors) -
+         Worker.m_serviceUse;
 }
 
 bool isStarved(const StepSpec &Spec, const PlannedRun &Run, TimePoint Now) {
@@ -204,17 +204,15 @@
       continue;
     Interference::Offer Offer;
     if (Spec.m_isFiller) {
-      if (!hasFillerRoom(Task, *Each))
-        continue;
       Offer = Learned.offerTo(
           *Each, Task.m_step->m_image,
           static_cast<double>(Spec.m_request.m_milliProcessors), Now);
-      if (Offer.m_pace < LeastStartPace)
+      if (Offer.m_pace < LeastStartPace || !hasFillerRoom(Task, *Each))
         continue;
     }
-    const double Cost = riskOf(Task, *Each, Now) +
-                        placeCost(Task, *Each, Offer.m_room) +
-                        SlowStartCost * (1.0 - Offer.m_pace);
+    const double Cost =
+        riskOf(Task, *Each, Now) + placeCost(Task, *Each, Offer.m_room) +
+        SlowStartCost * (1.0 - Offer.m_pace) + PressedCost * Offer.m_pressed;
     if (!Best.m_worker || Cost < BestCost) {
       Best = {Each, static_cast<int>(Offer.m_pace * 100.0)};
       BestCost = Cost;
--- a/catkinseam/scheduler/placement.h
+++ b/catkinseam/scheduler/placement.h
@@ -19,8 +19,8 @@
 bool isAllowed(const PlannedTask &Task, const PlannedWorker &Worker);
 
 /// The processors that a worker's fillers can still be given, in thousandths,
-/// by what its other tasks are thought to use.
-std::int64_t spareProcessors(const PlannedWorker &Worker);
+/// by what its other tasks are expected to use; needs Worker.m_serviceUse.
+double spareProcessors(const PlannedWorker &Worker);
 
 /// Corrects what the worker's services are thought to use by what its fillers
 /// got: with less than they asked for, the rest was in use.
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -191,9 +191,14 @@
     ImageNumber m_image = 0;
     /// The load that fillers may still add.
     double m_room = 0.0;
+    /// The sum of the parts of their services that these instances are.
+    double m_parts = 0.0;
   };
   std::vector<ServiceTail> m_tails;
   bool m_areTailsStale = true;
+  /// Thousandths of a processor that its services are expected to use at most
+  /// in the near future; goes with m_tails.
+  double m_serviceUse = 0.0;
   /// The part of all known images whose fillers it would bear; goes with
   /// m_tails.
   double m_bearable = 1.0;
