Work that ends gets room before services of the same priority

Ruled out: room kept free for ordinary tasks, since a waiting service for which there is room twice over must not wait. Change: at one priority, steps that end are placed before services.

--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -72,8 +72,9 @@
   const PlannedJob &Job = *Step.m_occurrence->m_job;
   const std::int64_t Delay =
       Step.m_occurrence->m_dueMs - Job.m_submission.m_acceptedMs;
-  return {Job.terms().m_priority, Job.m_objectiveMs + Delay,
-          Job.m_submission.m_id, Step.m_occurrence->m_number, Step.m_number};
+  return {Job.terms().m_priority,      Step.m_spec->m_isService,
+          Job.m_objectiveMs + Delay,   Job.m_submission.m_id,
+          Step.m_occurrence->m_number, Step.m_number};
 }
 
 Decisions Scheduler::decide() {
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -232,9 +232,11 @@
   std::unordered_map<std::string, std::unique_ptr<PlannedJob>> m_jobs;
   std::unordered_map<std::string, std::unique_ptr<PlannedWorker>> m_workers;
   /// Steps with tasks to place, in the order in which they get room: by
-  /// priority, then by the job's objective.
+  /// priority, then work that ends before services, which keep what they get,
+  /// then by the job's objective.
   struct StepOrder {
     std::int64_t m_priority;
+    bool m_isService;
     std::int64_t m_objectiveMs;
     std::string m_job;
     std::uint32_t m_occurrence;
