--- a/catkinseam/scheduler/interference.h
+++ b/catkinseam/scheduler/interference.h
@@ -73,9 +73,9 @@
     double m_usualFiller = 2000.0;
     /// A service is to stay below this share of its target tail while no batch
     /// work is held back, ...
-    double m_calmTail = 0.6;
+    double m_calmTail = 0.55;
     /// ... and below this one while this share of it or more is.
-    double m_pressedTail = 0.78;
+    double m_pressedTail = 0.76;
     double m_pressedShare = 0.3;
     /// A service of so many instances or more is brought that close; one of a
     /// single instance never is, as it is all of the service.
