A silent log is asked by probes, not by callers' records

Cause: while the store is silent each node sent one caller's record every 0.9 to 2.5 s to find out whether it answers again; that caller was left in doubt (504) or held to its deadline. Change: after an unanswered append the front refuses new callers at once and asks with an append of nothing each 0.2 s; an append with a record in doubt waits no longer than that record may.

--- a/catkinseam/front/front.cc
+++ b/catkinseam/front/front.cc
@@ -44,13 +44,14 @@
 
 Front::Front(Runtime &Host, KeyedLog &Log, const Ledger &Jobs,
              const Options &Values)
-    : m_host(Host), m_log(Log), m_jobs(Jobs), m_options(Values) {}
+    : m_host(Host), m_log(Log), m_jobs(Jobs), m_options(Values),
+      m_probeTimer(Host) {}
 
 Front::~Front() { *m_isAlive = false; }
 
 bool Front::isLogSilent() const {
-  // Records in doubt are tried again and will show when it answers.
-  if (m_isSilent && m_inDoubt > 0)
+  // Records in doubt and probes will show when it answers again.
+  if (m_isSilent)
     return true;
   return m_isAppending && m_host.now() - m_attemptStarted >
                               m_options.m_silence + 3 * m_patience.usual();
@@ -95,7 +96,7 @@
   }
   m_isAppending = true;
   m_attemptStarted = m_host.now();
-  m_log.append(LogTopic::Jobs, Records, std::nullopt, m_patience.value(),
+  m_log.append(LogTopic::Jobs, Records, std::nullopt, timeoutFor(Batch),
                [this, Batch = std::move(Batch),
                 IsAlive = m_isAlive](const AppendReply &Reply) {
                  if (*IsAlive)
@@ -103,21 +104,64 @@
                });
 }
 
-void Front::onBatch(const std::vector<std::shared_ptr<Write>> &Batch,
-                    LogOutcome Outcome) {
+void Front::noteAnswer(LogOutcome Outcome) {
   m_isAppending = false;
   m_isSilent = Outcome == LogOutcome::Unknown;
   if (Outcome == LogOutcome::Unknown)
     m_patience.onSilence();
   else
     m_patience.onReply(m_host.now() - m_attemptStarted);
+}
+
+void Front::onBatch(const std::vector<std::shared_ptr<Write>> &Batch,
+                    LogOutcome Outcome) {
+  noteAnswer(Outcome);
   for (const std::shared_ptr<Write> &Each : Batch)
     settle(Each, Outcome);
-  if (Outcome == LogOutcome::Unknown)
+  if (Outcome == LogOutcome::Unknown) {
     refuseUnsent();
+    probe();
+  }
   sendBatch();
 }
 
+void Front::probe() {
+  m_probeTimer.start(m_options.m_probe, [this] {
+    if (!m_isSilent)
+      return;
+    // A record in doubt that is tried again asks as well.
+    if (m_isAppending || !m_queue.empty())
+      return probe();
+    m_isAppending = true;
+    m_attemptStarted = m_host.now();
+    m_log.append(LogTopic::Jobs, {}, std::nullopt,
+                 m_options.m_silence + toMilliseconds(3 * m_patience.usual()),
+                 [this, IsAlive = m_isAlive](const AppendReply &Reply) {
+                   if (!*IsAlive)
+                     return;
+                   noteAnswer(Reply.m_outcome);
+                   if (m_isSilent)
+                     probe();
+                   sendBatch();
+                 });
+  });
+}
+
+Milliseconds
+Front::timeoutFor(const std::vector<std::shared_ptr<Write>> &Batch) const {
+  Milliseconds Timeout = m_patience.value();
+  for (const std::shared_ptr<Write> &Each : Batch)
+    if (Each->m_isInDoubt)
+      Timeout = std::min(
+          Timeout, std::max(Milliseconds(1),
+                            toMilliseconds(giveUpAt(*Each) - m_host.now())));
+  return Timeout;
+}
+
+TimePoint Front::giveUpAt(const Write &Pending) const {
+  return std::min(Pending.m_deadline, Pending.m_began + m_options.m_doubtTime);
+}
+
 void Front::settle(const std::shared_ptr<Write> &Pending, LogOutcome Outcome) {
   if (Pending->m_isInDoubt)
     --m_inDoubt;
@@ -129,9 +173,7 @@
   // twice, which is the same as once.
   if (!Pending->m_isInDoubt)
     return Pending->m_done(LogOutcome::Refused);
-  const TimePoint GiveUp =
-      std::min(Pending->m_deadline, Pending->m_began + m_options.m_doubtTime);
-  if (m_host.now() + m_options.m_appendRetry >= GiveUp)
+  if (m_host.now() + m_options.m_appendRetry >= giveUpAt(*Pending))
     return Pending->m_done(LogOutcome::Unknown);
   ++m_inDoubt;
   m_host.schedule(m_options.m_appendRetry,
--- a/catkinseam/front/front.h
+++ b/catkinseam/front/front.h
@@ -47,6 +47,8 @@
     /// While an append has been unanswered for longer than this beyond the
     /// usual, nothing more is taken in.
     Milliseconds m_silence{400};
+    /// While the log is silent, an append of nothing asks for it this often.
+    Milliseconds m_probe{200};
     /// Most records of one append.
     std::size_t m_batch = 64;
     /// Kept of the caller's time for the answer to travel.
@@ -85,6 +87,13 @@
   void sendBatch();
   bool isLogSilent() const;
   void refuseUnsent();
+  /// Asks a silent log until it answers, so that no caller's record has to.
+  void probe();
+  /// How long the next append may wait for its answer.
+  Milliseconds
+  timeoutFor(const std::vector<std::shared_ptr<Write>> &Batch) const;
+  TimePoint giveUpAt(const Write &Pending) const;
+  void noteAnswer(LogOutcome Outcome);
   void onBatch(const std::vector<std::shared_ptr<Write>> &Batch,
                LogOutcome Outcome);
   void settle(const std::shared_ptr<Write> &Pending, LogOutcome Outcome);
@@ -101,6 +110,7 @@
   bool m_isAppending = false;
   /// The last append was not answered.
   bool m_isSilent = false;
+  Timer m_probeTimer;
   /// Records in doubt that are being tried again.
   std::size_t m_inDoubt = 0;
   TimePoint m_attemptStarted;
--- a/catkinseam/front/front_test.cc
+++ b/catkinseam/front/front_test.cc
@@ -110,6 +110,30 @@
   BOOST_TEST(!isStored("00000000000000a2"));
 }
 
+// Pattern: the log is silent for seconds. Only what was under way as it fell
+// silent is in doubt; later callers are refused at once, however long it lasts,
+// and taken in again within 0.7 s of its return.
+BOOST_FIXTURE_TEST_CASE(ALongSilenceLeavesNoOtherCallerInDoubt, Fixture) {
+  m_log.m_faults.m_lateShare = 1.0;
+  submit();
+  m_host.advance(Milliseconds(1000));
+  for (int Number = 0; Number < 15; ++Number) {
+    const std::string Job = "00000000000000" + std::to_string(10 + Number);
+    m_outcome.reset();
+    submit(Job);
+    m_host.advance(Milliseconds(1));
+    BOOST_TEST((m_outcome == SubmitOutcome::NotAccepted));
+    m_host.advance(Milliseconds(300));
+    BOOST_TEST(!isStored(Job));
+  }
+  m_log.m_faults.m_lateShare = 0.0;
+  m_host.advance(Milliseconds(700));
+  m_outcome.reset();
+  submit("00000000000000b1");
+  m_host.advance(Milliseconds(50));
+  BOOST_TEST((m_outcome == SubmitOutcome::Accepted));
+}
+
 BOOST_FIXTURE_TEST_CASE(CancelsWaitForAnotherNodesRecord, Fixture) {
   std::optional<CancelOutcome> Outcome;
   m_front.cancel(Id, Budget, [&](CancelOutcome Told) { Outcome = Told; });
