--- a/catkinseam/front/front.cc
+++ b/catkinseam/front/front.cc
@@ -57,13 +57,6 @@
                               m_options.m_silence + 3 * m_patience.usual();
 }
 
-Milliseconds Front::returnTime() const {
-  if (!m_troubleSince)
-    return m_options.m_leastReturn;
-  return std::clamp(toMilliseconds(m_host.now() - *m_troubleSince),
-                    m_options.m_leastReturn, m_options.m_mostReturn);
-}
-
 void Front::refuseUnsent() {
   std::deque<std::shared_ptr<Write>> Kept;
   std::vector<std::shared_ptr<Write>> Refused;
@@ -114,10 +107,6 @@
 void Front::noteAnswer(LogOutcome Outcome) {
   m_isAppending = false;
   m_isSilent = Outcome == LogOutcome::Unknown;
-  if (Outcome == LogOutcome::Done)
-    m_troubleSince.reset();
-  else if (!m_troubleSince)
-    m_troubleSince = m_attemptStarted;
   if (Outcome == LogOutcome::Unknown)
     m_patience.onSilence();
   else
--- a/catkinseam/front/front.h
+++ b/catkinseam/front/front.h
@@ -49,10 +49,6 @@
     Milliseconds m_silence{400};
     /// While the log is silent, an append of nothing asks for it this often.
     Milliseconds m_probe{200};
-    /// Bounds of what a refused caller is told to wait. An outage that has
-    /// lasted a while is expected to last as long again.
-    Milliseconds m_leastReturn{1000};
-    Milliseconds m_mostReturn{3000};
     /// Most records of one append.
     std::size_t m_batch = 64;
     /// Kept of the caller's time for the answer to travel.
@@ -76,9 +72,6 @@
   /// None when no such job is known here.
   std::optional<JobState> stateOf(const std::string &Id) const;
 
-  /// When a caller who was refused had best ask again.
-  Milliseconds returnTime() const;
-
   std::size_t pendingIn(const std::string &Queue) const {
     return m_jobs.pendingIn(Queue);
   }
@@ -118,9 +111,6 @@
   /// The last append was not answered.
   bool m_isSilent = false;
   Timer m_probeTimer;
-  /// Since when the log has stored nothing that it was asked to; none while it
-  /// does.
-  std::optional<TimePoint> m_troubleSince;
   /// Records in doubt that are being tried again.
   std::size_t m_inDoubt = 0;
   TimePoint m_attemptStarted;
--- a/catkinseam/front/front_test.cc
+++ b/catkinseam/front/front_test.cc
@@ -134,23 +134,6 @@
   BOOST_TEST((m_outcome == SubmitOutcome::Accepted));
 }
 
-// Pattern: an outage of seconds. Callers with a few tries get past its end when
-// they are told to wait longer the longer it has lasted.
-BOOST_FIXTURE_TEST_CASE(ALongOutageIsWaitedForLonger, Fixture) {
-  BOOST_TEST(m_front.returnTime() == Milliseconds(1000));
-  m_log.m_faults.m_isDown = true;
-  for (int Second = 0; Second < 5; ++Second) {
-    submit();
-    m_host.advance(Milliseconds(1000));
-    BOOST_TEST(m_front.returnTime() ==
-               std::min(Milliseconds(3000), Milliseconds(1000) * (Second + 1)));
-  }
-  m_log.m_faults.m_isDown = false;
-  submit();
-  m_host.advance(Milliseconds(50));
-  BOOST_TEST(m_front.returnTime() == Milliseconds(1000));
-}
-
 BOOST_FIXTURE_TEST_CASE(CancelsWaitForAnotherNodesRecord, Fixture) {
   std::optional<CancelOutcome> Outcome;
   m_front.cancel(Id, Budget, [&](CancelOutcome Told) { Outcome = Told; });
--- a/catkinseam/platform/ingress.cc
+++ b/catkinseam/platform/ingress.cc
@@ -17,10 +17,7 @@
 const char *const ReadinessPath = "/api/readyz";
 /// What stands between a caller and a node that cannot store: another node, or
 /// the store a moment later.
-/// The header holds whole seconds; a part of one counts as one.
-std::string wholeSeconds(Milliseconds Time) {
-  return std::to_string(std::chrono::ceil<std::chrono::seconds>(Time).count());
-}
+const char *const RetryAfterSeconds = "1";
 
 Milliseconds budgetOf(const HttpRequest &Request, const QueueRoute &Found) {
   const std::string *Text = Request.header(DeadlineHeader);
@@ -185,8 +182,7 @@
   Body += "}";
   HttpResponse Answer = jsonAnswer(Status, std::move(Body));
   if (Status == 503 || Status == 429)
-    Answer.m_headers.emplace_back("Retry-After",
-                                  wholeSeconds(m_front.returnTime()));
+    Answer.m_headers.emplace_back("Retry-After", RetryAfterSeconds);
   answer(Asked, std::move(Answer), Outcome);
 }
 
