A tail that has not reached the end is not up to date

A read that was answered counted as up to date even where it stopped short of the topic's end, so a node that fell behind took what it had not read yet for unknown. Ruled out: a lost log (no such line), an old answer read late (its age counts from its start). Change: the tail's time is that of the last read that reached the end.

--- a/catkinseam/ledger/keyed_tail.cc
+++ b/catkinseam/ledger/keyed_tail.cc
@@ -79,7 +79,9 @@
   if (m_isFaulty)
     logInfo("log.regained", {{"topic", logTopicName(m_options.m_topic)}});
   m_isFaulty = false;
-  m_lastRead = answeredAt();
+  // A read that stopped short of the end leaves records unknown.
+  if (Read.m_next >= Read.m_end)
+    m_lastRead = answeredAt();
   m_latencyBefore = m_latency;
   m_latency = m_host.now() - m_readStarted;
   if (m_latency >= m_options.m_wait)
--- a/catkinseam/ledger/keyed_tail.h
+++ b/catkinseam/ledger/keyed_tail.h
@@ -51,7 +51,7 @@
   /// All records that stood at some moment since start() have been handed on.
   bool isLoaded() const { return m_isLoaded; }
 
-  /// When a read was last answered; the epoch before the first.
+  /// When a read last reached the end of the topic; the epoch before the first.
   TimePoint lastRead() const { return m_lastRead; }
 
   /// What the log takes to answer at present, by the quicker of the last two
--- a/catkinseam/ledger/ledger_test.cc
+++ b/catkinseam/ledger/ledger_test.cc
@@ -108,4 +108,29 @@
   BOOST_TEST(Seen["k7"] == "2");
 }
 
+// Pattern: a busy topic and a reader that falls behind. Its reads are answered,
+// but what it has not read yet it does not know.
+BOOST_AUTO_TEST_CASE(ALaggingTailIsNotUpToDate) {
+  ManualRuntime Host;
+  std::mt19937_64 Random{1};
+  FakeLog Log(Host, Random);
+  FakeLog::View View(Log);
+  std::size_t Seen = 0;
+  KeyedTail Tail(Host, View, {.m_topic = LogTopic::Operator},
+                 {[&](const StoredRecord &) { ++Seen; }, nullptr, nullptr});
+  Tail.start();
+  Host.advance(Milliseconds(1000));
+  BOOST_TEST((Host.now() - Tail.lastRead() < Milliseconds(600)));
+  Log.m_faults.m_mostRead = 1;
+  for (int Number = 0; Number < 1000; ++Number)
+    Log.put(LogTopic::Operator, "k" + std::to_string(Number), "1");
+  Host.advance(Milliseconds(2000));
+  BOOST_TEST(Seen < 1000U);
+  BOOST_TEST((Host.now() - Tail.lastRead() >= Milliseconds(1500)));
+  Log.m_faults.m_mostRead = 1000;
+  Host.advance(Milliseconds(1000));
+  BOOST_TEST(Seen == 1000U);
+  BOOST_TEST((Host.now() - Tail.lastRead() < Milliseconds(600)));
+}
+
 } // namespace catkinseam
--- a/catkinseam/ownership/testing/fake_log.cc
+++ b/catkinseam/ownership/testing/fake_log.cc
@@ -78,7 +78,8 @@
                     });
     return;
   } else {
-    for (; Reply.m_next < End; ++Reply.m_next)
+    for (; Reply.m_next < End && Reply.m_records.size() < m_faults.m_mostRead;
+         ++Reply.m_next)
       Reply.m_records.push_back(
           {Reply.m_next,
            Source.m_records[static_cast<std::size_t>(Reply.m_next)]});
--- a/catkinseam/ownership/testing/fake_log.h
+++ b/catkinseam/ownership/testing/fake_log.h
@@ -23,6 +23,8 @@
     double m_lostShare = 0.0;
     /// Appends that take effect seconds later and are not answered.
     double m_lateShare = 0.0;
+    /// Most records of one read.
+    std::size_t m_mostRead = 10000;
   };
 
   /// One process's way to the log; may be cut off from it.
