A gang starts from one saved state; tests of gangs, repetitions, packing

Cause: gangs and repeated jobs were built and untested. The first test showed that members were started from what each had saved itself, while a worker asks for one state in all. Ruled out: nothing else was found: whole or not at all, one number, one end for all, due times, successors. Change: the state of any member that saved one goes to all.

--- /dev/null
+++ b/catkinseam/scheduler/job_shapes_test.cc
@@ -0,0 +1,207 @@
+// Gangs, repeated jobs and services: when and where their tasks start.
+#define BOOST_TEST_MODULE job_shapes
+#include "catkinseam/scheduler/testing/plan_fixture.h"
+
+#include <set>
+
+namespace catkinseam {
+
+namespace {
+
+const std::string Id = "00000000000000a1";
+const std::string OtherId = "00000000000000a2";
+
+struct Fixture : PlanFixture {
+  static Submission gang(const std::string &Name, std::uint32_t Tasks) {
+    Submission Job = job(Name, Tasks);
+    Job.m_spec.m_steps[0].m_isGang = true;
+    Job.m_spec.m_steps[0].m_savesCheckpoints = true;
+    return Job;
+  }
+
+  static Submission service(const std::string &Name, std::uint32_t Tasks) {
+    Submission Job = job(Name, Tasks);
+    Job.m_spec.m_steps[0].m_isService = true;
+    Job.m_spec.m_steps[0].m_image = "clock";
+    return Job;
+  }
+
+  /// Everything that was sent and has not been taken out.
+  std::vector<StartOrder> allSent() const {
+    std::vector<StartOrder> All;
+    for (const auto &[Worker, Starts] : m_sent)
+      All.insert(All.end(), Starts.begin(), Starts.end());
+    return All;
+  }
+
+  std::string workerOf(const TaskKey &Task) const {
+    for (const auto &[Worker, Starts] : m_sent)
+      for (const StartOrder &Each : Starts)
+        if (Each.m_task == Task)
+          return Worker;
+    return "";
+  }
+
+  /// How many runs a worker is to stop.
+  std::size_t stops() { return m_plan.control().m_stops.size(); }
+};
+
+} // namespace
+
+// Members wait for one another at the workers, and those that do so in vain
+// waste their room: a gang starts as a whole or not at all.
+BOOST_FIXTURE_TEST_CASE(AGangStartsAsAWholeOrNotAtAll, Fixture) {
+  addWorker("w1", {3000, 8000, 0});
+  m_plan.addJob(gang(Id, 4), nullptr);
+  BOOST_TEST(step() == 0U);
+  addWorker("w2", {3000, 8000, 0});
+  m_clock.advance(Milliseconds(100));
+  BOOST_TEST(step() == 4U);
+  std::set<RunNumber> Numbers;
+  for (const StartOrder &Each : allSent())
+    Numbers.insert(Each.m_run);
+  BOOST_TEST(Numbers.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(OneEndOfAGangStandsForAll, Fixture) {
+  addWorker("w1");
+  m_plan.addJob(gang(Id, 3), nullptr);
+  step();
+  end("w1", m_sent["w1"].front(), RunEnd::Done);
+  const Decisions Next = m_plan.decide();
+  BOOST_REQUIRE(Next.m_progress.size() == 1U);
+  BOOST_TEST((Next.m_progress[0].second.m_state == JobState::Completed));
+}
+
+// Pattern: one member fails. The others are stopped, and all start again under
+// one higher number, from one saved state.
+BOOST_FIXTURE_TEST_CASE(AGangStartsAgainTogetherFromOneSavedState, Fixture) {
+  addWorker("w1");
+  addWorker("w2");
+  Submission Job = gang(Id, 2);
+  Job.m_spec.m_steps[0].m_maxPerWorker = 1;
+  m_plan.addJob(Job, nullptr);
+  step();
+  const StartOrder First = m_sent["w1"].front();
+  const StartOrder Second = m_sent["w2"].front();
+  look("w1", {{First.m_task, 1, "saved-1", 50, 0}}, {});
+  look("w2", {{Second.m_task, 1, "saved-2", 50, 0}}, {});
+  end("w1", First, RunEnd::Failed);
+  BOOST_TEST(stops() == 1U);
+  BOOST_TEST(step() == 0U);
+  end("w2", Second, RunEnd::Broken);
+  m_sent.clear();
+  m_clock.advance(Milliseconds(1000));
+  BOOST_TEST(step() == 2U);
+  std::set<RunNumber> Numbers;
+  std::set<std::string> Saved;
+  for (const StartOrder &Each : allSent()) {
+    Numbers.insert(Each.m_run);
+    Saved.insert(Each.m_checkpoint);
+  }
+  BOOST_TEST(Numbers.size() == 1U);
+  BOOST_TEST(*Numbers.begin() > 1U);
+  BOOST_TEST(Saved.size() == 1U);
+  BOOST_TEST(!Saved.begin()->empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(OccurrencesStartAtTheirTimes, Fixture) {
+  addWorker("w1");
+  Submission Job = job(Id, 1);
+  const std::int64_t NowMs = m_clock.wallNow().time_since_epoch().count();
+  Job.m_spec.m_occurrences = 3;
+  Job.m_spec.m_firstDueMs = NowMs + 1000;
+  Job.m_spec.m_interval = Milliseconds(2000);
+  m_plan.addJob(Job, nullptr);
+  BOOST_TEST(step() == 0U);
+  m_clock.advance(Milliseconds(900));
+  BOOST_TEST(step() == 0U);
+  m_clock.advance(Milliseconds(60));
+  BOOST_TEST(step() == 1U);
+  BOOST_TEST(m_sent["w1"].back().m_task.m_occurrence == 0U);
+  // The first is still at work when the second is due.
+  m_clock.advance(Milliseconds(2000));
+  BOOST_TEST(step() == 1U);
+  BOOST_TEST(m_sent["w1"].back().m_task.m_occurrence == 1U);
+  const std::vector<StartOrder> Running = m_sent["w1"];
+  for (const StartOrder &Each : Running)
+    end("w1", Each, RunEnd::Done);
+  for (const auto &[Name, Progress] : m_plan.decide().m_progress)
+    BOOST_TEST((Progress.m_state == JobState::InProgress));
+  m_clock.advance(Milliseconds(2000));
+  BOOST_TEST(step() == 1U);
+  end("w1", m_sent["w1"].back(), RunEnd::Done);
+  const Decisions Next = m_plan.decide();
+  BOOST_REQUIRE(Next.m_progress.size() == 1U);
+  BOOST_TEST((Next.m_progress[0].second.m_state == JobState::Completed));
+}
+
+// A successor goes on with the occurrences that are open and begins no other
+// anew.
+BOOST_FIXTURE_TEST_CASE(ASuccessorRepeatsNoOccurrence, Fixture) {
+  addWorker("w1");
+  Submission Job = job(Id, 1);
+  Job.m_spec.m_occurrences = 3;
+  Job.m_spec.m_firstDueMs = m_clock.wallNow().time_since_epoch().count();
+  Job.m_spec.m_interval = Milliseconds(100);
+  m_plan.addJob(Job, nullptr);
+  step();
+  end("w1", m_sent["w1"].back(), RunEnd::Done);
+  const Decisions Next = m_plan.decide();
+  BOOST_REQUIRE(Next.m_progress.size() == 1U);
+  PlanFixture Successor;
+  Successor.m_clock.advance(m_clock.now() - Successor.m_clock.now());
+  Successor.addWorker("w1");
+  Successor.m_plan.addJob(Job, &Next.m_progress[0].second);
+  for (int Step = 0; Step < 10; ++Step)
+    Successor.step();
+  std::set<std::uint32_t> Numbers;
+  for (const StartOrder &Each : Successor.m_sent["w1"])
+    Numbers.insert(Each.m_task.m_occurrence);
+  BOOST_TEST((Numbers == std::set<std::uint32_t>{1, 2}));
+}
+
+// Pattern: services ask for less than all workers have. On full workers they
+// leave others without any, which bear every filler.
+BOOST_FIXTURE_TEST_CASE(ServicesLeaveWorkersFree, Fixture) {
+  addWorker("w1");
+  addWorker("w2");
+  addWorker("w3");
+  m_plan.addJob(service(Id, 2), nullptr);
+  m_plan.addJob(service(OtherId, 2), nullptr);
+  step();
+  const auto Free =
+      std::count_if(m_sent.begin(), m_sent.end(),
+                    [](const auto &Each) { return Each.second.empty(); }) +
+      3 - static_cast<std::ptrdiff_t>(m_sent.size());
+  BOOST_TEST(Free >= 1);
+}
+
+// Pattern: services that wait for room take all that comes free and keep it;
+// short work of the same priority starved behind them.
+BOOST_FIXTURE_TEST_CASE(ShortWorkIsPlacedBeforeWaitingServices, Fixture) {
+  addWorker("w1");
+  Submission Running = service(Id, 4);
+  m_plan.addJob(Running, nullptr);
+  BOOST_TEST(step() == 4U);
+  Submission Waiting = service(OtherId, 1);
+  Waiting.m_acceptedMs = 1;
+  m_plan.addJob(Waiting, nullptr);
+  step();
+  Submission Short = job("00000000000000a3", 1);
+  Short.m_acceptedMs = m_clock.wallNow().time_since_epoch().count();
+  m_plan.addJob(Short, nullptr);
+  step();
+  m_sent.clear();
+  m_plan.cancelJob(Id);
+  look("w1", {}, {});
+  m_plan.control();
+  m_clock.advance(Milliseconds(100));
+  look("w1", {}, {{1, {Id, 0, 0, 0}, 1, RunEnd::Stopped, ""}});
+  m_clock.advance(Milliseconds(100));
+  step();
+  BOOST_REQUIRE(!m_sent["w1"].empty());
+  BOOST_TEST(m_sent["w1"].front().m_task.m_job == "00000000000000a3");
+}
+
+} // namespace catkinseam
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -209,8 +209,16 @@
       return false;
     Last = std::max(Last, Each.m_lastRun);
   }
-  for (PlannedTask &Each : Step.m_tasks)
+  // What any member has saved is good for all, and all must start from it.
+  const auto Saved = std::find_if(
+      Step.m_tasks.begin(), Step.m_tasks.end(),
+      [](const PlannedTask &Each) { return !Each.m_checkpoint.empty(); });
+  const std::string Checkpoint =
+      Saved == Step.m_tasks.end() ? std::string() : Saved->m_checkpoint;
+  for (PlannedTask &Each : Step.m_tasks) {
     Each.m_lastRun = Last;
+    Each.m_checkpoint = Checkpoint;
+  }
   std::size_t Placed = 0;
   for (PlannedTask &Each : Step.m_tasks) {
     if (!placeTask(Each, Next))
