--- a/catkinseam/scheduler/interference_test.cc
+++ b/catkinseam/scheduler/interference_test.cc
@@ -102,6 +102,28 @@
                                          m_fillerStep.m_image)) < 0.1);
 }
 
+// Pattern: all instances of a service swing together, and a harmless filler is
+// at work whenever they are busy. Their common swing says nothing against it.
+BOOST_AUTO_TEST_CASE(ASwingIsNotTakenForPressure) {
+  Fixture Beside;
+  Fixture Alone;
+  // A second worker holds another instance of the same service and no filler.
+  Alone.m_worker.m_runs.pop_back();
+  Alone.m_worker.m_fillers = 0;
+  Alone.m_worker.m_runs.front().m_task = &Alone.m_service;
+  Alone.m_service.m_step = &Beside.m_serviceStep;
+  for (int Step = 0; Step < 200; ++Step) {
+    const double Own = 0.45 + 0.2 * std::sin(Step * 0.19);
+    Beside.m_filler.m_runs.front().m_pace = Own > 0.45 ? 100 : 0;
+    Alone.m_service.m_runs.front().m_figure =
+        static_cast<std::int64_t>(std::lround(4.0 / (1.0 - Own)));
+    Beside.m_learned.observe(Alone.m_worker, Beside.m_clock.now());
+    Beside.report(Own, 0.0);
+  }
+  BOOST_TEST(Beside.m_learned.pressure(Beside.m_serviceStep.m_image,
+                                       Beside.m_fillerStep.m_image) < 0.15);
+}
+
 // Pattern: a service's own load swings up while a pressing filler runs beside
 // it. Its tail must not stay over its target for four seconds.
 BOOST_FIXTURE_TEST_CASE(HarmEndsWithinItsBound, Fixture) {
