Less urgent work makes way for urgent work

Cause: priority ordered only what waits; a task of the first priority waited for the end of whatever ran (not built until now). Ruled out: stopping services (their users are there until they are cancelled; a stop may take too many instances of one away); stopping for late work. Change: scheduler/preemption chooses, on the worker where least work is lost, runs of a lower priority whose end makes room; room that is coming free already is waited for. Fillers hold memory only. A planted fault showed that it had hit the ordinary tasks' cost in place of the services': one function now.

--- a/catkinseam/scheduler/job_shapes_test.cc
+++ b/catkinseam/scheduler/job_shapes_test.cc
@@ -204,4 +204,47 @@
   BOOST_TEST(m_sent["w1"].front().m_task.m_job == "00000000000000a3");
 }
 
+// Pattern: urgent work comes while a worker is full of less urgent work. The
+// run that loses least makes way, and no more than one does.
+BOOST_FIXTURE_TEST_CASE(LessUrgentWorkMakesWay, Fixture) {
+  addWorker("w1");
+  Submission Lower = job(Id, 4);
+  Lower.m_terms.m_priority = 2;
+  m_plan.addJob(Lower, nullptr);
+  BOOST_TEST(step() == 4U);
+  std::vector<ActiveRun> Active;
+  for (std::uint32_t Index = 0; Index < 4; ++Index)
+    Active.push_back({{Id, 0, 0, Index}, 1, "", Index == 2 ? 5 : 70, 0});
+  look("w1", Active, {});
+  Submission Urgent = job(OtherId, 1);
+  Urgent.m_acceptedMs = m_clock.wallNow().time_since_epoch().count();
+  m_plan.addJob(Urgent, nullptr);
+  BOOST_TEST(step() == 0U);
+  const Controls Orders = m_plan.control();
+  BOOST_REQUIRE(Orders.m_stops.size() == 1U);
+  BOOST_TEST(Orders.m_stops[0].m_task.m_index == 2U);
+  // Its room is on the way: nobody else is stopped.
+  step();
+  BOOST_TEST(stops() == 0U);
+  Active.erase(Active.begin() + 2);
+  look("w1", Active, {{1, {Id, 0, 0, 2}, 1, RunEnd::Stopped, ""}});
+  m_sent.clear();
+  BOOST_TEST(step() == 1U);
+  BOOST_TEST(m_sent["w1"].front().m_task.m_job == OtherId);
+}
+
+BOOST_FIXTURE_TEST_CASE(EqualsAndServicesStay, Fixture) {
+  addWorker("w1");
+  Submission Lasting = service(Id, 2);
+  Lasting.m_terms.m_priority = 3;
+  m_plan.addJob(Lasting, nullptr);
+  m_plan.addJob(job("00000000000000a3", 2), nullptr);
+  BOOST_TEST(step() == 4U);
+  Submission Next = job(OtherId, 1);
+  Next.m_acceptedMs = m_clock.wallNow().time_since_epoch().count();
+  m_plan.addJob(Next, nullptr);
+  step();
+  BOOST_TEST(stops() == 0U);
+}
+
 } // namespace catkinseam
--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -101,8 +101,9 @@
 }
 
 /// Full workers first: a worker without services bears any filler.
-double packingCost(const PlannedTask &Task, const PlannedWorker &Worker) {
-  return SameStepCost * runsOfStepOn(*Task.m_step, Worker) - shareUsed(Worker);
+double packingCost(const PlannedTask &Task, const PlannedWorker &Worker,
+                   double NeighbourCost) {
+  return NeighbourCost * runsOfStepOn(*Task.m_step, Worker) - shareUsed(Worker);
 }
 
 double placeCost(const PlannedTask &Task, const PlannedWorker &Worker,
@@ -111,9 +112,9 @@
   if (Spec.m_isFiller)
     return fillerCost(Task, Worker, Room);
   if (Spec.m_isService)
-    return SameServiceCost * runsOfStepOn(*Task.m_step, Worker) -
-           shareUsed(Worker) + OtherImageCost * otherImages(Task, Worker);
-  return packingCost(Task, Worker);
+    return packingCost(Task, Worker, SameServiceCost) +
+           OtherImageCost * otherImages(Task, Worker);
+  return packingCost(Task, Worker, SameStepCost);
 }
 
 bool hasFillerRoom(const PlannedTask &Task, const PlannedWorker &Worker) {
@@ -133,15 +134,10 @@
          Worker.m_fullUntil <= Now && Worker.m_shunnedUntil <= Now;
 }
 
-bool isAllowed(const PlannedTask &Task, const PlannedWorker &Worker) {
+bool keepsRules(const PlannedTask &Task, const PlannedWorker &Worker) {
   const StepSpec &Spec = *Task.m_step->m_spec;
   if (!Spec.m_requiredLabel.empty() && !Worker.hasLabel(Spec.m_requiredLabel))
     return false;
-  Resources Needed = Spec.m_request;
-  if (Spec.m_isFiller)
-    Needed.m_milliProcessors = 0;
-  if (!(Worker.m_reserved + Needed).fitsIn(Worker.m_report.m_capacity))
-    return false;
   if (Spec.m_maxPerWorker > 0 &&
       runsOfStepOn(*Task.m_step, Worker) >= Spec.m_maxPerWorker)
     return false;
@@ -152,6 +148,15 @@
   return true;
 }
 
+bool isAllowed(const PlannedTask &Task, const PlannedWorker &Worker) {
+  const StepSpec &Spec = *Task.m_step->m_spec;
+  Resources Needed = Spec.m_request;
+  if (Spec.m_isFiller)
+    Needed.m_milliProcessors = 0;
+  return (Worker.m_reserved + Needed).fitsIn(Worker.m_report.m_capacity) &&
+         keepsRules(Task, Worker);
+}
+
 double spareProcessors(const PlannedWorker &Worker) {
   const std::int64_t Others =
       Worker.m_reserved.m_milliProcessors - Worker.m_serviceProcessors;
--- a/catkinseam/scheduler/placement.h
+++ b/catkinseam/scheduler/placement.h
@@ -15,6 +15,9 @@
 /// Whether a worker may be sent starts at all.
 bool isOpen(const PlannedWorker &Worker, TimePoint Now);
 
+/// Whether this task may run there by the rules of its step.
+bool keepsRules(const PlannedTask &Task, const PlannedWorker &Worker);
+
 /// Whether this task may run there, by rules and by room.
 bool isAllowed(const PlannedTask &Task, const PlannedWorker &Worker);
 
--- /dev/null
+++ b/catkinseam/scheduler/preemption.cc
@@ -0,0 +1,110 @@
+// The cheapest set of runs whose end makes room for an urgent task.
+#include "catkinseam/scheduler/preemption.h"
+
+#include "catkinseam/scheduler/interference.h"
+#include "catkinseam/scheduler/placement.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace catkinseam {
+
+namespace {
+
+struct Victim {
+  RunRef m_run;
+  Resources m_held;
+  double m_lost = 0.0;
+};
+
+std::int64_t priorityOf(const PlannedTask &Task) {
+  return Task.m_step->m_occurrence->m_job->terms().m_priority;
+}
+
+/// What a run keeps others from; fillers hold no processors.
+Resources heldBy(const StepSpec &Spec) {
+  Resources Held = Spec.m_request;
+  if (Spec.m_isFiller)
+    Held.m_milliProcessors = 0;
+  return Held;
+}
+
+/// Processor-time that is done anew, in percent of a task's work; with saved
+/// progress only a little is.
+double lostWork(const StepSpec &Spec, const PlannedRun &Run) {
+  constexpr double SavedPart = 0.1;
+  const double Done = static_cast<double>(Run.m_percent) *
+                      static_cast<double>(Spec.m_request.m_milliProcessors);
+  return Spec.m_savesCheckpoints ? SavedPart * Done : Done;
+}
+
+bool isOf(const Resources &Held, const Resources &Needed) {
+  return (Needed.m_milliProcessors > 0 && Held.m_milliProcessors > 0) ||
+         (Needed.m_memoryMb > 0 && Held.m_memoryMb > 0);
+}
+
+/// Whom to stop on this worker; none when that would not do, an empty list when
+/// nobody has to be.
+std::optional<std::vector<Victim>> victimsOn(const PlannedTask &Task,
+                                             const PlannedWorker &Worker) {
+  const Resources Needed = heldBy(*Task.m_step->m_spec);
+  Resources Left = Worker.m_reserved + Needed;
+  std::vector<Victim> Lower;
+  for (const RunRef &Each : Worker.m_runs) {
+    const StepSpec &Spec = *Each.m_task->m_step->m_spec;
+    const PlannedRun *Run = runOf(Each);
+    if (!Run)
+      continue;
+    const Resources Held = heldBy(Spec);
+    if (Run->m_phase == RunPhase::Stopping)
+      Left -= Held;
+    else if (!Spec.m_isService && Run->m_phase == RunPhase::Running &&
+             priorityOf(*Each.m_task) > priorityOf(Task) && isOf(Held, Needed))
+      Lower.push_back({Each, Held, lostWork(Spec, *Run)});
+  }
+  std::sort(Lower.begin(), Lower.end(),
+            [](const Victim &One, const Victim &Other) {
+              return One.m_lost < Other.m_lost;
+            });
+  std::vector<Victim> Chosen;
+  for (const Victim &Each : Lower) {
+    if (Left.fitsIn(Worker.m_report.m_capacity))
+      break;
+    Left -= Each.m_held;
+    Chosen.push_back(Each);
+  }
+  if (!Left.fitsIn(Worker.m_report.m_capacity))
+    return std::nullopt;
+  return Chosen;
+}
+
+} // namespace
+
+std::vector<RunRef>
+chooseVictims(const PlannedTask &Task,
+              const std::vector<PlannedWorker *> &Candidates, TimePoint Now) {
+  std::vector<Victim> Best;
+  double BestLost = 0.0;
+  for (const PlannedWorker *Each : Candidates) {
+    if (!isOpen(*Each, Now) || !keepsRules(Task, *Each))
+      continue;
+    const std::optional<std::vector<Victim>> Found = victimsOn(Task, *Each);
+    if (!Found)
+      continue;
+    if (Found->empty())
+      return {};
+    double Lost = 0.0;
+    for (const Victim &One : *Found)
+      Lost += One.m_lost;
+    if (Best.empty() || Lost < BestLost) {
+      Best = *Found;
+      BestLost = Lost;
+    }
+  }
+  std::vector<RunRef> Runs;
+  for (const Victim &Each : Best)
+    Runs.push_back(Each.m_run);
+  return Runs;
+}
+
+} // namespace catkinseam
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -135,12 +135,34 @@
         continue;
       if (placeTask(*Task, Next))
         continue;
+      // Late work stops nobody's.
+      if (Step->m_spec->m_isService ||
+          Step->m_occurrence->m_job->m_objectiveMs >= NowMs)
+        makeRoom(*Task);
       Step->m_retryAt = Now + PlaceRetry;
       break;
     }
   }
 }
 
+void Scheduler::makeRoom(const PlannedTask &Task) {
+  const PlannedJob &Job = *Task.m_step->m_occurrence->m_job;
+  if (Task.m_step->m_spec->m_isFiller)
+    return;
+  const std::vector<RunRef> Victims =
+      chooseVictims(Task, workersOf(Job.terms().m_service), m_clock.now());
+  for (const RunRef &Each : Victims) {
+    PlannedRun *Run = findRun(*Each.m_task, Each.m_run);
+    logInfo("run.preempted",
+            {{"task", toString(keyOf(*Each.m_task))},
+             {"run", std::to_string(Each.m_run)},
+             {"worker", Run->m_worker->m_report.m_id},
+             {"for", toString(keyOf(Task))},
+             {"priority", std::to_string(Job.terms().m_priority)}});
+    requestStop(*Each.m_task, *Run);
+  }
+}
+
 bool Scheduler::placeTask(PlannedTask &Task, Decisions &Next) {
   const std::string &Service =
       Task.m_step->m_occurrence->m_job->terms().m_service;
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -20,6 +20,7 @@
 #include "catkinseam/scheduler/orders.h"
 #include "catkinseam/scheduler/pacing.h"
 #include "catkinseam/scheduler/placement.h"
+#include "catkinseam/scheduler/preemption.h"
 #include "catkinseam/scheduler/tables.h"
 
 #include <map>
@@ -214,6 +215,8 @@
   void listOpenWorkers();
   void placeWaiting(Decisions &Next);
   bool placeTask(PlannedTask &Task, Decisions &Next);
+  /// Stops runs of a lower priority for a task that found no room.
+  void makeRoom(const PlannedTask &Task);
   const std::vector<PlannedWorker *> &workersOf(const std::string &Service);
   bool placeGang(PlannedStep &Step, Decisions &Next);
   /// Starts copies of speculative tasks whose only run is slow or silent.
