The log is bounded and never waits for its reader

Cause: a node wrote a line a start without bound, and a reader that stopped would have stopped the node.

--- a/catkinseam/telemetry/log.cc
+++ b/catkinseam/telemetry/log.cc
@@ -1,11 +1,16 @@
 // Structured logging on log4cplus.
 #include "catkinseam/telemetry/log.h"
 
-#include <log4cplus/consoleappender.h>
+#include "catkinseam/telemetry/log_budget.h"
+
+#include <log4cplus/appender.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
-#include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
 #include <memory>
+#include <poll.h>
+#include <sstream>
+#include <unistd.h>
 
 namespace catkinseam {
 
@@ -29,6 +34,42 @@
   return Text;
 }
 
+/// Writes lines to a descriptor as long as its reader keeps up, and no more of
+/// them than the budget allows. log4cplus calls it under its lock.
+class BoundedAppender final : public log4cplus::Appender {
+public:
+  explicit BoundedAppender(int Descriptor) : m_descriptor(Descriptor) {}
+  ~BoundedAppender() override { destructorImpl(); }
+
+  void close() override { closed = true; }
+
+protected:
+  void append(const log4cplus::spi::InternalLoggingEvent &Event) override {
+    if (!m_budget.take(SystemClock().now()))
+      return;
+    std::ostringstream Line;
+    layout->formatAndAppend(Line, Event);
+    if (!writeWithoutWaiting(m_descriptor, Line.str()))
+      return m_budget.noteDropped();
+    const std::uint64_t Dropped = m_budget.takeDropped();
+    if (Dropped == 0)
+      return;
+    std::ostringstream Note;
+    layout->formatAndAppend(
+        Note,
+        log4cplus::spi::InternalLoggingEvent(
+            Event.getLoggerName(), log4cplus::WARN_LOG_LEVEL,
+            formatRecord("log.dropped", {{"records", std::to_string(Dropped)}}),
+            __FILE__, __LINE__));
+    if (!writeWithoutWaiting(m_descriptor, Note.str()))
+      m_budget.noteDropped();
+  }
+
+private:
+  const int m_descriptor;
+  LogBudget m_budget{{}};
+};
+
 void write(log4cplus::LogLevel Level, const char *Event,
            std::initializer_list<LogField> Fields) {
   if (logger().isEnabledFor(Level))
@@ -39,14 +80,29 @@
 
 void startLogging(const std::string &Level, LogStream Stream) {
   log4cplus::initialize();
-  log4cplus::SharedAppenderPtr Console(new log4cplus::ConsoleAppender(
-      /*logToStdErr=*/Stream == LogStream::StandardError));
+  log4cplus::SharedAppenderPtr Console(new BoundedAppender(
+      Stream == LogStream::StandardError ? STDERR_FILENO : STDOUT_FILENO));
   Console->setLayout(std::make_unique<log4cplus::PatternLayout>(Pattern));
   logger().addAppender(Console);
   logger().setAdditivity(false);
   setLogLevel(Level);
 }
 
+bool writeWithoutWaiting(int Descriptor, const std::string &Line) {
+  // A pipe that is ready takes this many bytes at once.
+  constexpr std::size_t MostBytes = 4096;
+  pollfd Target{Descriptor, POLLOUT, 0};
+  if (::poll(&Target, 1, 0) != 1 || (Target.revents & POLLOUT) == 0)
+    return false;
+  std::string Text = Line;
+  if (Text.size() > MostBytes) {
+    Text.resize(MostBytes);
+    Text.back() = '\n';
+  }
+  return ::write(Descriptor, Text.data(), Text.size()) ==
+         static_cast<ssize_t>(Text.size());
+}
+
 void setLogLevel(const std::string &Level) {
   if (Level == "debug")
     logger().setLogLevel(log4cplus::DEBUG_LOG_LEVEL);
--- a/catkinseam/telemetry/log.h
+++ b/catkinseam/telemetry/log.h
@@ -23,7 +23,13 @@
 /// Changes the least level that is written.
 void setLogLevel(const std::string &Level);
 
-/// Writes one record. Thread-safe. `Event` names what happened, dotted.
+/// Writes a line in whole if that needs no waiting; false when it wrote
+/// nothing. Lines over 4,096 bytes are cut.
+bool writeWithoutWaiting(int Descriptor, const std::string &Line);
+
+/// Writes one record, or drops it when too many come at once or the reader does
+/// not keep up; a record log.dropped then says how many. Thread-safe. `Event`
+/// names what happened, dotted.
 void logDebug(const char *Event, std::initializer_list<LogField> Fields);
 void logInfo(const char *Event, std::initializer_list<LogField> Fields);
 void logWarn(const char *Event, std::initializer_list<LogField> Fields);
--- a/catkinseam/telemetry/telemetry_test.cc
+++ b/catkinseam/telemetry/telemetry_test.cc
@@ -1,12 +1,14 @@
 // Log records, trace context and the OTLP form.
 #define BOOST_TEST_MODULE telemetry
 #include "catkinseam/telemetry/log.h"
+#include "catkinseam/telemetry/log_budget.h"
 #include "catkinseam/telemetry/metrics.h"
 #include "catkinseam/telemetry/trace.h"
 
 #include "catkinseam/platform/json.h"
 
 #include <boost/test/unit_test.hpp>
+#include <unistd.h>
 
 using namespace catkinseam;
 
@@ -15,6 +17,38 @@
              "event=worker.silent worker=\"w\\\"1 \"");
 }
 
+// Pattern: a process that logs without end. The log stays bounded and says what
+// it lacks.
+BOOST_AUTO_TEST_CASE(TooManyRecordsAreDroppedAndCounted) {
+  ManualClock Time;
+  LogBudget Budget({.m_rate = 10.0, .m_burst = 20.0});
+  int Written = 0;
+  for (int Record = 0; Record < 100; ++Record)
+    Written += Budget.take(Time.now());
+  BOOST_TEST(Written == 20);
+  BOOST_TEST(Budget.takeDropped() == 80U);
+  BOOST_TEST(Budget.takeDropped() == 0U);
+  Time.advance(Milliseconds(1000));
+  Written = 0;
+  for (int Record = 0; Record < 100; ++Record)
+    Written += Budget.take(Time.now());
+  BOOST_TEST(Written == 10);
+}
+
+// Pattern: nobody reads the log.
+BOOST_AUTO_TEST_CASE(AFullPipeHoldsNobody) {
+  int Ends[2] = {};
+  BOOST_REQUIRE(::pipe(Ends) == 0);
+  const std::string Line(1000, 'x');
+  int Written = 0;
+  while (Written < 1000 && writeWithoutWaiting(Ends[1], Line))
+    ++Written;
+  BOOST_TEST(Written > 0);
+  BOOST_TEST(Written < 1000);
+  ::close(Ends[0]);
+  ::close(Ends[1]);
+}
+
 BOOST_AUTO_TEST_CASE(TraceContextGoesThrough) {
   const std::string Header =
       "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01";
