--- a/catkinseam/scheduler/pacing.cc
+++ b/catkinseam/scheduler/pacing.cc
@@ -143,12 +143,8 @@
 void Pacing::fitProcessors(std::vector<Pressing> &Fillers,
                            const PlannedWorker &Worker,
                            const Interference &Learned, TimePoint Now) const {
-  const std::int64_t Others =
-      Worker.m_reserved.m_milliProcessors - Worker.m_serviceProcessors;
   const double Idle =
-      static_cast<double>(Worker.m_report.m_capacity.m_milliProcessors -
-                          Others) -
-      Learned.processorsOf(Worker, Now, m_options.m_ahead);
+      Worker.leftBy(Learned.processorsOf(Worker, Now, m_options.m_ahead));
   Group All;
   for (Pressing &Each : Fillers) {
     All.m_members.push_back(&Each);
--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -21,11 +21,6 @@
 /// A filler that got less than this share for so long is starved.
 constexpr double StarvedShare = 0.1;
 constexpr Milliseconds StarvedAfter{1000};
-/// The share of their processors that services usually use, how much of a new
-/// figure is believed, and how fast it is forgotten, a look.
-constexpr double UsualServiceLoad = 0.45;
-constexpr double LoadPart = 0.5;
-constexpr double FadePart = 0.02;
 constexpr double AvoidCost = 100.0;
 /// More room than this to a pressed service makes no difference.
 constexpr double MostRoom = 0.2;
@@ -158,11 +153,8 @@
 }
 
 double spareProcessors(const PlannedWorker &Worker) {
-  const std::int64_t Others =
-      Worker.m_reserved.m_milliProcessors - Worker.m_serviceProcessors;
-  return static_cast<double>(Worker.m_report.m_capacity.m_milliProcessors -
-                             Others - Worker.m_fillerProcessors) -
-         Worker.m_serviceUse;
+  return Worker.leftBy(Worker.m_serviceUse) -
+         static_cast<double>(Worker.m_fillerProcessors);
 }
 
 bool isStarved(const StepSpec &Spec, const PlannedRun &Run, TimePoint Now) {
@@ -174,30 +166,6 @@
                  static_cast<double>(Spec.m_request.m_milliProcessors);
 }
 
-void learnServiceLoad(PlannedWorker &Worker, TimePoint Now) {
-  if (Worker.m_serviceProcessors == 0)
-    return;
-  std::int64_t Used = 0;
-  bool HasStarved = false;
-  for (const RunRef &Each : Worker.m_runs) {
-    const StepSpec &Spec = *Each.m_task->m_step->m_spec;
-    const PlannedRun *Run = runOf(Each);
-    if (!Run || Spec.m_isService)
-      continue;
-    Used += Run->m_figure;
-    HasStarved = HasStarved || isStarved(Spec, *Run, Now);
-  }
-  const double Left =
-      static_cast<double>(Worker.m_report.m_capacity.m_milliProcessors - Used);
-  const double Load = std::clamp(
-      Left / static_cast<double>(Worker.m_serviceProcessors), 0.2, 1.2);
-  double &Known = Worker.m_serviceLoad;
-  if (HasStarved)
-    Known += LoadPart * (Load - Known);
-  else
-    Known = std::min(Known + FadePart * (UsualServiceLoad - Known), Load);
-}
-
 Place chooseWorker(const PlannedTask &Task,
                    const std::vector<PlannedWorker *> &Candidates,
                    const Interference &Learned, TimePoint Now) {
--- a/catkinseam/scheduler/placement.h
+++ b/catkinseam/scheduler/placement.h
@@ -25,10 +25,6 @@
 /// by what its other tasks are expected to use; needs Worker.m_serviceUse.
 double spareProcessors(const PlannedWorker &Worker);
 
-/// Corrects what the worker's services are thought to use by what its fillers
-/// got: with less than they asked for, the rest was in use.
-void learnServiceLoad(PlannedWorker &Worker, TimePoint Now);
-
 /// Whether a filler at full pace gets next to nothing where it is.
 bool isStarved(const StepSpec &Spec, const PlannedRun &Run, TimePoint Now);
 
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -172,7 +172,6 @@
     Worker.m_leaseEnd =
         std::min(Worker.m_leaseEnd, m_clock.now() + m_options.m_heldLease);
   Worker.m_isHeld = true;
-  learnServiceLoad(Worker, m_clock.now());
   m_interference.observe(Worker, m_clock.now());
   m_pacing.adjust(Worker, m_interference, m_clock.now());
 }
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -216,10 +216,17 @@
   TimePoint m_pacedAt;
   /// A service there was over its target at the last look.
   bool m_isOver = false;
-  /// The share of their processors that services are thought to use.
-  double m_serviceLoad = 0.45;
   TimePoint m_fullUntil;
 
+  /// Thousandths of a processor that ordinary tasks leave, and services that
+  /// use this many.
+  double leftBy(double ServiceUse) const {
+    return static_cast<double>(m_report.m_capacity.m_milliProcessors -
+                               m_reserved.m_milliProcessors +
+                               m_serviceProcessors) -
+           ServiceUse;
+  }
+
   bool hasLabel(const std::string &Label) const {
     for (const std::string &Each : m_report.m_labels)
       if (Each == Label)
