A new owner looks at no worker before it knows the jobs

The registry came in two pages; workers of the first were looked at before the second had come and the jobs were taken over. Ends that they listed belonged to no known job, were noted all the same and so forgotten by the worker, and their tasks ran again; what was at work was stopped as nobody's. Ruled out: a ledger that lacked the last owner's records (its claim stands after them); records cut by size. Change: no look before the jobs are known; then one at each worker.

--- a/catkinseam/ownership/owner.cc
+++ b/catkinseam/ownership/owner.cc
@@ -83,6 +83,8 @@
           {{"epoch", std::to_string(m_options.m_epoch)},
            {"live_jobs", std::to_string(m_scheduler.liveJobs())},
            {"workers", std::to_string(m_contacts.size())}});
+  for (const auto &[Id, Met] : m_contacts)
+    lookLater(Id, Duration::zero());
   pumpSoon();
 }
 
@@ -333,7 +335,9 @@
 
 void Owner::look(const std::string &Id) {
   Contact *Met = contactOf(Id);
-  if (!Met || Met->m_isLooking || m_isDeposed)
+  // What a worker lists belongs to jobs; before they are known, ends would be
+  // noted and lost, and runs stopped as nobody's.
+  if (!Met || Met->m_isLooking || m_isDeposed || !m_hasJobs)
     return;
   Met->m_awaitsStoring = false;
   if (!hasAuthority())
--- a/catkinseam/ownership/owner_test.cc
+++ b/catkinseam/ownership/owner_test.cc
@@ -206,6 +206,27 @@
   BOOST_TEST(Times.back() <= 1500);
 }
 
+// Pattern: more workers than one page of the registry lists. A successor looked
+// at the first page's workers before it had taken over the jobs; ends that they
+// listed belonged to no job yet, were noted, and their tasks ran again.
+BOOST_AUTO_TEST_CASE(ASuccessorOfManyWorkersRunsNothingAgain) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    Installation All({.m_seed = Seed, .m_workers = 90});
+    All.m_log.m_faults.m_latency = Milliseconds(25);
+    All.run(3 * Second);
+    for (std::uint64_t Number = 1; Number <= 40; ++Number)
+      All.submit(chainedJob(jobId(Number), 4));
+    All.run(Milliseconds(150 + 40 * Seed));
+    BOOST_REQUIRE(All.owner());
+    All.owner()->kill();
+    All.run(20 * Second);
+    for (std::uint64_t Number = 1; Number <= 40; ++Number)
+      BOOST_TEST((All.stateOf(jobId(Number)) == JobState::Completed));
+    BOOST_TEST(All.faults().empty());
+    BOOST_TEST(All.m_past.m_runs.size() <= 320U);
+  }
+}
+
 // An owner that wakes from a freeze, or is cut from the log, must not run
 // anything a second time beside its successor.
 BOOST_AUTO_TEST_CASE(FrozenOwnerWakesBesideItsSuccessor) {
