Front: the append's timeout is read before its batch is moved

Cause: lint found a use after move; the timeout of a batch in doubt could be read from an empty one. Change: read first; a vector reserved.

--- a/catkinseam/front/front.cc
+++ b/catkinseam/front/front.cc
@@ -96,7 +96,8 @@
   }
   m_isAppending = true;
   m_attemptStarted = m_host.now();
-  m_log.append(LogTopic::Jobs, Records, std::nullopt, timeoutFor(Batch),
+  const Milliseconds Timeout = timeoutFor(Batch);
+  m_log.append(LogTopic::Jobs, Records, std::nullopt, Timeout,
                [this, Batch = std::move(Batch),
                 IsAlive = m_isAlive](const AppendReply &Reply) {
                  if (*IsAlive)
--- a/catkinseam/scheduler/preemption.cc
+++ b/catkinseam/scheduler/preemption.cc
@@ -102,6 +102,7 @@
     }
   }
   std::vector<RunRef> Runs;
+  Runs.reserve(Best.size());
   for (const Victim &Each : Best)
     Runs.push_back(Each.m_run);
   return Runs;
