--- a/catkinseam/scheduler/interference_test.cc
+++ b/catkinseam/scheduler/interference_test.cc
@@ -180,4 +180,14 @@
   BOOST_TEST(m_filler.m_runs.front().m_pace == 100);
 }
 
+// Pattern: a filler stands still beside a service, and the service's job is
+// cancelled. Nobody is left to be harmed.
+BOOST_FIXTURE_TEST_CASE(AFillerGoesOnWhenTheLastServiceLeaves, Fixture) {
+  m_filler.m_runs.front().m_pace = 0;
+  m_worker.m_runs.erase(m_worker.m_runs.begin());
+  m_worker.m_services = 0;
+  m_pacing.adjust(m_worker, m_learned, m_clock.now());
+  BOOST_TEST(m_filler.m_runs.front().m_pace == 100);
+}
+
 } // namespace catkinseam
--- a/catkinseam/scheduler/pacing.cc
+++ b/catkinseam/scheduler/pacing.cc
@@ -46,8 +46,6 @@
 
 void Pacing::adjust(PlannedWorker &Worker, const Interference &Learned,
                     TimePoint Now) const {
-  if (Worker.m_services == 0)
-    return;
   const bool IsHarmed = noteOver(Worker, Now, m_options.m_harmTime);
   if (Worker.m_fillers == 0)
     return;
@@ -67,7 +65,8 @@
   for (const RunRef &Each : Worker.m_runs)
     if (Each.m_task->m_step->m_spec->m_isService)
       fit(Fillers, Worker, Each, Learned, Now);
-  fitProcessors(Fillers, Worker, Learned, Now);
+  if (Worker.m_services > 0)
+    fitProcessors(Fillers, Worker, Learned, Now);
   bool IsChanged = false;
   for (const Pressing &Each : Fillers)
     IsChanged = take(Each, Now) || IsChanged;
--- a/catkinseam/scheduler/preemption.cc
+++ b/catkinseam/scheduler/preemption.cc
@@ -35,7 +35,9 @@
   constexpr double SavedPart = 0.1;
   const double Done = static_cast<double>(Run.m_percent) *
                       static_cast<double>(Spec.m_request.m_milliProcessors);
-  return Spec.m_savesCheckpoints ? SavedPart * Done : Done;
+  // With one member of a gang all others begin again.
+  const double Members = Spec.m_isGang ? Spec.m_count : 1;
+  return Members * (Spec.m_savesCheckpoints ? SavedPart * Done : Done);
 }
 
 bool isOf(const Resources &Held, const Resources &Needed) {
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -174,8 +174,11 @@
   ++Task.m_lastRun;
   PlannedRun &Run =
       addRun(Task, Task.m_lastRun, *Chosen.m_worker, RunPhase::Recording);
-  if (Task.m_step->m_spec->m_isFiller)
+  if (Task.m_step->m_spec->m_isFiller) {
     Run.m_pace = Chosen.m_pace;
+    // A filler that begins slowed counts as slowed from then on.
+    Run.m_slowSince = m_clock.now();
+  }
   Next.m_starts.push_back({keyOf(Task), Task.m_lastRun});
   PlannedJob &Job = *Task.m_step->m_occurrence->m_job;
   if (Job.m_state == JobState::Queued)
