Keep ownership when the log rejects a record as too long

Cause: the learned interference model, a matrix of images by images for each service, passed the record limit of 262,144 bytes with some dozens of images. By reading, the same end awaited a job's progress that is too long, and a successor that stores the progress of many jobs at once. A submission that is too long refused all submissions of its batch. A full store (507) was taken for an invalid append.

Change: - The model has a topic of its own, which only a new owner reads. Its append is not part of the owner's term. It is stored sparsely, cut to 64 KB by dropping the smallest terms (owner.knowledge_cut), and images without users are forgotten from 96 images on. - Appends are cut to the limits of the settings (platform.record_bytes, platform.append_bytes). An append that is rejected is halved until the record is found; that record's job fails alone. - A job whose progress or description cannot fit is refused with 400, which names the field, the size and the limit. A checkpoint over 256 bytes is ignored. - Submissions of a rejected batch are sent one by one. - 507 counts as refused, to be tried again.

Ruled out: one topic with a smaller model. Every node reads the jobs topic, and 97 nodes would still read the model every 4 s.

--- a/catkinseam/front/job_service.cc
+++ b/catkinseam/front/job_service.cc
@@ -40,6 +40,8 @@
   WriteDone m_done;
   /// An append was sent and not answered; it may still take effect.
   bool m_isInDoubt = false;
+  /// The log rejected a batch that contained this record.
+  bool m_isSentAlone = false;
 };
 
 JobService::JobService(Runtime &Host, KeyedLog &Log, const Ledger &Jobs,
@@ -91,10 +93,18 @@
     return;
   std::vector<std::shared_ptr<Write>> Batch;
   std::vector<KeyedRecord> Records;
+  std::size_t Bytes = 0;
   while (!m_queue.empty() && Batch.size() < m_options.m_maxBatchRecords) {
+    Bytes += appendBytes(m_queue.front()->m_record);
+    const bool IsAlone = m_queue.front()->m_isSentAlone;
+    if (!Batch.empty() &&
+        (IsAlone || Bytes > m_options.m_appendLimits.m_maxTotalBytes))
+      break;
     Records.push_back(m_queue.front()->m_record);
     Batch.push_back(std::move(m_queue.front()));
     m_queue.pop_front();
+    if (IsAlone)
+      break;
   }
   m_isAppending = true;
   m_appendStartedAt = m_host.now();
@@ -119,6 +129,14 @@
 void JobService::onBatchReply(const std::vector<std::shared_ptr<Write>> &Batch,
                               LogOutcome Outcome) {
   recordAppendOutcome(Outcome);
+  // One record that the log rejects must not refuse the others of its batch.
+  if (Outcome == LogOutcome::Invalid && Batch.size() > 1) {
+    for (auto Each = Batch.rbegin(); Each != Batch.rend(); ++Each) {
+      (*Each)->m_isSentAlone = true;
+      m_queue.push_front(*Each);
+    }
+    return sendBatch();
+  }
   for (const std::shared_ptr<Write> &Pending : Batch)
     completeOrRetry(Pending, Outcome);
   if (Outcome == LogOutcome::Unknown) {
@@ -192,6 +210,25 @@
                   });
 }
 
+Result<void> JobService::checkSize(const JobSpec &Spec) const {
+  // For the key, the id and the queue's policy.
+  constexpr std::size_t SubmissionOverhead = 1024;
+  const std::size_t Limit = m_options.m_appendLimits.m_maxRecordBytes;
+  const auto TooLarge = [Limit](const char *Content, std::size_t Bytes) {
+    return makeError(ErrorCode::Invalid, std::string("field \"steps\" needs ") +
+                                             std::to_string(Bytes) +
+                                             " bytes for " + Content +
+                                             "; the limit is " +
+                                             std::to_string(Limit));
+  };
+  if (const std::size_t Bytes = estimateProgressBytes(Spec); Bytes > Limit)
+    return TooLarge("the progress of its tasks", Bytes);
+  if (const std::size_t Bytes = encode(Spec).size() + SubmissionOverhead;
+      Bytes > Limit)
+    return TooLarge("their description", Bytes);
+  return {};
+}
+
 void JobService::submit(const QueuePolicy &Policy, const std::string &Id,
                         const JobSpec &Spec, Milliseconds Budget,
                         std::function<void(SubmitOutcome)> Done) {
--- a/catkinseam/front/job_service.h
+++ b/catkinseam/front/job_service.h
@@ -6,6 +6,7 @@
 #ifndef CATKINSEAM_FRONT_JOB_SERVICE_H
 #define CATKINSEAM_FRONT_JOB_SERVICE_H
 
+#include "catkinseam/base/error.h"
 #include "catkinseam/base/reply_timeout.h"
 #include "catkinseam/base/runtime.h"
 #include "catkinseam/ledger/keyed_log.h"
@@ -54,6 +55,8 @@
     Milliseconds m_probeInterval{200};
     /// Maximum number of records in one append.
     std::size_t m_maxBatchRecords = 64;
+    /// Limits of the log.
+    AppendLimits m_appendLimits;
     /// Part of the caller's time budget reserved for delivering the response.
     Milliseconds m_responseMargin{100};
     /// Maximum delay until records appended by other nodes are read here.
@@ -64,7 +67,11 @@
              const Options &Opts);
   ~JobService();
 
-  /// Stores a job. Repeating a submission under the same id has no effect.
+  /// Checks that the records of a job fit into the log. Error Invalid names the
+  /// field that is too large, its size and the limit.
+  Result<void> checkSize(const JobSpec &Spec) const;
+
+  /// Stores a job that passes checkSize(). Repeating a submission under the same id has no effect.
   /// `Budget` is how long the caller waits.
   void submit(const QueuePolicy &Policy, const std::string &Id,
               const JobSpec &Spec, Milliseconds Budget,
--- a/catkinseam/front/job_service_test.cc
+++ b/catkinseam/front/job_service_test.cc
@@ -135,6 +135,45 @@
   BOOST_TEST((m_outcome == SubmitOutcome::Accepted));
 }
 
+// One record that the log rejects must not refuse the others of its batch.
+BOOST_FIXTURE_TEST_CASE(TooLongRecordRefusesOnlyItsCaller, Fixture) {
+  m_log.m_limits.m_maxRecordBytes = 2000;
+  submit("00000000000000a0");
+  std::vector<std::optional<SubmitOutcome>> Outcomes(3);
+  for (std::size_t At = 0; At < Outcomes.size(); ++At) {
+    Submission Job = batchJob("00000000000000b" + std::to_string(At), 1);
+    if (At == 1)
+      Job.m_spec.m_payload.assign(2000, 'x');
+    m_jobService.submit(
+        Job.m_policy, Job.m_id, Job.m_spec, Budget,
+        [&Outcomes, At](SubmitOutcome Outcome) { Outcomes[At] = Outcome; });
+  }
+  m_host.advance(Milliseconds(100));
+  BOOST_TEST((Outcomes[0] == SubmitOutcome::Accepted));
+  BOOST_TEST((Outcomes[1] == SubmitOutcome::NotAccepted));
+  BOOST_TEST((Outcomes[2] == SubmitOutcome::Accepted));
+}
+
+// Jobs whose records would not fit are refused before they are accepted.
+BOOST_FIXTURE_TEST_CASE(ChecksSizeOfJobs, Fixture) {
+  const auto ErrorOf = [&](const JobSpec &Spec) {
+    const auto Checked = attempt([&]() -> Result<bool> {
+      BOOST_LEAF_CHECK(m_jobService.checkSize(Spec));
+      return true;
+    });
+    return Checked ? std::string() : Checked.error().m_message;
+  };
+  BOOST_TEST(ErrorOf(batchJob(Id, 2000).m_spec).empty());
+  BOOST_TEST(ErrorOf(batchJob(Id, 3000).m_spec) ==
+             "field \"steps\" needs 330072 bytes for the progress of its tasks;"
+             " the limit is 262144");
+  JobSpec ManySteps = batchJob(Id, 1).m_spec;
+  ManySteps.m_steps.front().m_image.assign(2000, 'i');
+  ManySteps.m_steps.resize(150, ManySteps.m_steps.front());
+  BOOST_TEST(ErrorOf(ManySteps).find("for their description") !=
+             std::string::npos);
+}
+
 BOOST_FIXTURE_TEST_CASE(CancelWaitsForRecordOfOtherNode, Fixture) {
   std::optional<CancelOutcome> Outcome;
   m_jobService.cancel(Id, Budget,
--- a/catkinseam/ledger/keyed_log.cc
+++ b/catkinseam/ledger/keyed_log.cc
@@ -13,10 +13,17 @@
     return "workers";
   case LogTopic::Status:
     return "status";
+  case LogTopic::Learned:
+    return "learned";
   }
   return "unknown";
 }
 
+std::size_t appendBytes(const KeyedRecord &Record) {
+  // One byte holds the length of the key.
+  return 1 + Record.m_key.size() + (Record.m_value ? Record.m_value->size() : 0);
+}
+
 const char *logOutcomeName(LogOutcome Outcome) {
   switch (Outcome) {
   case LogOutcome::Done:
--- a/catkinseam/ledger/keyed_log.h
+++ b/catkinseam/ledger/keyed_log.h
@@ -16,7 +16,7 @@
 namespace catkinseam {
 
 /// The topics in use. Each has one partition.
-enum class LogTopic { Jobs, Operator, Workers, Status };
+enum class LogTopic { Jobs, Operator, Workers, Status, Learned };
 
 const char *logTopicName(LogTopic Topic);
 
@@ -32,6 +32,16 @@
   KeyedRecord m_record;
 };
 
+/// Limits of the log on the records of one append.
+struct AppendLimits {
+  /// Maximum of appendBytes() for one record, and for all records of an append.
+  std::size_t m_maxRecordBytes = 262144;
+  std::size_t m_maxTotalBytes = 2097152;
+};
+
+/// Number of bytes by which a record counts towards AppendLimits.
+std::size_t appendBytes(const KeyedRecord &Record);
+
 /// Identifies one append, so that repeating it has no further effect and
 /// appends of a lower epoch are rejected.
 struct AppendId {
--- a/catkinseam/ledger/ledger.cc
+++ b/catkinseam/ledger/ledger.cc
@@ -19,10 +19,9 @@
       applyOwner(*Value);
     return true;
   }
-  if (Kind == RecordKind::LearnedModel) {
-    m_learnedModel = Value.value_or("");
+  // Written by owners of earlier versions.
+  if (Kind == RecordKind::LearnedModel)
     return true;
-  }
   if (!Value) {
     const auto Found = m_jobs.find(Id);
     if (Kind == RecordKind::Submission && Found != m_jobs.end()) {
--- a/catkinseam/ledger/ledger.h
+++ b/catkinseam/ledger/ledger.h
@@ -68,10 +68,6 @@
   /// The owner of the highest epoch; epoch zero before the first.
   const OwnerRecord &owner() const { return m_owner; }
 
-  /// The encoded interference model learned by owners; empty before the first
-  /// record.
-  const std::string &learnedModel() const { return m_learnedModel; }
-
   /// Sets the only observer; null removes it.
   void setObserver(LedgerObserver *Observer) { m_observer = Observer; }
 
@@ -88,7 +84,6 @@
   /// Number of queued jobs by queue. Invariant: equals a count over m_jobs.
   std::unordered_map<std::string, std::size_t> m_pendingByQueue;
   OwnerRecord m_owner;
-  std::string m_learnedModel;
   LedgerObserver *m_observer = nullptr;
 };
 
--- a/catkinseam/ledger/records.cc
+++ b/catkinseam/ledger/records.cc
@@ -43,6 +43,18 @@
   return Progress;
 }
 
+std::size_t estimateProgressBytes(const JobSpec &Spec) {
+  // Two runs, a worker id of 24 bytes and a checkpoint of 32 bytes.
+  constexpr std::size_t BytesPerTask = 110;
+  // Job state, occurrence number, and the lengths of all lists.
+  constexpr std::size_t BytesPerJob = 64;
+  constexpr std::size_t BytesPerStep = 8;
+  std::size_t Bytes = BytesPerJob;
+  for (const StepSpec &Step : Spec.m_steps)
+    Bytes += BytesPerStep + Step.m_count * BytesPerTask;
+  return Bytes;
+}
+
 std::string submissionKey(const std::string &Job) {
   return makeKey(SubmissionPrefix, Job);
 }
--- a/catkinseam/ledger/records.h
+++ b/catkinseam/ledger/records.h
@@ -118,6 +118,10 @@
 /// Error Invalid: `Value` does not start with a job state.
 Result<JobState> decodeState(const std::string &Value);
 
+/// Returns an estimate, on the high side, of the size in bytes that a job's
+/// encoded progress reaches when all tasks of one occurrence are in progress.
+std::size_t estimateProgressBytes(const JobSpec &Spec);
+
 /// Kind of a record in the jobs topic, determined by its key.
 enum class RecordKind {
   Submission,
--- a/catkinseam/node/node.cc
+++ b/catkinseam/node/node.cc
@@ -20,11 +20,23 @@
 /// Interval of the check for requests in progress during a stop.
 constexpr Milliseconds DrainPollInterval{50};
 
+AppendLimits appendLimits(const NodeSettings &Values) {
+  return {static_cast<std::size_t>(Values.m_storeRecordBytes),
+          static_cast<std::size_t>(Values.m_storeAppendBytes)};
+}
+
+JobService::Options jobServiceOptions(const NodeSettings &Values) {
+  JobService::Options Opts;
+  Opts.m_appendLimits = appendLimits(Values);
+  return Opts;
+}
+
 Candidate::Options candidateOptions(const NodeSettings &Values) {
   Candidate::Options Opts;
   Opts.m_node = Values.m_name;
   Opts.m_bootId = randomId();
   Opts.m_ownership.m_processorShare = Values.m_processorShare;
+  Opts.m_owner.m_appendLimits = appendLimits(Values);
   Scheduler::Options &Scheduling = Opts.m_owner.m_scheduler;
   const Milliseconds LongestLease = toMilliseconds(Values.m_maxLeaseDuration);
   Scheduling.m_storeOutageLease = LongestLease;
@@ -59,7 +71,7 @@
           {.m_topic = LogTopic::Operator, .m_wait = Milliseconds(2000)},
           {[this](const StoredRecord &Record) { onOperatorRecord(Record); },
            nullptr, nullptr}),
-      m_jobService(Loop, m_store, m_ledger, {}),
+      m_jobService(Loop, m_store, m_ledger, jobServiceOptions(Values)),
       m_ingress(m_jobService, m_metrics, Loop,
                 {[this] { return m_config ? &*m_config : nullptr; },
                  [this] { return m_candidate.isCurrent(); },
--- a/catkinseam/ownership/owner.cc
+++ b/catkinseam/ownership/owner.cc
@@ -27,8 +27,9 @@
            [this] { requestCycle(); },
            [this](const std::set<std::string> &Ids) { onWorkersLoaded(Ids); }}),
       m_cycleTimer(Host), m_heartbeatTimer(Host), m_appendTimer(Host),
-      m_wakeTimer(Host), m_summaryTimer(Host), m_lastDurableAppend(Host.now()),
-      m_lastLearnedModelAppend(Host.now()) {}
+      m_wakeTimer(Host), m_summaryTimer(Host), m_learnedModelTimer(Host),
+      m_pendingRecords(Values.m_appendLimits),
+      m_lastDurableAppend(Host.now()) {}
 
 Owner::~Owner() {
   *m_isAlive = false;
@@ -39,6 +40,7 @@
   logInfo("owner.begins", {{"epoch", std::to_string(m_options.m_epoch)},
                            {"jobs", std::to_string(m_jobs.jobs().size())}});
   m_jobs.setObserver(this);
+  loadLearnedModel();
   m_workerReader.start();
   scheduleHeartbeat();
   logSummary();
@@ -65,15 +67,31 @@
   for (const std::string &Each : m_scheduler.workersToPoll())
     if (!Ids.contains(Each))
       m_scheduler.removeWorker(Each);
-  if (!m_hasTakenOver)
-    takeOverJobs();
+  m_hasLoadedWorkers = true;
+  takeOverJobs();
 }
 
-void Owner::takeOverJobs() {
-  m_hasTakenOver = true;
-  if (!m_jobs.learnedModel().empty()) {
+// --- The interference model, which owners hand on in a topic of its own. No
+// --- decision depends on it, so its loss is only logged.
+
+void Owner::loadLearnedModel() {
+  m_log.newest(LogTopic::Learned, "", m_options.m_learnedModelTimeout,
+               [this, IsAlive = m_isAlive](const NewestReply &Reply) {
+                 if (*IsAlive)
+                   onLearnedModel(Reply);
+               });
+}
+
+void Owner::onLearnedModel(const NewestReply &Reply) {
+  m_isLearnedModelRead = true;
+  if (Reply.m_outcome != LogOutcome::Done)
+    logWarn("owner.knowledge_not_read",
+            {{"outcome", logOutcomeName(Reply.m_outcome)}});
+  for (const StoredRecord &Each : Reply.m_records) {
+    if (Each.m_record.m_key != LearnedModelKey || !Each.m_record.m_value)
+      continue;
     auto Learned = attempt([&] {
-      return decode<InterferenceModel::State>(m_jobs.learnedModel());
+      return decode<InterferenceModel::State>(*Each.m_record.m_value);
     });
     if (Learned)
       m_scheduler.restoreInterference(Learned.value());
@@ -81,6 +99,37 @@
       logWarn("owner.knowledge_unreadable",
               {{"fault", Learned.error().m_message}});
   }
+  takeOverJobs();
+}
+
+void Owner::storeLearnedModel() {
+  m_learnedModelTimer.start(m_options.m_learnedModelInterval, [this] {
+    if (!m_hasSteppedDown)
+      storeLearnedModel();
+  });
+  const InterferenceModel::EncodedState Model =
+      m_scheduler.encodedInterference(m_options.m_maxLearnedModelBytes);
+  if (Model.m_minWeight > 0.0)
+    logInfo("owner.knowledge_cut",
+            {{"bytes", std::to_string(Model.m_bytes.size())},
+             {"limit", std::to_string(m_options.m_maxLearnedModelBytes)},
+             {"least_weight", std::to_string(Model.m_minWeight)}});
+  m_log.append(LogTopic::Learned, {{LearnedModelKey, Model.m_bytes}},
+               std::nullopt, m_options.m_learnedModelTimeout,
+               [Bytes = Model.m_bytes.size()](const AppendReply &Reply) {
+                 if (Reply.m_outcome != LogOutcome::Done)
+                   logWarn("owner.knowledge_not_stored",
+                           {{"outcome", logOutcomeName(Reply.m_outcome)},
+                            {"bytes", std::to_string(Bytes)}});
+               });
+}
+
+void Owner::takeOverJobs() {
+  if (m_hasTakenOver || !m_hasLoadedWorkers || !m_isLearnedModelRead)
+    return;
+  m_hasTakenOver = true;
+  m_learnedModelTimer.start(m_options.m_learnedModelInterval,
+                            [this] { storeLearnedModel(); });
   for (const auto &[Id, Job] : m_jobs.jobs())
     if (m_jobs.find(Id))
       addJob(Job);
@@ -227,33 +276,29 @@
 }
 
 void Owner::store(Decisions Next) {
-  m_pendingRecords.clear();
   for (const auto &[Id, Progress] : Next.m_progress)
-    m_pendingRecords.push_back({progressKey(Id), encodeProgress(Progress)});
-  for (const std::string &Id : Next.m_expiredJobs) {
-    m_pendingRecords.push_back({progressKey(Id), std::nullopt});
-    m_pendingRecords.push_back({cancelKey(Id), std::nullopt});
-    m_pendingRecords.push_back({submissionKey(Id), std::nullopt});
-  }
-  if (m_host.now() - m_lastLearnedModelAppend >=
-      m_options.m_learnedModelInterval) {
-    m_lastLearnedModelAppend = m_host.now();
-    m_pendingRecords.push_back(
-        {LearnedModelKey, encode(m_scheduler.interferenceState())});
-  }
-  if (m_pendingRecords.empty() || m_isLeaving)
-    m_pendingRecords.push_back({OwnerKey, encode(ownRecord(m_isLeaving))});
+    m_pendingRecords.push({Id, {{progressKey(Id), encodeProgress(Progress)}}});
+  // A submission without progress is a new job, so the keys of a job are
+  // deleted in one group.
+  for (const std::string &Id : Next.m_expiredJobs)
+    m_pendingRecords.push({"",
+                           {{progressKey(Id), std::nullopt},
+                            {cancelKey(Id), std::nullopt},
+                            {submissionKey(Id), std::nullopt}}});
+  if (m_pendingRecords.isEmpty() || m_isLeaving)
+    m_pendingRecords.push({"", {{OwnerKey, encode(ownRecord(m_isLeaving))}}});
   m_appendMarksLeaving = m_isLeaving;
   m_pendingDecisions = std::move(Next);
   m_isAppending = true;
   m_appendStarted = m_host.now();
+  m_pendingRecords.next();
   ++m_sequence;
   sendAppend();
 }
 
 void Owner::sendAppend() {
   m_attemptStarted = m_host.now();
-  m_log.append(LogTopic::Jobs, m_pendingRecords,
+  m_log.append(LogTopic::Jobs, m_pendingRecords.records(),
                AppendId{OwnerProducer, m_options.m_epoch, m_sequence},
                m_appendTimeout.value(),
                [this, IsAlive = m_isAlive](const AppendReply &Reply) {
@@ -269,16 +314,19 @@
     m_appendTimeout.onReply(m_host.now() - m_attemptStarted);
   switch (Reply.m_outcome) {
   case LogOutcome::Done:
-    return finishAppend();
+    if (!m_pendingRecords.next())
+      return finishAppend();
+    ++m_sequence;
+    return sendAppend();
   case LogOutcome::Fenced:
     return stepDown("fenced_by_log");
-  case LogOutcome::OutOfOrder:
   case LogOutcome::Invalid:
-    logError("owner.append_invalid",
+    return onAppendInvalid();
+  case LogOutcome::OutOfOrder:
+    logError("owner.append_out_of_order",
              {{"epoch", std::to_string(m_options.m_epoch)},
-              {"sequence", std::to_string(m_sequence)},
-              {"outcome", logOutcomeName(Reply.m_outcome)}});
-    return stepDown("append_invalid");
+              {"sequence", std::to_string(m_sequence)}});
+    return stepDown("append_out_of_order");
   default:
     break;
   }
@@ -291,6 +339,29 @@
   m_appendTimer.start(m_options.m_appendRetryDelay, [this] { sendAppend(); });
 }
 
+void Owner::onAppendInvalid() {
+  // A rejected append leaves no trace in the log, so its sequence number is
+  // used again.
+  if (m_pendingRecords.divide())
+    return sendAppend();
+  const RecordGroup Rejected = m_pendingRecords.groups().front();
+  logError("owner.record_invalid",
+           {{"epoch", std::to_string(m_options.m_epoch)},
+            {"key", Rejected.m_records.front().m_key},
+            {"bytes", std::to_string(appendBytes(Rejected.m_records.front()))},
+            {"job", Rejected.m_job}});
+  if (Rejected.m_job.empty())
+    return stepDown("append_invalid");
+  // Ends of the job's runs are acknowledged after this append, so it must leave
+  // a record from which no successor starts the job's tasks again.
+  m_scheduler.failJob(Rejected.m_job);
+  JobProgress Failed;
+  Failed.m_state = JobState::Failed;
+  m_pendingRecords.replace(
+      {"", {{progressKey(Rejected.m_job), encodeProgress(Failed)}}});
+  sendAppend();
+}
+
 void Owner::finishAppend() {
   m_isAppending = false;
   m_lastDurableAppend = m_host.now();
@@ -406,6 +477,7 @@
   m_heartbeatTimer.cancel();
   m_appendTimer.cancel();
   m_wakeTimer.cancel();
+  m_learnedModelTimer.cancel();
   m_onOwnershipLost();
 }
 
--- a/catkinseam/ownership/owner.h
+++ b/catkinseam/ownership/owner.h
@@ -15,6 +15,7 @@
 
 #include "catkinseam/base/reply_timeout.h"
 #include "catkinseam/base/runtime.h"
+#include "catkinseam/ledger/append_queue.h"
 #include "catkinseam/ledger/keyed_log_reader.h"
 #include "catkinseam/ledger/ledger.h"
 #include "catkinseam/scheduler/scheduler.h"
@@ -55,6 +56,12 @@
     /// Interval at which the interference model is stored, so that the next
     /// owner can reuse it.
     Milliseconds m_learnedModelInterval{4000};
+    /// Maximum size of the stored model.
+    std::size_t m_maxLearnedModelBytes = 65536;
+    /// How long a new owner waits for the model of an earlier owner.
+    Milliseconds m_learnedModelTimeout{500};
+    /// Limits of the log.
+    AppendLimits m_appendLimits;
     /// Events within this time are handled by one scheduling cycle.
     Milliseconds m_batchingWindow{3};
     /// Delay before a failed status poll is repeated.
@@ -75,8 +82,8 @@
   /// `IsCurrent` returns whether the ledger is up to date with the log; no run
   /// is started while it is not.
   /// `OnOwnershipLost` is called once, when the log or a worker rejects this
-  /// owner's epoch, or the log finds an append invalid or out of order. The
-  /// owner must then be destroyed, but not from within the call.
+  /// owner's epoch, or the log rejects an append of the owner as invalid or out
+  /// of order. The owner must then be destroyed, but not from within the call.
   Owner(Runtime &Host, KeyedLog &Log, Ledger &Jobs, WorkerLinkFactory MakeLink,
         WorkerRegistrationParser ParseRegistration, const Options &Values,
         std::function<bool()> IsCurrent, std::function<void()> OnOwnershipLost);
@@ -106,6 +113,9 @@
 
   void onWorkerRecord(const StoredRecord &Record);
   void onWorkersLoaded(const std::set<std::string> &Ids);
+  void loadLearnedModel();
+  void onLearnedModel(const NewestReply &Reply);
+  void storeLearnedModel();
   void takeOverJobs();
   void addJob(const LedgerJob &Job);
   void connectWorker(const WorkerRegistration &Registration);
@@ -116,6 +126,8 @@
   void store(Decisions Next);
   void sendAppend();
   void onAppend(const AppendReply &Reply);
+  /// Isolates the record that the log rejected, and fails its job.
+  void onAppendInvalid();
   void finishAppend();
   void scheduleHeartbeat();
   void logSummary();
@@ -146,24 +158,28 @@
   Timer m_appendTimer;
   Timer m_wakeTimer;
   Timer m_summaryTimer;
+  Timer m_learnedModelTimer;
 
+  bool m_hasLoadedWorkers = false;
+  /// The model of an earlier owner was read, or could not be read in time.
+  bool m_isLearnedModelRead = false;
   bool m_hasTakenOver = false;
   bool m_hasSteppedDown = false;
   bool m_isLeaving = false;
   std::function<void()> m_onLeft;
   /// The append in progress announces that this owner is leaving.
   bool m_appendMarksLeaving = false;
-  /// The append in progress. Its records and append id stay unchanged until
-  /// it is known to be durable, so that retries append at most once.
+  /// The records being stored, in one or more appends. The current records and
+  /// their append id stay unchanged until the append is known to be durable or
+  /// rejected, so that retries append at most once.
   bool m_isAppending = false;
-  std::vector<KeyedRecord> m_pendingRecords;
+  AppendQueue m_pendingRecords;
   Decisions m_pendingDecisions;
   std::uint64_t m_sequence = 0;
   TimePoint m_appendStarted;
   TimePoint m_attemptStarted;
   ReplyTimeout m_appendTimeout{{}};
   TimePoint m_lastDurableAppend;
-  TimePoint m_lastLearnedModelAppend;
   std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
--- a/catkinseam/ownership/testing/fake_log.cc
+++ b/catkinseam/ownership/testing/fake_log.cc
@@ -35,9 +35,21 @@
     Each.m_earliest = static_cast<std::int64_t>(Each.m_records.size());
 }
 
+bool FakeLog::isWithinLimits(const std::vector<KeyedRecord> &Records) const {
+  std::size_t Total = 0;
+  for (const KeyedRecord &Each : Records) {
+    if (appendBytes(Each) > m_limits.m_maxRecordBytes)
+      return false;
+    Total += appendBytes(Each);
+  }
+  return Total <= m_limits.m_maxTotalBytes;
+}
+
 AppendReply FakeLog::execute(LogTopic TopicId,
                              const std::vector<KeyedRecord> &Records,
                              const std::optional<AppendId> &Id) {
+  if (m_faults.m_rejectedTopic == TopicId || !isWithinLimits(Records))
+    return {LogOutcome::Invalid, 0};
   Topic &Target = m_topics[TopicId];
   const auto Offset = static_cast<std::int64_t>(Target.m_records.size());
   if (Id) {
--- a/catkinseam/ownership/testing/fake_log.h
+++ b/catkinseam/ownership/testing/fake_log.h
@@ -25,6 +25,8 @@
     double m_delayedRate = 0.0;
     /// Maximum number of records returned by one read.
     std::size_t m_maxReadRecords = 10000;
+    /// Appends to this topic are rejected as invalid.
+    std::optional<LogTopic> m_rejectedTopic;
   };
 
   /// One process's connection to the log, which may be partitioned from it.
@@ -64,6 +66,7 @@
   void compact();
 
   Faults m_faults;
+  AppendLimits m_limits;
 
 private:
   friend class View;
@@ -78,6 +81,7 @@
     std::int64_t m_offset = 0;
   };
 
+  bool isWithinLimits(const std::vector<KeyedRecord> &Records) const;
   AppendReply execute(LogTopic TopicId, const std::vector<KeyedRecord> &Records,
                       const std::optional<AppendId> &Id);
   void readOnce(LogTopic TopicId, std::int64_t From, TimePoint Deadline,
--- a/catkinseam/platform/http_keyed_log.cc
+++ b/catkinseam/platform/http_keyed_log.cc
@@ -26,6 +26,8 @@
     return "keyed.servers";
   case LogTopic::Status:
     return "keyed.status";
+  case LogTopic::Learned:
+    return "keyed.learned";
   }
   return "";
 }
@@ -91,7 +93,6 @@
     return LogOutcome::HistoryDeleted;
   case 400:
   case 413:
-  case 507:
     return LogOutcome::Invalid;
   default:
     return LogOutcome::Refused;
--- a/catkinseam/platform/http_worker_link.cc
+++ b/catkinseam/platform/http_worker_link.cc
@@ -17,6 +17,9 @@
 /// Maximum number of ended runs in one reply; a full list may be incomplete.
 constexpr std::size_t MaxEndedRunsPerReply = 500;
 
+/// Checkpoints are stored in the records of their jobs, whose size is limited.
+constexpr std::size_t MaxCheckpointBytes = 256;
+
 const char *const ExpectedInstanceHeader = "X-Catkinseam-Expected-Instance";
 
 OrderOutcome conflictOutcome(const HttpReply &Reply) {
@@ -77,6 +80,19 @@
                      Row[Column].get_string().size());
 }
 
+/// Returns an empty checkpoint, so that the task starts anew, for one that is
+/// too long to be stored.
+std::string checkpointAt(const boost::json::array &Row, std::size_t Column) {
+  std::string Checkpoint = stringAt(Row, Column);
+  if (Checkpoint.size() <= MaxCheckpointBytes)
+    return Checkpoint;
+  logWarn("worker.checkpoint_too_long",
+          {{"task", stringAt(Row, 0)},
+           {"bytes", std::to_string(Checkpoint.size())},
+           {"limit", std::to_string(MaxCheckpointBytes)}});
+  return "";
+}
+
 std::int64_t integerAt(const boost::json::array &Row, std::size_t Column) {
   if (Column >= Row.size())
     return 0;
@@ -101,7 +117,7 @@
   if (!Cells || !parseTaskName(stringAt(*Cells, 0), Read.m_task))
     return false;
   Read.m_run = static_cast<RunNumber>(integerAt(*Cells, 1));
-  Read.m_checkpoint = stringAt(*Cells, 2);
+  Read.m_checkpoint = checkpointAt(*Cells, 2);
   Read.m_percent = integerAt(*Cells, 3);
   Read.m_measurement = integerAt(*Cells, 4);
   return true;
@@ -114,7 +130,7 @@
     return false;
   Read.m_sequence = static_cast<std::uint64_t>(integerAt(*Cells, 0));
   Read.m_run = static_cast<RunNumber>(integerAt(*Cells, 2));
-  Read.m_checkpoint = stringAt(*Cells, 4);
+  Read.m_checkpoint = checkpointAt(*Cells, 4);
   return parseRunEnd(stringAt(*Cells, 3), Read.m_end);
 }
 
--- a/catkinseam/platform/ingress.cc
+++ b/catkinseam/platform/ingress.cc
@@ -105,6 +105,12 @@
   auto Spec = attempt([&] { return readJobBody(Request.m_body); });
   if (!Spec)
     return reject(Updated, 400, "invalid", Spec.error().m_message);
+  if (auto Size = attempt([&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(m_jobService.checkSize(Spec.value()));
+        return true;
+      });
+      !Size)
+    return reject(Updated, 400, "too_large", Size.error().m_message);
   if (Context.m_route->m_needsRecommendation)
     return reject(Updated, 503, "advice_unsupported",
                   "queue \"" + Context.m_queue +
--- a/catkinseam/scheduler/interference_model.cc
+++ b/catkinseam/scheduler/interference_model.cc
@@ -1,8 +1,11 @@
 // Least-squares fit of the load that fillers add to services.
 #include "catkinseam/scheduler/interference_model.h"
 
+#include "catkinseam/base/codec.h"
+
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace catkinseam {
 
@@ -37,65 +40,151 @@
          static_cast<double>(Spec.m_targetTailLatency.count());
 }
 
-InterferenceModel::State InterferenceModel::state() const {
+InterferenceModel::State InterferenceModel::state(double MinWeight) const {
   State Stored;
-  Stored.m_images.resize(m_imageIndices.size());
-  for (const auto &[Image, Number] : m_imageIndices)
-    Stored.m_images[Number] = Image;
-  Stored.m_fillers.assign(m_fillers.begin(), m_fillers.end());
-  for (ImageIndex Number = 0; Number < m_fits.size(); ++Number) {
-    const Fit &ServiceFit = m_fits[Number];
-    if (ServiceFit.m_minTail > 0.0)
-      Stored.m_services.push_back(
-          {Stored.m_images[Number], ServiceFit.m_normalMatrix,
-           ServiceFit.m_normalVector, ServiceFit.m_minTail});
+  constexpr std::size_t Unused = std::numeric_limits<std::size_t>::max();
+  std::vector<std::size_t> Positions(m_images.size(), Unused);
+  for (ImageIndex Image = 0; Image < m_images.size(); ++Image) {
+    if (m_images[Image].m_users == 0 ||
+        Stored.m_images.size() > std::numeric_limits<std::uint16_t>::max())
+      continue;
+    Positions[Image] = Stored.m_images.size();
+    Stored.m_images.push_back(m_images[Image].m_name);
+  }
+  const auto PositionOf = [&](ImageIndex Image) {
+    return static_cast<std::uint16_t>(Positions[Image]);
+  };
+  for (const ImageIndex Filler : m_fillers)
+    if (Positions[Filler] != Unused)
+      Stored.m_fillers.push_back(PositionOf(Filler));
+  for (ImageIndex Image = 0; Image < m_fits.size(); ++Image) {
+    const Fit &ServiceFit = m_fits[Image];
+    if (ServiceFit.m_minTail <= 0.0 || Positions[Image] == Unused)
+      continue;
+    State::Service &Service = Stored.m_services.emplace_back();
+    Service.m_image = PositionOf(Image);
+    Service.m_minTail = ServiceFit.m_minTail;
+    const std::size_t Size = ServiceFit.m_normalVector.size();
+    const auto IsStored = [&](ImageIndex Filler) {
+      const double Weight = ServiceFit.m_normalMatrix[Filler][Filler];
+      return Positions[Filler] != Unused && Weight > 0.0 && Weight >= MinWeight;
+    };
+    for (ImageIndex Row = 0; Row < Size; ++Row) {
+      if (!IsStored(Row))
+        continue;
+      Service.m_normalVector.push_back(
+          {PositionOf(Row),
+           static_cast<float>(ServiceFit.m_normalVector[Row])});
+      for (ImageIndex Column = 0; Column <= Row; ++Column)
+        if (IsStored(Column) && ServiceFit.m_normalMatrix[Row][Column] != 0.0)
+          Service.m_normalMatrix.push_back(
+              {PositionOf(Row), PositionOf(Column),
+               static_cast<float>(ServiceFit.m_normalMatrix[Row][Column])});
+    }
   }
   Stored.m_periodErrors.assign(m_periodErrors.begin(), m_periodErrors.end());
   return Stored;
 }
 
+InterferenceModel::EncodedState
+InterferenceModel::encodedState(std::size_t MaxBytes) const {
+  constexpr double FirstMinWeight = 1e-6;
+  constexpr double LastMinWeight = 1e3;
+  constexpr double Growth = 4.0;
+  for (double MinWeight = 0.0; MinWeight < LastMinWeight;
+       MinWeight = std::max(FirstMinWeight, MinWeight * Growth)) {
+    std::string Bytes = encode(state(MinWeight));
+    if (Bytes.size() <= MaxBytes)
+      return {std::move(Bytes), MinWeight};
+  }
+  return {"", LastMinWeight};
+}
+
 void InterferenceModel::restore(const State &Stored, TimePoint Now) {
   if (!m_imageIndices.empty())
     return;
+  std::vector<ImageIndex> Numbers;
   for (const std::string &Image : Stored.m_images)
-    imageIndex(Image);
-  m_fillers.insert(Stored.m_fillers.begin(), Stored.m_fillers.end());
+    Numbers.push_back(numberOf(Image));
+  for (const std::uint16_t Filler : Stored.m_fillers)
+    if (Filler < Numbers.size())
+      m_fillers.insert(Numbers[Filler]);
   if (Stored.m_periodErrors.size() == m_periodErrors.size())
     std::copy(Stored.m_periodErrors.begin(), Stored.m_periodErrors.end(),
               m_periodErrors.begin());
   for (const State::Service &Service : Stored.m_services) {
-    Fit &ServiceFit = m_fits[imageIndex(Service.m_image)];
-    const bool IsSquare =
-        Service.m_normalMatrix.size() == Service.m_normalVector.size() &&
-        Service.m_normalVector.size() <= m_imageIndices.size() &&
-        std::all_of(Service.m_normalMatrix.begin(),
-                    Service.m_normalMatrix.end(),
-                    [&](const std::vector<double> &Row) {
-                      return Row.size() == Service.m_normalVector.size();
-                    });
-    if (!IsSquare)
+    if (Service.m_image >= Numbers.size())
       continue;
-    ServiceFit.m_normalMatrix = Service.m_normalMatrix;
-    ServiceFit.m_normalVector = Service.m_normalVector;
+    Fit &ServiceFit = m_fits[Numbers[Service.m_image]];
+    resizeToImages(ServiceFit);
     ServiceFit.m_minTail = Service.m_minTail;
     ServiceFit.m_decayedAt = Now;
-    ServiceFit.m_coefficients.assign(ServiceFit.m_normalVector.size(),
-                                     m_options.m_priorCoefficient);
-    resizeToImages(ServiceFit);
+    for (const State::VectorEntry &Each : Service.m_normalVector)
+      if (Each.m_row < Numbers.size())
+        ServiceFit.m_normalVector[Numbers[Each.m_row]] = Each.m_value;
+    for (const State::MatrixEntry &Each : Service.m_normalMatrix) {
+      if (Each.m_row >= Numbers.size() || Each.m_column >= Numbers.size())
+        continue;
+      const ImageIndex Row = Numbers[Each.m_row];
+      const ImageIndex Column = Numbers[Each.m_column];
+      ServiceFit.m_normalMatrix[Row][Column] = Each.m_value;
+      ServiceFit.m_normalMatrix[Column][Row] = Each.m_value;
+    }
     solveCoefficients(ServiceFit);
   }
 }
 
-ImageIndex InterferenceModel::imageIndex(const std::string &Image) {
-  const ImageIndex Number =
-      m_imageIndices.emplace(Image, m_imageIndices.size()).first->second;
-  if (m_fits.size() <= Number)
-    m_fits.resize(Number + 1);
+ImageIndex InterferenceModel::numberOf(const std::string &Image) {
+  if (const auto Found = m_imageIndices.find(Image);
+      Found != m_imageIndices.end())
+    return Found->second;
+  ImageIndex Number = m_images.size();
+  if (m_images.size() >= m_options.m_maxImages) {
+    const auto Free =
+        std::find_if(m_images.begin(), m_images.end(),
+                     [](const ImageInfo &Each) { return Each.m_users == 0; });
+    if (Free != m_images.end())
+      Number = static_cast<ImageIndex>(Free - m_images.begin());
+  }
+  if (Number == m_images.size()) {
+    m_images.emplace_back();
+    m_fits.emplace_back();
+  } else {
+    forgetImage(Number);
+  }
+  m_images[Number] = {Image, 0};
+  m_imageIndices[Image] = Number;
+  return Number;
+}
+
+ImageIndex InterferenceModel::acquireImage(const std::string &Image) {
+  const ImageIndex Number = numberOf(Image);
+  ++m_images[Number].m_users;
   return Number;
 }
 
+void InterferenceModel::releaseImage(ImageIndex Image) {
+  --m_images[Image].m_users;
+}
+
+void InterferenceModel::forgetImage(ImageIndex Image) {
+  m_imageIndices.erase(m_images[Image].m_name);
+  m_fillers.erase(Image);
+  m_fits[Image] = {};
+  for (Fit &Each : m_fits) {
+    if (Image >= Each.m_normalVector.size())
+      continue;
+    Each.m_normalVector[Image] = 0.0;
+    Each.m_coefficients[Image] = m_options.m_priorCoefficient;
+    std::fill(Each.m_normalMatrix[Image].begin(),
+              Each.m_normalMatrix[Image].end(), 0.0);
+    for (std::vector<double> &Row : Each.m_normalMatrix)
+      Row[Image] = 0.0;
+  }
+}
+
 void InterferenceModel::resizeToImages(Fit &Target) const {
-  const std::size_t Size = m_imageIndices.size();
+  const std::size_t Size = m_images.size();
   if (Target.m_normalVector.size() == Size)
     return;
   Target.m_normalVector.resize(Size, 0.0);
@@ -161,7 +250,7 @@
 
 InterferenceModel::FillerShares
 InterferenceModel::fillerShares(WorkerInfo &Worker, TimePoint Now) const {
-  FillerShares Shares(m_imageIndices.size(), 0.0);
+  FillerShares Shares(m_images.size(), 0.0);
   for (const RunRef &Ref : Worker.m_runs) {
     const StepInfo &Step = *Ref.m_task->m_step;
     const RunInfo *Run =
--- a/catkinseam/scheduler/interference_model.h
+++ b/catkinseam/scheduler/interference_model.h
@@ -91,6 +91,8 @@
     double m_maxLimitInstances = 6.0;
     /// Smoothing factor, 0 to 1, of the suspended share.
     double m_suspendedShareSmoothing = 0.2;
+    /// Number of images from which those without users are forgotten.
+    std::size_t m_maxImages = 96;
   };
 
   explicit InterferenceModel(const Options &Values) : m_options(Values) {}
@@ -98,19 +100,38 @@
   /// Learned state that is handed to the next owner. The order of fields is
   /// part of the stored format.
   struct State {
+    /// Nonzero elements of the normal equations. Row and column are positions
+    /// in m_images.
+    struct MatrixEntry {
+      std::uint16_t m_row = 0;
+      std::uint16_t m_column = 0;
+      float m_value = 0.0F;
+
+      template <class Archive> void serialize(Archive &Target) {
+        Target(m_row, m_column, m_value);
+      }
+    };
+    struct VectorEntry {
+      std::uint16_t m_row = 0;
+      float m_value = 0.0F;
+
+      template <class Archive> void serialize(Archive &Target) {
+        Target(m_row, m_value);
+      }
+    };
     struct Service {
-      std::string m_image;
-      std::vector<std::vector<double>> m_normalMatrix;
-      std::vector<double> m_normalVector;
+      std::uint16_t m_image = 0;
+      /// The lower triangle of the symmetric matrix.
+      std::vector<MatrixEntry> m_normalMatrix;
+      std::vector<VectorEntry> m_normalVector;
       double m_minTail = 0.0;
 
       template <class Archive> void serialize(Archive &Target) {
         Target(m_image, m_normalMatrix, m_normalVector, m_minTail);
       }
     };
-    /// Indexed by image number.
     std::vector<std::string> m_images;
-    std::vector<ImageIndex> m_fillers;
+    std::vector<std::uint16_t> m_fillers;
     std::vector<Service> m_services;
     std::vector<double> m_periodErrors;
 
@@ -119,15 +140,33 @@
     }
   };
 
-  /// Returns the learned state.
-  State state() const;
+  /// Returns the learned state of the images in use. Leaves out a filler's terms
+  /// in the fit of a service when their weight, in squared processor shares, is
+  /// below `MinWeight`.
+  State state(double MinWeight = 0.0) const;
+
+  struct EncodedState {
+    std::string m_bytes;
+    /// Terms of a smaller weight were left out; zero if none was.
+    double m_minWeight = 0.0;
+  };
+  /// Returns the encoded state without its smallest terms, so that it has at
+  /// most `MaxBytes`; empty if no part of it fits.
+  EncodedState encodedState(std::size_t MaxBytes) const;
 
   /// Restores the state of an earlier owner. Has no effect once an image has
-  /// been numbered; skips services whose matrices are malformed.
+  /// been numbered; skips entries that are out of range.
   void restore(const State &Stored, TimePoint Now);
 
-  /// Returns the number of an image, assigning the next one to a new image.
-  ImageIndex imageIndex(const std::string &Image);
+  /// Returns the number of an image and counts one more user of it. A new image
+  /// takes the number of an image without users once `m_maxImages` are known.
+  ImageIndex acquireImage(const std::string &Image);
+
+  /// Ends one use of an image.
+  void releaseImage(ImageIndex Image);
+
+  /// Number of images that have a number.
+  std::size_t images() const { return m_images.size(); }
 
   /// Records the suspended share of the requested batch work, 0 to 1: the part
   /// that is waiting or throttled. The larger it is, the closer to their
@@ -204,11 +243,22 @@
   double loadFromTail(ImageIndex Service, double Tail) const;
   void decay(Fit &Target, TimePoint Now) const;
   void resizeToImages(Fit &Target) const;
+  /// Assigns a number to an image, or returns the one that it has.
+  ImageIndex numberOf(const std::string &Image);
+  /// Removes an image from all fits, so that its number can be used again.
+  void forgetImage(ImageIndex Image);
   void solveCoefficients(Fit &Target) const;
   void refreshLoadHeadrooms(WorkerInfo &Worker, TimePoint Now) const;
 
+  struct ImageInfo {
+    std::string m_name;
+    std::size_t m_users = 0;
+  };
+
   const Options m_options;
   std::map<std::string, ImageIndex> m_imageIndices;
+  /// By number. Invariant: m_imageIndices maps each name to its number.
+  std::vector<ImageInfo> m_images;
   std::set<ImageIndex> m_fillers;
   /// Indexed by the service's image number.
   std::vector<Fit> m_fits;
--- a/catkinseam/scheduler/interference_test.cc
+++ b/catkinseam/scheduler/interference_test.cc
@@ -1,5 +1,6 @@
 // Fitting the interference of fillers with services, and throttling by it.
 #define BOOST_TEST_MODULE interference
+#include "catkinseam/base/codec.h"
 #include "catkinseam/scheduler/filler_throttle.h"
 
 #include <boost/test/unit_test.hpp>
@@ -33,9 +34,9 @@
     m_fillerSpec.m_isFiller = true;
     m_fillerSpec.m_request = {2000, 1000, 0};
     m_serviceStep.m_spec = &m_serviceSpec;
-    m_serviceStep.m_image = m_model.imageIndex("clock");
+    m_serviceStep.m_image = m_model.acquireImage("clock");
     m_fillerStep.m_spec = &m_fillerSpec;
-    m_fillerStep.m_image = m_model.imageIndex("ledger");
+    m_fillerStep.m_image = m_model.acquireImage("ledger");
     addRun(m_service, m_serviceStep);
     addRun(m_filler, m_fillerStep);
     m_worker.m_services = 1;
@@ -98,13 +99,74 @@
   }
   InterferenceModel Next{{}};
   Next.restore(m_model.state(), m_clock.now());
-  const ImageIndex Service = Next.imageIndex("clock");
-  const ImageIndex Filler = Next.imageIndex("ledger");
+  const ImageIndex Service = Next.acquireImage("clock");
+  const ImageIndex Filler = Next.acquireImage("ledger");
   BOOST_TEST(std::abs(Next.interferenceCoefficient(Service, Filler) -
                       m_model.interferenceCoefficient(
                           m_serviceStep.m_image, m_fillerStep.m_image)) < 0.1);
 }
 
+// The state of some dozens of images grew with the cube of their number and
+// exceeded what one record may hold.
+BOOST_AUTO_TEST_CASE(EncodedStateOfManyImagesKeepsWithinItsLimit) {
+  constexpr std::size_t Images = 60;
+  constexpr std::size_t MaxBytes = 65536;
+  InterferenceModel Model{{}};
+  ManualClock Clock;
+  WorkerInfo Worker;
+  Worker.m_registration.m_capacity = {100000, 640000, 0};
+  StepSpec ServiceSpec;
+  ServiceSpec.m_isService = true;
+  ServiceSpec.m_targetTailLatency = Milliseconds(18);
+  StepSpec FillerSpec;
+  FillerSpec.m_isFiller = true;
+  std::vector<StepInfo> Steps(2 * Images);
+  std::vector<TaskInfo> Tasks(Steps.size());
+  for (std::size_t At = 0; At < Steps.size(); ++At) {
+    Steps[At].m_spec = At < Images ? &ServiceSpec : &FillerSpec;
+    Steps[At].m_image = Model.acquireImage("image-" + std::to_string(At));
+    Tasks[At].m_step = &Steps[At];
+    RunInfo &Run = Tasks[At].m_runs.emplace_back();
+    Run.m_number = 1;
+    Run.m_phase = RunPhase::Running;
+    Run.m_percent = 100;
+    Worker.m_runs.push_back({&Tasks[At], 1});
+  }
+  for (std::size_t Report = 0; Report < 200; ++Report) {
+    for (std::size_t At = 0; At < Steps.size(); ++At)
+      Tasks[At].m_runs.front().m_measurement =
+          static_cast<std::int64_t>(5 + (At * 7 + Report * At * 13) % 900);
+    Clock.advance(Milliseconds(300));
+    Model.observe(Worker, Clock.now());
+  }
+  BOOST_TEST(encode(Model.state()).size() > 262144U);
+  const InterferenceModel::EncodedState Cut = Model.encodedState(MaxBytes);
+  BOOST_TEST(!Cut.m_bytes.empty());
+  BOOST_TEST(Cut.m_bytes.size() <= MaxBytes);
+  BOOST_TEST(Cut.m_minWeight > 0.0);
+  auto Decoded = attempt(
+      [&] { return decode<InterferenceModel::State>(Cut.m_bytes); });
+  BOOST_REQUIRE(Decoded);
+  BOOST_TEST(Decoded.value().m_services.size() == Images);
+}
+
+// A deployment sees new images every day. Those of ended jobs must not be kept
+// for ever.
+BOOST_AUTO_TEST_CASE(ImagesWithoutUsersAreForgotten) {
+  InterferenceModel::Options Values;
+  Values.m_maxImages = 10;
+  InterferenceModel Model(Values);
+  const ImageIndex Kept = Model.acquireImage("kept");
+  for (int Number = 0; Number < 1000; ++Number)
+    Model.releaseImage(Model.acquireImage("image-" + std::to_string(Number)));
+  BOOST_TEST(Model.images() == 10U);
+  BOOST_TEST(Model.acquireImage("kept") == Kept);
+  // Images in use are never forgotten, even beyond the limit.
+  for (int Number = 0; Number < 20; ++Number)
+    Model.acquireImage("used-" + std::to_string(Number));
+  BOOST_TEST(Model.images() == 21U);
+}
+
 // The load of all instances of a service varies together, and a harmless filler
 // runs whenever the load is high. Guards against attributing load that the
 // instances have in common to the filler.
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -100,6 +100,8 @@
   /// `Recorded` is the progress stored by an earlier owner; null for a new job.
   void addJob(const Submission &Job, const JobProgress *Recorded);
   void cancelJob(const std::string &Id);
+  /// Ends a job whose progress cannot be stored.
+  void failJob(const std::string &Id);
   void updateWorker(const WorkerRegistration &Registration);
   void removeWorker(const std::string &Id);
   /// Loads the interference model of an earlier owner. Must be called before
@@ -107,8 +109,10 @@
   void restoreInterference(const InterferenceModel::State &Learned) {
     m_interference.restore(Learned, m_clock.now());
   }
-  InterferenceModel::State interferenceState() const {
-    return m_interference.state();
+  /// See InterferenceModel::encodedState().
+  InterferenceModel::EncodedState
+  encodedInterference(std::size_t MaxBytes) const {
+    return m_interference.encodedState(MaxBytes);
   }
   void setStoreReachable(bool IsReachable) { m_isStoreReachable = IsReachable; }
 
@@ -184,6 +188,7 @@
   JobProgress progressOf(const JobInfo &Job) const;
   void openDueOccurrences();
   void forgetOldJobs(Decisions &Next);
+  void releaseImages(const JobInfo &Job);
 
   // Runs.
   TaskInfo *findTask(const TaskKey &Key);
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -125,7 +125,7 @@
   for (std::uint32_t At = 0; At < Spec.m_steps.size(); ++At) {
     StepInfo &Step = Occurrence.m_steps[At];
     Step.m_spec = &Spec.m_steps[At];
-    Step.m_image = m_interference.imageIndex(Spec.m_steps[At].m_image);
+    Step.m_image = m_interference.acquireImage(Spec.m_steps[At].m_image);
     Step.m_occurrence = &Occurrence;
     Step.m_number = At;
   }
@@ -223,6 +223,12 @@
   endJob(*Found->second, JobState::Cancelled);
 }
 
+void Scheduler::failJob(const std::string &Id) {
+  const auto Found = m_jobs.find(Id);
+  if (Found != m_jobs.end() && !isFinal(Found->second->m_state))
+    endJob(*Found->second, JobState::Failed);
+}
+
 void Scheduler::endJob(JobInfo &Job, JobState State) {
   Job.m_state = State;
   Job.m_endedAt = m_clock.now();
@@ -450,6 +456,12 @@
   return Progress;
 }
 
+void Scheduler::releaseImages(const JobInfo &Job) {
+  for (const OccurrenceInfo &Occurrence : Job.m_occurrences)
+    for (const StepInfo &Step : Occurrence.m_steps)
+      m_interference.releaseImage(Step.m_image);
+}
+
 void Scheduler::forgetOldJobs(Decisions &Next) {
   const TimePoint Now = m_clock.now();
   for (auto Each = m_jobs.begin(); Each != m_jobs.end();) {
@@ -457,6 +469,7 @@
     if (isFinal(Job.m_state) && Job.m_activeRunCount == 0 && !Job.m_isDirty &&
         Now - Job.m_endedAt > m_options.m_jobRetention) {
       Next.m_expiredJobs.push_back(Each->first);
+      releaseImages(Job);
       Each = m_jobs.erase(Each);
     } else {
       ++Each;
--- a/catkinseam/settings/node_settings.cc
+++ b/catkinseam/settings/node_settings.cc
@@ -19,6 +19,10 @@
       {"node", "readiness", &NodeSettings::m_readinessEndpoint, true},
       {"node", "metrics", &NodeSettings::m_metricsEndpoint, true},
       {"platform", "store", &NodeSettings::m_storeEndpoint, true},
+      {"platform", "record_bytes", &NodeSettings::m_storeRecordBytes, false,
+       4096, 1LL << 30},
+      {"platform", "append_bytes", &NodeSettings::m_storeAppendBytes, false,
+       4096, 1LL << 30},
       {"limits", "descriptors", &NodeSettings::m_descriptors, false, 64,
        1000000},
       {"limits", "processor_share", &NodeSettings::m_processorShare, false, 0,
@@ -40,6 +44,9 @@
   if (LogLevels.count(Values.m_logLevel) == 0)
     Reader.addError("telemetry.log_level",
                     "must be debug, info, warn or error");
+  if (Values.m_storeAppendBytes < Values.m_storeRecordBytes)
+    Reader.addError("platform.append_bytes",
+                    "must not be below platform.record_bytes");
 }
 
 } // namespace
--- a/catkinseam/settings/node_settings.h
+++ b/catkinseam/settings/node_settings.h
@@ -26,6 +26,9 @@
 
   // [platform]
   Endpoint m_storeEndpoint;
+  /// Maximum size in bytes of one record, and of the records of one append.
+  std::int64_t m_storeRecordBytes = 262144;
+  std::int64_t m_storeAppendBytes = 2097152;
 
   // [limits]
   std::int64_t m_descriptors = 4096;
