End an election when the silence that justified it has ended

Change: silence is measured up to the last read that reached the end of the topic, so a node that cannot read suspects nobody. Before each repetition of a claim the election must still be justified; if it is not, the node waits, since an earlier attempt may yet be carried out. Reads wait 150 ms at most, so that a silence is noticed in time; owners write every 200 ms, so this costs no calls while there is an owner.

Weighed: the append's offset precondition, so that a late claim cannot land. Under load other records land between read and claim, and with a slow store no claim would ever succeed.

--- a/catkinseam/ownership/append_limits_test.cc
+++ b/catkinseam/ownership/append_limits_test.cc
@@ -77,4 +77,32 @@
   BOOST_TEST(Cluster.violations().empty());
 }
 
+// The node's reads and appends fail for some seconds, while the owner and the
+// log are healthy. A claim that the node made in that time must lapse once it
+// reads again and finds that the owner has been active.
+BOOST_AUTO_TEST_CASE(NodeCutOffFromLogDoesNotUnseatOwner) {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    constexpr std::size_t Nodes = 8;
+    SimulatedCluster Cluster({.m_seed = Seed, .m_nodes = Nodes});
+    Cluster.run(2 * Second);
+    // A busy log, whose reply time the nodes measure as short.
+    for (std::uint64_t Number = 1; Number <= 400; ++Number) {
+      Cluster.submit(batchJob(jobId(Number), 1));
+      Cluster.run(Milliseconds(5));
+    }
+    Cluster.run(Milliseconds(37 * Seed));
+    FakeNode *Owner = Cluster.owner();
+    BOOST_REQUIRE(Owner);
+    const std::uint64_t Epoch = epochOf(Cluster);
+    for (std::size_t Index = 0; Index < Nodes; ++Index)
+      if (&Cluster.node(Index) != Owner)
+        Cluster.node(Index).m_log.m_isPartitioned = true;
+    Cluster.run(9 * Second);
+    Cluster.heal();
+    Cluster.run(5 * Second);
+    BOOST_TEST(Cluster.owner() == Owner);
+    BOOST_TEST(epochOf(Cluster) == Epoch);
+  }
+}
+
 } // namespace catkinseam
--- a/catkinseam/ownership/candidate.cc
+++ b/catkinseam/ownership/candidate.cc
@@ -14,6 +14,7 @@
       m_parseRegistration(std::move(ParseRegistration)), m_options(Values),
       m_reader(Host, Log,
                {.m_topic = LogTopic::Jobs,
+                .m_wait = Values.m_readWait,
                 .m_batchingWindow = Values.m_followerBatchingWindow},
                {[this](const StoredRecord &Each) { onRecord(Each); },
                 [this] { onRead(); }, nullptr}),
@@ -87,12 +88,23 @@
     return m_ownership.onElectionFailed();
   }
   // The outcome is decided by the record read back from the log, whatever the
-  // reply was. The append is retried until the record appears.
+  // reply was.
   if (Reply.m_outcome != LogOutcome::Done)
-    m_retryTimer.start(m_options.m_claimRetryDelay, [this] {
-      if (m_claimedEpoch != 0)
-        claimEpoch();
-    });
+    scheduleClaimRetry();
+}
+
+void Candidate::scheduleClaimRetry() {
+  m_retryTimer.start(m_options.m_claimRetryDelay, [this] {
+    if (m_claimedEpoch == 0)
+      return;
+    // The owner may have been active since the last attempt, in which case the
+    // claim must not be repeated. An earlier attempt may still be carried out,
+    // so the election stays open.
+    if (m_ownership.shouldStartElection())
+      claimEpoch();
+    else
+      scheduleClaimRetry();
+  });
 }
 
 void Candidate::resolveElection() {
--- a/catkinseam/ownership/candidate.h
+++ b/catkinseam/ownership/candidate.h
@@ -27,6 +27,9 @@
     std::string m_bootId;
     /// The ledger counts as up to date for this long after the last read.
     Milliseconds m_maxReadAge{1500};
+    /// Maximum time that a read of the jobs topic waits for a record; bounds
+    /// the delay until an owner's silence is noticed.
+    Milliseconds m_readWait{150};
     /// Interval of the check whether an election is due.
     Milliseconds m_checkInterval{60};
     /// Timeout of the append that claims an epoch, and the delay before it is
@@ -69,6 +72,8 @@
   void check();
   void claimEpoch();
   void onClaimReply(const AppendReply &Reply);
+  /// Repeats the claim after a delay, if the election is still justified then.
+  void scheduleClaimRetry();
   void resolveElection();
   void becomeOwner(std::uint64_t Epoch);
   void onOwnershipLost();
--- a/catkinseam/ownership/ownership.cc
+++ b/catkinseam/ownership/ownership.cc
@@ -42,7 +42,8 @@
     return false;
   if (m_isOwnerLeaving)
     return Now - m_lastOwnerActivity >= m_jitter / 4 + electionDelay();
-  return Now - m_lastOwnerActivity >=
+  // Only a read shows that the owner was silent until then.
+  return m_lastRead - m_lastOwnerActivity >=
          m_options.m_ownerTimeout + m_jitter + electionDelay() +
              m_options.m_latencyMultiplier * m_logLatency;
 }
