--- a/catkinseam/ledger/keyed_log_reader.cc
+++ b/catkinseam/ledger/keyed_log_reader.cc
@@ -40,11 +40,12 @@
     reportFailure("newest", Page.m_outcome);
     return scheduleRetry([this] { start(); });
   }
-  m_caughtUpAt = replyTime();
   // Records appended while the pages are read are covered by reading from the
   // end offset of the first page.
-  if (m_isFirstPage)
+  if (m_isFirstPage) {
     m_nextOffset = Page.m_endOffset;
+    m_firstPageAt = replyTime();
+  }
   m_isFirstPage = false;
   for (const StoredRecord &Record : Page.m_records) {
     m_loadedKeys.insert(Record.m_record.m_key);
@@ -53,6 +54,7 @@
   if (Page.m_hasMore && !Page.m_records.empty())
     return loadPage(Page.m_records.back().m_record.m_key);
   m_isLoaded = true;
+  m_caughtUpAt = m_firstPageAt;
   if (m_callbacks.m_onLoaded)
     m_callbacks.m_onLoaded(m_loadedKeys);
   readNext();
@@ -78,9 +80,12 @@
     reportFailure("read", Read.m_outcome);
     return scheduleRetry([this] { readNext(); });
   }
-  if (m_isFailing)
+  if (m_isFailing) {
+    m_isFailing = false;
     logInfo("log.regained", {{"topic", logTopicName(m_options.m_topic)}});
-  m_isFailing = false;
+    if (m_callbacks.m_onRegained)
+      m_callbacks.m_onRegained();
+  }
   // After a read that ends before the end of the topic, this reader is not up
   // to date.
   const bool IsBehind = Read.m_nextOffset < Read.m_endOffset;
--- a/catkinseam/ledger/keyed_log_reader.h
+++ b/catkinseam/ledger/keyed_log_reader.h
@@ -42,6 +42,9 @@
     std::function<void()> m_onRead;
     /// Called after the newest records have been read, with their keys.
     std::function<void(const std::set<std::string> &)> m_onLoaded;
+    /// Called when a read succeeds after failures, before its records are
+    /// delivered.
+    std::function<void()> m_onRegained = nullptr;
   };
 
   KeyedLogReader(Runtime &Host, KeyedLog &Log, const Options &Opts,
@@ -90,6 +93,8 @@
   bool m_isBehind = false;
   std::int64_t m_nextOffset = 0;
   TimePoint m_caughtUpAt;
+  /// Reply time of the first page of newest records.
+  TimePoint m_firstPageAt;
   TimePoint m_readStartedAt;
   Duration m_latency{0};
   Duration m_previousLatency{0};
--- a/catkinseam/ledger/ledger_test.cc
+++ b/catkinseam/ledger/ledger_test.cc
@@ -144,6 +144,34 @@
     BOOST_TEST(!attempt([&] { return decodeProgress(Value.substr(0, Size)); }));
 }
 
+// The history is deleted, and the newest records fill several pages. The reader
+// must not count as current before it has read the last one.
+BOOST_AUTO_TEST_CASE(ReloadingReaderIsNotCurrent) {
+  ManualRuntime Host;
+  std::mt19937_64 Random(1);
+  FakeLog Log(Host, Random);
+  FakeLog::View View(Log);
+  std::set<std::string> Seen;
+  KeyedLogReader Reader(Host, View, {.m_topic = LogTopic::Operator},
+                        {[&](const StoredRecord &Record) {
+                           Seen.insert(Record.m_record.m_key);
+                         },
+                         nullptr, nullptr});
+  Reader.start();
+  Host.advance(Milliseconds(100));
+  View.m_isPartitioned = true;
+  Host.advance(Milliseconds(5000));
+  for (int Number = 0; Number < 200; ++Number)
+    Log.put(LogTopic::Operator, "k" + std::to_string(Number), "1");
+  Log.compact();
+  Log.m_faults.m_latency = Milliseconds(150);
+  View.m_isPartitioned = false;
+  while (Seen.size() < 200U) {
+    BOOST_TEST((Host.now() - Reader.caughtUpAt() > Milliseconds(4000)));
+    Host.advance(Milliseconds(10));
+  }
+}
+
 // A reader falls behind on a busy topic. Its reads succeed, but it must not
 // count as current before it has read to the end.
 BOOST_AUTO_TEST_CASE(LaggingReaderIsNotCurrent) {
