Leave the owner in place after an outage of the log

Cause: after an outage every node reads first and finds the owner silent since its begin; the owner's append waits for a reply that will never come, for up to 2.5 s.

Change: a node whose reads were interrupted restarts the election timeout, plus 1.2 s. The owner repeats its append as soon as its own reads succeed again; the append id makes that harmless.

--- a/catkinseam/ownership/candidate.cc
+++ b/catkinseam/ownership/candidate.cc
@@ -17,7 +17,9 @@
                 .m_wait = Values.m_readWait,
                 .m_batchingWindow = Values.m_followerBatchingWindow},
                {[this](const StoredRecord &Each) { onRecord(Each); },
-                [this] { onRead(); }, nullptr}),
+                [this] { onRead(); },
+                nullptr,
+                [this] { onLogRegained(); }}),
       m_ownership(Host.clock(), Values.m_ownership, Values.m_node),
       m_checkTimer(Host), m_retryTimer(Host), m_endTimer(Host) {}
 
@@ -56,6 +58,11 @@
     resolveElection();
 }
 
+void Candidate::onLogRegained() {
+  if (m_owner)
+    m_owner->onLogRegained();
+}
+
 void Candidate::check() {
   if (!m_owner && m_claimedEpoch == 0 && !m_isLeaving && m_reader.isLoaded() &&
       m_ownership.shouldStartElection()) {
--- a/catkinseam/ownership/owner.cc
+++ b/catkinseam/ownership/owner.cc
@@ -298,15 +298,24 @@
 
 void Owner::sendAppend() {
   m_attemptStarted = m_host.now();
+  ++m_attempt;
   m_log.append(LogTopic::Jobs, m_pendingRecords.records(),
                AppendId{OwnerProducer, m_options.m_epoch, m_sequence},
                m_appendTimeout.value(),
-               [this, IsAlive = m_isAlive](const AppendReply &Reply) {
-                 if (*IsAlive)
+               [this, IsAlive = m_isAlive,
+                Attempt = m_attempt](const AppendReply &Reply) {
+                 if (*IsAlive && Attempt == m_attempt)
                    onAppend(Reply);
                });
 }
 
+void Owner::onLogRegained() {
+  if (!m_isAppending || m_hasSteppedDown)
+    return;
+  m_appendTimer.cancel();
+  sendAppend();
+}
+
 void Owner::onAppend(const AppendReply &Reply) {
   if (Reply.m_outcome == LogOutcome::Unknown)
     m_appendTimeout.onTimeout();
--- a/catkinseam/ownership/owner.h
+++ b/catkinseam/ownership/owner.h
@@ -95,6 +95,10 @@
   /// departure is durable.
   void leave(std::function<void()> Done);
 
+  /// Repeats an append that is waiting for its reply, after the log has been
+  /// found to answer again.
+  void onLogRegained();
+
   void onSubmitted(const LedgerJob &Job) override;
   void onCancelled(const LedgerJob &Job) override;
 
@@ -178,6 +182,8 @@
   std::uint64_t m_sequence = 0;
   TimePoint m_appendStarted;
   TimePoint m_attemptStarted;
+  /// Number of attempts to append; replies to earlier ones are ignored.
+  std::uint64_t m_attempt = 0;
   ReplyTimeout m_appendTimeout{{}};
   TimePoint m_lastDurableAppend;
   std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- a/catkinseam/ownership/ownership.cc
+++ b/catkinseam/ownership/ownership.cc
@@ -15,6 +15,19 @@
           static_cast<std::uint64_t>(Values.m_maxJitter.count() + 1))),
       m_lastOwnerActivity(Time.now()) {}
 
+void Ownership::onRead(TimePoint When, Duration Latency) {
+  // After an outage of the log the owner has to append first: its silence
+  // during the outage says nothing about it.
+  const bool WasInterrupted =
+      m_lastRead != TimePoint() &&
+      When - m_lastRead > m_options.m_maxReadAge + 2 * Latency;
+  if (WasInterrupted)
+    m_lastOwnerActivity =
+        std::max<TimePoint>(m_lastOwnerActivity, When + m_options.m_outageGrace);
+  m_lastRead = When;
+  m_logLatency = Latency;
+}
+
 void Ownership::onElectionFailed() {
   m_nextElection = m_clock.now() + m_options.m_electionBackoff;
 }
--- a/catkinseam/ownership/ownership.h
+++ b/catkinseam/ownership/ownership.h
@@ -44,6 +44,9 @@
     /// decreasing linearly to none at `m_fullProcessorShare`.
     Milliseconds m_firstElectionDelay{1000};
     double m_fullProcessorShare = 0.5;
+    /// Added to the timeout after an outage of the log: the owner's append may
+    /// be waiting for a reply that was lost.
+    Milliseconds m_outageGrace{1200};
     /// Pause after a lost election.
     Milliseconds m_electionBackoff{500};
   };
@@ -53,10 +56,7 @@
 
   /// Reports that the jobs topic was read up to its end as of `When`. `Latency`
   /// is the log's current response time.
-  void onRead(TimePoint When, Duration Latency) {
-    m_lastRead = When;
-    m_logLatency = Latency;
-  }
+  void onRead(TimePoint When, Duration Latency);
 
   /// Reports a record that only an owner writes.
   void onOwnerActivity() { m_lastOwnerActivity = m_clock.now(); }
--- a/catkinseam/ownership/ownership_test.cc
+++ b/catkinseam/ownership/ownership_test.cc
@@ -71,6 +71,17 @@
   }
 }
 
+// The log does not answer for some seconds, to any node. The owner must get time
+// to append once it answers again.
+BOOST_AUTO_TEST_CASE(OutageOfTheLogIsNoSilenceOfTheOwner) {
+  ManualClock Time;
+  TestNode Each(Time, "edge-1", 0.1);
+  Each.m_ownership.onOwnerActivity();
+  BOOST_TEST(!Each.startsElection());
+  Time.advance(Milliseconds(4200));
+  BOOST_TEST(timeUntilElection(Time, Each) >= Milliseconds(1500));
+}
+
 // An outdated read does not show that the owner is inactive.
 BOOST_AUTO_TEST_CASE(NoElectionWithoutRecentRead) {
   ManualClock Time;
