Place finite work by its next deadline, and before services of its priority

Cause: a job past its objective came after everything else, services included.

Change: a step's rank is its priority, finite work before services, and the next deadline: the objective, then the time until which a late result is of use (three times the objective). What has missed both comes last, as before.

Tests: work_order_test (both cases failed on the version before).

--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -1,6 +1,7 @@
 // Decisions: placement of waiting tasks, stops and CPU rates of runs.
 #include "catkinseam/scheduler/scheduler.h"
 
+#include "catkinseam/scheduler/work_order.h"
 #include "catkinseam/telemetry/log.h"
 
 #include <algorithm>
@@ -69,12 +70,8 @@
 
 Scheduler::~Scheduler() = default;
 
-Scheduler::StepOrder Scheduler::orderOf(const StepInfo &Step) {
-  const JobInfo &Job = *Step.m_occurrence->m_job;
-  const std::int64_t Delay =
-      Step.m_occurrence->m_dueMs - Job.m_submission.m_acceptedMs;
-  return {Job.policy().m_priority,     Step.m_spec->m_isService,
-          Job.m_objectiveMs + Delay,   Job.m_submission.m_id,
+Scheduler::StepKey Scheduler::keyOf(const StepInfo &Step) {
+  return {Step.m_occurrence->m_job->m_submission.m_id,
           Step.m_occurrence->m_number, Step.m_number};
 }
 
@@ -111,19 +108,18 @@
 
 void Scheduler::placeWaitingTasks(Decisions &Next) {
   listAvailableWorkers();
-  // Jobs that have missed their objective come after those that can still meet
-  // theirs: under overload, one late job would delay all jobs behind it.
-  const std::int64_t NowMs = m_clock.wallNow().time_since_epoch().count();
-  std::vector<StepInfo *> Order;
-  std::vector<StepInfo *> Late;
-  Order.reserve(m_stepQueue.size());
-  for (const auto &[Key, Step] : m_stepQueue) {
-    const bool IsLate = !Step->m_spec->m_isService && Key.m_objectiveMs < NowMs;
-    (IsLate ? Late : Order).push_back(Step);
-  }
-  Order.insert(Order.end(), Late.begin(), Late.end());
   const TimePoint Now = m_clock.now();
-  for (StepInfo *Step : Order) {
+  const WallTime WallNow = m_clock.wallNow();
+  std::vector<std::pair<WorkRank, StepInfo *>> Order;
+  Order.reserve(m_stepQueue.size());
+  for (const auto &[Key, Step] : m_stepQueue)
+    Order.emplace_back(rankOf(*Step, WallNow), Step);
+  // Steps of equal rank keep the order of their ids.
+  std::stable_sort(Order.begin(), Order.end(),
+                   [](const auto &One, const auto &Other) {
+                     return One.first < Other.first;
+                   });
+  for (const auto &[Rank, Step] : Order) {
     if (Step->m_retryAt > Now)
       continue;
     if (Step->m_spec->m_isGang) {
@@ -137,8 +133,7 @@
       if (placeTask(*Task, Next))
         continue;
       // Jobs past their objective do not preempt others.
-      if (Step->m_spec->m_isService ||
-          Step->m_occurrence->m_job->m_objectiveMs >= NowMs)
+      if (!hasMissedObjective(*Step, WallNow))
         preemptFor(*Task);
       Step->m_retryAt = Now + PlacementRetryInterval;
       break;
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -255,20 +255,15 @@
   bool m_isStoreReachable = true;
   std::unordered_map<std::string, std::unique_ptr<JobInfo>> m_jobs;
   std::unordered_map<std::string, std::unique_ptr<WorkerInfo>> m_workers;
-  /// Steps with waiting tasks in placement order: by priority, then finite work
-  /// before services, which never free their resources, then by the job's
-  /// objective.
-  struct StepOrder {
-    std::int64_t m_priority;
-    bool m_isService;
-    std::int64_t m_objectiveMs;
+  struct StepKey {
     std::string m_job;
     std::uint32_t m_occurrence;
     std::uint32_t m_step;
-    auto operator<=>(const StepOrder &) const = default;
+    auto operator<=>(const StepKey &) const = default;
   };
-  static StepOrder orderOf(const StepInfo &Step);
-  std::map<StepOrder, StepInfo *> m_stepQueue;
+  static StepKey keyOf(const StepInfo &Step);
+  /// Steps with waiting tasks.
+  std::map<StepKey, StepInfo *> m_stepQueue;
   /// Speculative steps in progress.
   std::set<StepInfo *> m_speculativeSteps;
   /// Available workers by service; rebuilt by each decide() and control().
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -263,7 +263,7 @@
   Step.m_retryAt = TimePoint();
   Task.m_earliestStart = m_clock.now() + Delay;
   Step.m_waitingTasks.push_back(&Task);
-  m_stepQueue[orderOf(Step)] = &Step;
+  m_stepQueue[keyOf(Step)] = &Step;
 }
 
 void Scheduler::dequeueTask(TaskInfo &Task) {
@@ -273,7 +273,7 @@
   StepInfo &Step = *Task.m_step;
   std::erase(Step.m_waitingTasks, &Task);
   if (Step.m_waitingTasks.empty())
-    m_stepQueue.erase(orderOf(Step));
+    m_stepQueue.erase(keyOf(Step));
 }
 
 RunInfo &Scheduler::addRun(TaskInfo &Task, RunNumber Number, WorkerInfo &Worker,
--- /dev/null
+++ b/catkinseam/scheduler/work_order_test.cc
@@ -0,0 +1,73 @@
+// The order of waiting work under overload.
+#define BOOST_TEST_MODULE work_order
+#include "catkinseam/scheduler/testing/scheduler_fixture.h"
+
+namespace catkinseam {
+
+namespace {
+
+using Fixture = SchedulerFixture;
+
+Submission jobAcceptedAt(const std::string &Id, WallTime Accepted,
+                         std::uint32_t Tasks) {
+  Submission Job = SchedulerFixture::makeJob(Id, Tasks);
+  Job.m_acceptedMs = Accepted.time_since_epoch().count();
+  return Job;
+}
+
+Submission serviceAcceptedAt(const std::string &Id, WallTime Accepted,
+                             std::uint32_t Tasks) {
+  Submission Job = jobAcceptedAt(Id, Accepted, Tasks);
+  Job.m_spec.m_steps[0].m_isService = true;
+  return Job;
+}
+
+} // namespace
+
+// Load: short jobs of one task and services share a worker; services that wait
+// take all that becomes free for minutes. A short job that has missed its
+// objective by little must not wait behind them.
+BOOST_FIXTURE_TEST_CASE(LateShortJobPrecedesServices, Fixture) {
+  m_clock.advance(Milliseconds(100000));
+  const WallTime Start = m_clock.wallNow();
+  addWorker("w1", {1000, 8000, 0});
+  m_scheduler.addJob(serviceAcceptedAt("00000000000000a1", Start, 1), nullptr);
+  BOOST_TEST(scheduleOnce() == 1U);
+  // Its objective is 1 s after it was accepted.
+  m_scheduler.addJob(jobAcceptedAt("00000000000000b1", Start, 1), nullptr);
+  m_scheduler.addJob(serviceAcceptedAt("00000000000000c1", Start, 2), nullptr);
+  m_clock.advance(Milliseconds(1500));
+  BOOST_TEST(scheduleOnce() == 0U);
+  m_scheduler.cancelJob("00000000000000a1");
+  endRun("w1", m_sentStarts["w1"].front(), RunEnd::Stopped);
+  m_clock.advance(Milliseconds(100));
+  BOOST_TEST(scheduleOnce() == 1U);
+  BOOST_TEST(m_sentStarts["w1"].front().m_task.m_job == "00000000000000b1");
+}
+
+// Load: more short jobs than the worker can run. The one that was handed in
+// first is late, but its result is still of use for a shorter time than that
+// of a later one; once it is of no use, it comes last.
+BOOST_FIXTURE_TEST_CASE(LateJobIsServedWhileItIsOfUse, Fixture) {
+  m_clock.advance(Milliseconds(100000));
+  const WallTime Start = m_clock.wallNow();
+  addWorker("w1", {1000, 8000, 0});
+  m_scheduler.addJob(jobAcceptedAt("00000000000000a0", Start, 1), nullptr);
+  BOOST_TEST(scheduleOnce() == 1U);
+  m_scheduler.addJob(jobAcceptedAt("00000000000000a1", Start, 2), nullptr);
+  m_clock.advance(Milliseconds(2400));
+  // Late by 1.45 s, and of use for 0.55 s more.
+  m_scheduler.addJob(
+      jobAcceptedAt("00000000000000a2", m_clock.wallNow(), 2), nullptr);
+  endRun("w1", m_sentStarts["w1"].front(), RunEnd::Done);
+  m_clock.advance(Milliseconds(50));
+  BOOST_TEST(scheduleOnce() == 1U);
+  BOOST_TEST(m_sentStarts["w1"].front().m_task.m_job == "00000000000000a1");
+  m_clock.advance(Milliseconds(700));
+  endRun("w1", m_sentStarts["w1"].front(), RunEnd::Done);
+  m_clock.advance(Milliseconds(50));
+  BOOST_TEST(scheduleOnce() == 1U);
+  BOOST_TEST(m_sentStarts["w1"].front().m_task.m_job == "00000000000000a2");
+}
+
+} // namespace catkinseam
