Keep the progress of tasks in a topic that only a new owner reads

Cause: all 97 nodes read every progress record. With some 0.5 MB/s appended that is 50 MB/s, and in a burst, or while 34 nodes catch up after being cut off, it reaches what the store delivers to all readers together (80 MB/s).

Ruled out: the owner's processor (start batches went on every 14 ms), room (free 900 processors, 20 tasks waiting), the store's append time (11 ms).

Change: the owner appends progress to a topic of its own and announces only states, heartbeats and deletions in the topic that every node follows. A new owner first fences the progress topic, then reads it; what the jobs topic shows is brought up to date from it. A job's keys in the jobs topic are deleted before its progress, and progress without a job is deleted by the next owner. Appending is now a class of its own (FencedAppender), used for both topics.

Weighed: records of changes instead of whole progress (smaller, but still read by all and a log to fold), asking the owner for state (nothing to ask while it is gone), fewer and larger reads (the bytes stay).

--- a/catkinseam/ledger/keyed_log.cc
+++ b/catkinseam/ledger/keyed_log.cc
@@ -7,6 +7,8 @@
   switch (Topic) {
   case LogTopic::Jobs:
     return "jobs";
+  case LogTopic::Progress:
+    return "progress";
   case LogTopic::Operator:
     return "operator";
   case LogTopic::Workers:
--- a/catkinseam/ledger/keyed_log.h
+++ b/catkinseam/ledger/keyed_log.h
@@ -16,7 +16,14 @@
 namespace catkinseam {
 
 /// The topics in use. Each has one partition.
-enum class LogTopic { Jobs, Operator, Workers, Status, Learned };
+enum class LogTopic {
+  Jobs,     ///< What every node follows: submissions, states, the owner.
+  Progress, ///< The tasks of each job; read only by a new owner.
+  Learned,  ///< The interference model; read only by a new owner.
+  Operator,
+  Workers,
+  Status
+};
 
 const char *logTopicName(LogTopic Topic);
 
--- a/catkinseam/ledger/ledger.cc
+++ b/catkinseam/ledger/ledger.cc
@@ -88,7 +88,7 @@
   const JobState Before = Job.state();
   Job.m_progressOffset = Offset;
   Job.m_recordedState = State.value();
-  Job.m_progress = Value;
+  Job.m_progress = Value.size() > 1 ? Value : std::string();
   updatePendingCount(Job, Before);
 }
 
--- a/catkinseam/ledger/ledger.h
+++ b/catkinseam/ledger/ledger.h
@@ -21,7 +21,8 @@
 struct LedgerJob {
   Submission m_submission;
   JobState m_recordedState = JobState::Queued;
-  /// Encoded JobProgress; empty before the first progress record.
+  /// Encoded JobProgress, if an owner of an earlier version stored it in this
+  /// topic; empty otherwise.
   std::string m_progress;
   bool m_isCancelled = false;
 
--- a/catkinseam/ledger/records.cc
+++ b/catkinseam/ledger/records.cc
@@ -22,8 +22,12 @@
 
 } // namespace
 
+std::string encodeState(JobState State) {
+  return std::string(1, static_cast<char>(State));
+}
+
 std::string encodeProgress(const JobProgress &Progress) {
-  std::string Value(1, static_cast<char>(Progress.m_state));
+  std::string Value = encodeState(Progress.m_state);
   Value += encode(Progress);
   return Value;
 }
--- a/catkinseam/ledger/records.h
+++ b/catkinseam/ledger/records.h
@@ -110,6 +110,8 @@
   }
 };
 
+/// Encodes the state of a job, for the nodes that do not schedule it.
+std::string encodeState(JobState State);
 /// Encodes progress with the state in the first byte, so that decodeState()
 /// need not decode the rest.
 std::string encodeProgress(const JobProgress &Progress);
@@ -133,6 +135,8 @@
 };
 
 std::string submissionKey(const std::string &Job);
+/// Key of a job's progress in the progress topic, and of its state in the jobs
+/// topic.
 std::string progressKey(const std::string &Job);
 std::string cancelKey(const std::string &Job);
 extern const char *const OwnerKey;
--- a/catkinseam/ownership/owner.cc
+++ b/catkinseam/ownership/owner.cc
@@ -6,8 +6,6 @@
 
 namespace catkinseam {
 
-const char *const OwnerProducer = "owner";
-
 Owner::Owner(Runtime &Host, KeyedLog &Log, Ledger &Jobs,
              WorkerLinkFactory MakeLink,
              WorkerRegistrationParser ParseRegistration, const Options &Values,
@@ -26,9 +24,31 @@
           {[this](const StoredRecord &Each) { onWorkerRecord(Each); },
            [this] { requestCycle(); },
            [this](const std::set<std::string> &Ids) { onWorkersLoaded(Ids); }}),
-      m_cycleTimer(Host), m_heartbeatTimer(Host), m_appendTimer(Host),
-      m_wakeTimer(Host), m_summaryTimer(Host), m_learnedModelTimer(Host),
-      m_pendingRecords(Values.m_appendLimits),
+      m_cycleTimer(Host), m_heartbeatTimer(Host), m_progressTimer(Host),
+      m_announcementTimer(Host), m_wakeTimer(Host), m_summaryTimer(Host),
+      m_learnedModelTimer(Host),
+      m_progressAppender(
+          Host, Log,
+          {.m_topic = LogTopic::Progress,
+           .m_epoch = Values.m_epoch,
+           .m_limits = Values.m_appendLimits},
+          {[this] { onStored(); },
+           [this](const char *Reason) { stepDown(Reason); },
+           [this](const RecordGroup &Rejected) {
+             return onProgressInvalid(Rejected);
+           },
+           [this] { m_scheduler.setStoreReachable(false); }}),
+      m_announcer(
+          Host, Log,
+          {.m_topic = LogTopic::Jobs,
+           .m_epoch = Values.m_epoch,
+           .m_limits = Values.m_appendLimits},
+          {[this] { onAnnounced(); },
+           [this](const char *Reason) { stepDown(Reason); },
+           [](const RecordGroup &) -> std::optional<RecordGroup> {
+             return std::nullopt;
+           },
+           [] {}}),
       m_lastDurableAppend(Host.now()) {}
 
 Owner::~Owner() {
@@ -40,8 +60,8 @@
   logInfo("owner.begins", {{"epoch", std::to_string(m_options.m_epoch)},
                            {"jobs", std::to_string(m_jobs.jobs().size())}});
   m_jobs.setObserver(this);
-  loadLearnedModel();
-  m_workerReader.start();
+  // Fences the progress topic; the rest follows in onStored().
+  m_progressAppender.append({{"", {{OwnerKey, encode(ownRecord(false))}}}});
   scheduleHeartbeat();
   logSummary();
 }
@@ -125,7 +145,8 @@
 }
 
 void Owner::takeOverJobs() {
-  if (m_hasTakenOver || !m_hasLoadedWorkers || !m_isLearnedModelRead)
+  if (m_hasTakenOver || !m_hasLoadedWorkers || !m_isLearnedModelRead ||
+      !m_isProgressLoaded)
     return;
   m_hasTakenOver = true;
   m_learnedModelTimer.start(m_options.m_learnedModelInterval,
@@ -133,6 +154,10 @@
   for (const auto &[Id, Job] : m_jobs.jobs())
     if (m_jobs.find(Id))
       addJob(Job);
+  for (const auto &[Id, Progress] : m_storedProgress)
+    if (!m_jobs.find(Id))
+      m_forgottenJobs.push_back(Id);
+  m_storedProgress.clear();
   logInfo("owner.took_over",
           {{"epoch", std::to_string(m_options.m_epoch)},
            {"live_jobs", std::to_string(m_scheduler.liveJobs())},
@@ -143,19 +168,25 @@
 }
 
 void Owner::addJob(const LedgerJob &Job) {
-  if (Job.m_progress.empty()) {
+  const std::string &Id = Job.m_submission.m_id;
+  m_announcedStates[Id] = Job.m_recordedState;
+  const auto Stored = m_storedProgress.find(Id);
+  const std::string &Value =
+      Stored == m_storedProgress.end() ? Job.m_progress : Stored->second;
+  if (Value.empty()) {
     m_scheduler.addJob(Job.m_submission, nullptr);
   } else {
-    auto Read = attempt([&] { return decodeProgress(Job.m_progress); });
+    auto Read = attempt([&] { return decodeProgress(Value); });
     if (!Read) {
-      logError("job.progress_unreadable", {{"job", Job.m_submission.m_id},
-                                           {"fault", Read.error().m_message}});
+      logError("job.progress_unreadable",
+               {{"job", Id}, {"fault", Read.error().m_message}});
       return;
     }
     m_scheduler.addJob(Job.m_submission, &Read.value());
+    announceState(Id, Read.value().m_state);
   }
   if (Job.m_isCancelled)
-    m_scheduler.cancelJob(Job.m_submission.m_id);
+    m_scheduler.cancelJob(Id);
 }
 
 void Owner::onSubmitted(const LedgerJob &Job) {
@@ -204,13 +235,15 @@
 void Owner::runCycle() {
   if (m_hasSteppedDown || !m_hasTakenOver)
     return;
-  if (m_isAppending)
-    m_scheduler.setStoreReachable(m_host.now() - m_appendStarted <
+  const bool IsStoring = m_progressAppender.isBusy();
+  if (IsStoring)
+    m_scheduler.setStoreReachable(m_host.now() -
+                                      m_progressAppender.startedAt() <
                                   m_options.m_slowAppendThreshold);
   sendControls();
-  if (!m_isAppending && !m_isLeaving && m_isCurrent()) {
+  if (!IsStoring && !m_isLeaving && m_isCurrent()) {
     Decisions Next = m_scheduler.decide();
-    if (Next.needsStoring())
+    if (Next.needsStoring() || !m_forgottenJobs.empty())
       store(std::move(Next));
   }
   m_wakeTimer.start(m_scheduler.nextWake() - m_host.now(),
@@ -244,14 +277,6 @@
           m_options.m_processorShare};
 }
 
-void Owner::scheduleHeartbeat() {
-  m_heartbeatTimer.start(m_options.m_heartbeatInterval, [this] {
-    if (!m_isAppending && !m_hasSteppedDown)
-      store(Decisions());
-    scheduleHeartbeat();
-  });
-}
-
 void Owner::logSummary() {
   const Scheduler::Summary Stats = m_scheduler.summarize();
   logInfo("owner.summary",
@@ -275,115 +300,94 @@
   });
 }
 
+// --- The progress topic.
+
+void Owner::loadProgress(const std::string &AfterKey) {
+  m_log.newest(LogTopic::Progress, AfterKey, m_options.m_progressPageTimeout,
+               [this, IsAlive = m_isAlive](const NewestReply &Page) {
+                 if (*IsAlive && !m_hasSteppedDown)
+                   onProgressPage(Page);
+               });
+}
+
+void Owner::onProgressPage(const NewestReply &Page) {
+  if (Page.m_outcome != LogOutcome::Done) {
+    logWarn("owner.progress_not_read",
+            {{"outcome", logOutcomeName(Page.m_outcome)}});
+    m_storedProgress.clear();
+    return m_progressTimer.start(m_options.m_progressRetryDelay,
+                                 [this] { loadProgress(""); });
+  }
+  // No other owner can append any more, so the pages are consistent.
+  for (const StoredRecord &Each : Page.m_records) {
+    std::string Id;
+    if (Each.m_record.m_value && parseRecordKey(Each.m_record.m_key, Id) ==
+                                     RecordKind::Progress)
+      m_storedProgress[Id] = *Each.m_record.m_value;
+  }
+  if (Page.m_hasMore && !Page.m_records.empty())
+    return loadProgress(Page.m_records.back().m_record.m_key);
+  m_isProgressLoaded = true;
+  takeOverJobs();
+}
+
 void Owner::store(Decisions Next) {
+  std::vector<RecordGroup> Groups;
   for (const auto &[Id, Progress] : Next.m_progress)
-    m_pendingRecords.push({Id, {{progressKey(Id), encodeProgress(Progress)}}});
-  // A submission without progress is a new job, so the keys of a job are
-  // deleted in one group.
-  for (const std::string &Id : Next.m_expiredJobs)
-    m_pendingRecords.push({"",
-                           {{progressKey(Id), std::nullopt},
-                            {cancelKey(Id), std::nullopt},
-                            {submissionKey(Id), std::nullopt}}});
-  if (m_pendingRecords.isEmpty() || m_isLeaving)
-    m_pendingRecords.push({"", {{OwnerKey, encode(ownRecord(m_isLeaving))}}});
-  m_appendMarksLeaving = m_isLeaving;
+    Groups.push_back({Id, {{progressKey(Id), encodeProgress(Progress)}}});
+  for (const std::string &Id : m_forgottenJobs)
+    Groups.push_back({"", {{progressKey(Id), std::nullopt}}});
+  m_forgottenJobs.clear();
+  // Ends alone leave no record.
+  if (Groups.empty())
+    Groups.push_back({"", {{OwnerKey, encode(ownRecord(false))}}});
   m_pendingDecisions = std::move(Next);
-  m_isAppending = true;
-  m_appendStarted = m_host.now();
-  m_pendingRecords.next();
-  ++m_sequence;
-  sendAppend();
-}
-
-void Owner::sendAppend() {
-  m_attemptStarted = m_host.now();
-  ++m_attempt;
-  m_log.append(LogTopic::Jobs, m_pendingRecords.records(),
-               AppendId{OwnerProducer, m_options.m_epoch, m_sequence},
-               m_appendTimeout.value(),
-               [this, IsAlive = m_isAlive,
-                Attempt = m_attempt](const AppendReply &Reply) {
-                 if (*IsAlive && Attempt == m_attempt)
-                   onAppend(Reply);
-               });
+  m_progressAppender.append(std::move(Groups));
 }
 
-void Owner::onLogRegained() {
-  if (!m_isAppending || m_hasSteppedDown)
-    return;
-  m_appendTimer.cancel();
-  sendAppend();
-}
-
-void Owner::onAppend(const AppendReply &Reply) {
-  if (Reply.m_outcome == LogOutcome::Unknown)
-    m_appendTimeout.onTimeout();
-  else
-    m_appendTimeout.onReply(m_host.now() - m_attemptStarted);
-  switch (Reply.m_outcome) {
-  case LogOutcome::Done:
-    if (!m_pendingRecords.next())
-      return finishAppend();
-    ++m_sequence;
-    return sendAppend();
-  case LogOutcome::Fenced:
-    return stepDown("fenced_by_log");
-  case LogOutcome::Invalid:
-    return onAppendInvalid();
-  case LogOutcome::OutOfOrder:
-    logError("owner.append_out_of_order",
-             {{"epoch", std::to_string(m_options.m_epoch)},
-              {"sequence", std::to_string(m_sequence)}});
-    return stepDown("append_out_of_order");
-  default:
-    break;
-  }
-  logWarn("owner.append_repeated",
-          {{"epoch", std::to_string(m_options.m_epoch)},
-           {"sequence", std::to_string(m_sequence)},
-           {"outcome", logOutcomeName(Reply.m_outcome)}});
-  m_scheduler.setStoreReachable(false);
-  // The log deduplicates by append id, so a retry appends at most once.
-  m_appendTimer.start(m_options.m_appendRetryDelay, [this] { sendAppend(); });
-}
-
-void Owner::onAppendInvalid() {
-  // A rejected append leaves no trace in the log, so its sequence number is
-  // used again.
-  if (m_pendingRecords.divide())
-    return sendAppend();
-  const RecordGroup Rejected = m_pendingRecords.groups().front();
-  logError("owner.record_invalid",
-           {{"epoch", std::to_string(m_options.m_epoch)},
-            {"key", Rejected.m_records.front().m_key},
-            {"bytes", std::to_string(appendBytes(Rejected.m_records.front()))},
-            {"job", Rejected.m_job}});
+std::optional<RecordGroup>
+Owner::onProgressInvalid(const RecordGroup &Rejected) {
   if (Rejected.m_job.empty())
-    return stepDown("append_invalid");
+    return std::nullopt;
   // Ends of the job's runs are acknowledged after this append, so it must leave
   // a record from which no successor starts the job's tasks again.
   m_scheduler.failJob(Rejected.m_job);
   JobProgress Failed;
   Failed.m_state = JobState::Failed;
-  m_pendingRecords.replace(
-      {"", {{progressKey(Rejected.m_job), encodeProgress(Failed)}}});
-  sendAppend();
+  return RecordGroup{
+      "", {{progressKey(Rejected.m_job), encodeProgress(Failed)}}};
 }
 
-void Owner::finishAppend() {
-  m_isAppending = false;
+void Owner::onStored() {
   m_lastDurableAppend = m_host.now();
   m_scheduler.setStoreReachable(true);
-  if (m_appendMarksLeaving) {
-    m_hasSteppedDown = true;
-    return m_onLeft();
+  if (!m_hasFencedProgress) {
+    m_hasFencedProgress = true;
+    if (m_isLeaving)
+      return announce();
+    loadLearnedModel();
+    loadProgress("");
+    m_workerReader.start();
+    return;
   }
+  for (const auto &[Id, Progress] : m_pendingDecisions.m_progress)
+    announceState(Id, Progress.m_state);
+  m_expiredJobs.insert(m_expiredJobs.end(),
+                       m_pendingDecisions.m_expiredJobs.begin(),
+                       m_pendingDecisions.m_expiredJobs.end());
   if (m_isLeaving)
-    return store(Decisions());
-  const bool IsStale = m_host.now() - m_appendStarted > m_options.m_maxStartAge;
-  const std::vector<StartOrder> Starts =
-      m_scheduler.release(m_pendingDecisions, IsStale || !m_isCurrent());
+    return announce();
+  const bool IsStale = m_host.now() - m_progressAppender.startedAt() >
+                       m_options.m_maxStartAge;
+  sendStarts(
+      m_scheduler.release(m_pendingDecisions, IsStale || !m_isCurrent()));
+  for (auto &[Id, Connection] : m_connections)
+    if (Connection.m_hasUnstoredEnds)
+      schedulePoll(Id, Duration::zero());
+  requestCycle();
+}
+
+void Owner::sendStarts(const std::vector<StartOrder> &Starts) {
   for (const StartOrder &Each : Starts) {
     logInfo("run.start", {{"task", toString(Each.m_task)},
                           {"run", std::to_string(Each.m_run)},
@@ -403,10 +407,74 @@
                                   requestCycle();
                               });
   }
-  for (auto &[Id, Connection] : m_connections)
-    if (Connection.m_hasUnstoredEnds)
-      schedulePoll(Id, Duration::zero());
-  requestCycle();
+}
+
+// --- The jobs topic.
+
+void Owner::announceState(const std::string &Job, JobState State) {
+  JobState &Announced = m_announcedStates[Job];
+  if (Announced == State)
+    return;
+  Announced = State;
+  m_statesToAnnounce[Job] = State;
+  if (!m_announcementTimer.isRunning())
+    m_announcementTimer.start(m_options.m_announcementWindow,
+                              [this] { announce(); });
+}
+
+void Owner::announce() {
+  if (m_hasSteppedDown || m_announcer.isBusy())
+    return;
+  std::vector<RecordGroup> Groups;
+  for (const auto &[Id, State] : m_statesToAnnounce)
+    Groups.push_back({"", {{progressKey(Id), encodeState(State)}}});
+  m_statesToAnnounce.clear();
+  // A submission without a state is a new job, so the keys of a job are deleted
+  // in one group, before its progress.
+  for (const std::string &Id : m_expiredJobs)
+    Groups.push_back({"",
+                      {{progressKey(Id), std::nullopt},
+                       {cancelKey(Id), std::nullopt},
+                       {submissionKey(Id), std::nullopt}}});
+  m_jobsBeingDeleted = std::move(m_expiredJobs);
+  m_expiredJobs.clear();
+  m_announcesLeaving = m_isLeaving && !m_progressAppender.isBusy();
+  if (Groups.empty() || m_announcesLeaving)
+    Groups.push_back(
+        {"", {{OwnerKey, encode(ownRecord(m_announcesLeaving))}}});
+  m_lastAnnouncement = m_host.now();
+  m_announcer.append(std::move(Groups));
+}
+
+void Owner::onAnnounced() {
+  m_lastDurableAppend = m_host.now();
+  if (m_announcesLeaving) {
+    m_hasSteppedDown = true;
+    return m_onLeft();
+  }
+  for (const std::string &Id : m_jobsBeingDeleted) {
+    m_announcedStates.erase(Id);
+    m_forgottenJobs.push_back(Id);
+  }
+  m_jobsBeingDeleted.clear();
+  if (m_isLeaving && !m_progressAppender.isBusy())
+    return announce();
+  if (!m_statesToAnnounce.empty() && !m_announcementTimer.isRunning())
+    m_announcementTimer.start(m_options.m_announcementWindow,
+                              [this] { announce(); });
+}
+
+void Owner::scheduleHeartbeat() {
+  m_heartbeatTimer.start(m_options.m_heartbeatInterval, [this] {
+    if (m_host.now() - m_lastAnnouncement >= m_options.m_heartbeatInterval)
+      announce();
+    scheduleHeartbeat();
+  });
+}
+
+void Owner::onLogRegained() {
+  m_progressAppender.onLogRegained();
+  m_announcer.onLogRegained();
 }
 
 // --- Status polls.
@@ -484,8 +552,11 @@
   logWarn("owner.ends",
           {{"epoch", std::to_string(m_options.m_epoch)}, {"reason", Reason}});
   m_heartbeatTimer.cancel();
-  m_appendTimer.cancel();
+  m_progressTimer.cancel();
+  m_announcementTimer.cancel();
   m_wakeTimer.cancel();
+  m_progressAppender.stop();
+  m_announcer.stop();
   m_learnedModelTimer.cancel();
   m_onOwnershipLost();
 }
@@ -493,8 +564,8 @@
 void Owner::leave(std::function<void()> Done) {
   m_isLeaving = true;
   m_onLeft = std::move(Done);
-  if (!m_isAppending)
-    store(Decisions());
+  if (!m_progressAppender.isBusy())
+    announce();
 }
 
 } // namespace catkinseam
--- a/catkinseam/ownership/owner.h
+++ b/catkinseam/ownership/owner.h
@@ -7,15 +7,17 @@
 //                 IsCurrent, OnOwnershipLost);
 //   Elected.start();
 //
+// Every node follows the jobs topic, so the owner announces only states there;
+// the progress of the tasks has a topic that only the next owner reads.
+//
 // The owner's epoch is both the fencing token at the workers and the producer
 // epoch at the log. An owner that cannot append to the log stops sending orders
 // after a timeout, because another node may have taken over in the meantime.
 #ifndef CATKINSEAM_OWNERSHIP_OWNER_H
 #define CATKINSEAM_OWNERSHIP_OWNER_H
 
-#include "catkinseam/base/reply_timeout.h"
 #include "catkinseam/base/runtime.h"
-#include "catkinseam/ledger/append_queue.h"
+#include "catkinseam/ledger/fenced_appender.h"
 #include "catkinseam/ledger/keyed_log_reader.h"
 #include "catkinseam/ledger/ledger.h"
 #include "catkinseam/scheduler/scheduler.h"
@@ -23,13 +25,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 namespace catkinseam {
 
-/// Producer ID with which every owner appends to the log.
-extern const char *const OwnerProducer;
-
 /// Not thread-safe.
 class Owner final : public LedgerObserver {
 public:
@@ -39,9 +41,12 @@
     std::string m_bootId;
     /// Share of one processor available to this node.
     double m_processorShare = 1.0;
-    /// Delay before an append that is not known to be durable is repeated.
-    Milliseconds m_appendRetryDelay{50};
-    /// Interval of heartbeat records while there is nothing else to store.
+    Milliseconds m_progressPageTimeout{1500};
+    /// Delay before a page of the stored progress is read again.
+    Milliseconds m_progressRetryDelay{100};
+    /// Job states are announced to the other nodes at most this often.
+    Milliseconds m_announcementWindow{20};
+    /// Interval of heartbeat records while there is nothing else to announce.
     Milliseconds m_heartbeatInterval{200};
     /// The owner sends no orders once its last durable append is older than
     /// this.
@@ -127,12 +132,20 @@
   void requestCycle();
   void runCycle();
   void sendControls();
+
+  // The progress topic: decisions, before they take effect.
+  void loadProgress(const std::string &AfterKey);
+  void onProgressPage(const NewestReply &Page);
   void store(Decisions Next);
-  void sendAppend();
-  void onAppend(const AppendReply &Reply);
-  /// Isolates the record that the log rejected, and fails its job.
-  void onAppendInvalid();
-  void finishAppend();
+  void onStored();
+  void sendStarts(const std::vector<StartOrder> &Starts);
+  std::optional<RecordGroup> onProgressInvalid(const RecordGroup &Rejected);
+
+  // The jobs topic: what the other nodes have to know.
+  void announceState(const std::string &Job, JobState State);
+  void announce();
+  void onAnnounced();
+
   void scheduleHeartbeat();
   void logSummary();
   OwnerRecord ownRecord(bool IsLeaving) const;
@@ -159,7 +172,8 @@
   std::map<std::string, WorkerConnection> m_connections;
   Timer m_cycleTimer;
   Timer m_heartbeatTimer;
-  Timer m_appendTimer;
+  Timer m_progressTimer;
+  Timer m_announcementTimer;
   Timer m_wakeTimer;
   Timer m_summaryTimer;
   Timer m_learnedModelTimer;
@@ -171,20 +185,27 @@
   bool m_hasSteppedDown = false;
   bool m_isLeaving = false;
   std::function<void()> m_onLeft;
-  /// The append in progress announces that this owner is leaving.
-  bool m_appendMarksLeaving = false;
-  /// The records being stored, in one or more appends. The current records and
-  /// their append id stay unchanged until the append is known to be durable or
-  /// rejected, so that retries append at most once.
-  bool m_isAppending = false;
-  AppendQueue m_pendingRecords;
+  /// The announcement in progress says that this owner is leaving.
+  bool m_announcesLeaving = false;
   Decisions m_pendingDecisions;
-  std::uint64_t m_sequence = 0;
-  TimePoint m_appendStarted;
-  TimePoint m_attemptStarted;
-  /// Number of attempts to append; replies to earlier ones are ignored.
-  std::uint64_t m_attempt = 0;
-  ReplyTimeout m_appendTimeout{{}};
+  /// The progress of all jobs as stored by earlier owners, until it is taken
+  /// over.
+  std::unordered_map<std::string, std::string> m_storedProgress;
+  bool m_isProgressLoaded = false;
+  /// Jobs whose records in the progress topic are to be deleted, since the jobs
+  /// topic no longer has them.
+  std::vector<std::string> m_forgottenJobs;
+  /// States that the jobs topic shows, and those that it does not show yet.
+  std::unordered_map<std::string, JobState> m_announcedStates;
+  std::map<std::string, JobState> m_statesToAnnounce;
+  /// Jobs to be deleted from the jobs topic, and those being deleted.
+  std::vector<std::string> m_expiredJobs;
+  std::vector<std::string> m_jobsBeingDeleted;
+  FencedAppender m_progressAppender;
+  FencedAppender m_announcer;
+  /// Whether the log rejects appends of earlier owners to the progress topic.
+  bool m_hasFencedProgress = false;
+  TimePoint m_lastAnnouncement;
   TimePoint m_lastDurableAppend;
   std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
--- a/catkinseam/ownership/owner_test.cc
+++ b/catkinseam/ownership/owner_test.cc
@@ -3,6 +3,7 @@
 #define BOOST_TEST_MODULE owner
 #include "catkinseam/ownership/testing/simulated_cluster.h"
 
+#include "catkinseam/base/codec.h"
 #include "catkinseam/telemetry/log.h"
 
 #include <boost/test/unit_test.hpp>
@@ -246,6 +247,33 @@
   }
 }
 
+// With hundreds of nodes, what each of them reads adds up to more than the log
+// can deliver, and the owner then learns of new jobs too late. A node that does
+// not schedule must read little more than the submissions.
+BOOST_AUTO_TEST_CASE(FollowersDoNotReadTheProgressOfTasks) {
+  SimulatedCluster Cluster({.m_seed = 4, .m_nodes = 5, .m_workers = 20});
+  Cluster.run(2 * Second);
+  const FakeNode *Owner = Cluster.owner();
+  BOOST_REQUIRE(Owner);
+  std::size_t Submitted = 0;
+  for (std::uint64_t Number = 1; Number <= 60; ++Number) {
+    const Submission Job = batchJob(jobId(Number), 40);
+    Submitted += encode(Job).size();
+    Cluster.submit(Job);
+    Cluster.run(Milliseconds(100));
+  }
+  Cluster.run(60 * Second);
+  for (std::uint64_t Number = 1; Number <= 60; ++Number)
+    BOOST_TEST((Cluster.stateOf(jobId(Number)) == JobState::Completed));
+  // Owner records every 0.2 s, and three states for each job.
+  constexpr std::size_t OwnerBytes = 70UL * 5 * 64;
+  constexpr std::size_t StateBytes = 60UL * 3 * 20;
+  for (std::size_t Index = 0; Index < 5; ++Index)
+    if (&Cluster.node(Index) != Owner)
+      BOOST_TEST(Cluster.node(Index).m_log.m_bytesRead <=
+                 Submitted + OwnerBytes + StateBytes);
+}
+
 // An owner that resumes after a pause must not start a task that its successor
 // has already started. RandomFaultsKeepEveryPromise also covers an owner that
 // is partitioned from the log.
--- a/catkinseam/ownership/testing/fake_log.cc
+++ b/catkinseam/ownership/testing/fake_log.cc
@@ -53,7 +53,7 @@
   Topic &Target = m_topics[TopicId];
   const auto Offset = static_cast<std::int64_t>(Target.m_records.size());
   if (Id) {
-    Producer &Known = m_producers[Id->m_producer];
+    Producer &Known = m_producers[{TopicId, Id->m_producer}];
     if (Id->m_epoch < Known.m_epoch)
       return {LogOutcome::Fenced, 0};
     if (Id->m_epoch == Known.m_epoch && Known.m_epoch != 0) {
@@ -138,7 +138,9 @@
   }
   Host.schedule(m_log.m_faults.m_latency,
                 [Log = &m_log, Topic, From, Deadline = Host.now() + Wait,
-                 Done] { Log->readOnce(Topic, From, Deadline, Done); });
+                 Done = counted(std::move(Done))] {
+                  Log->readOnce(Topic, From, Deadline, Done);
+                });
 }
 
 void FakeLog::View::newest(LogTopic Topic, const std::string &AfterKey,
@@ -150,7 +152,7 @@
     return;
   }
   Host.schedule(m_log.m_faults.m_latency, [Log = &m_log, Topic, AfterKey,
-                                           Done] {
+                                           Done = counted(std::move(Done))] {
     constexpr std::size_t PageSize = 20;
     FakeLog::Topic &Source = Log->m_topics[Topic];
     NewestReply Reply;
--- a/catkinseam/ownership/testing/fake_log.h
+++ b/catkinseam/ownership/testing/fake_log.h
@@ -45,8 +45,21 @@
                 std::function<void(const NewestReply &)> Done) override;
 
     bool m_isPartitioned = false;
+    /// Bytes of the records that the process has read.
+    std::size_t m_bytesRead = 0;
 
   private:
+    /// Counts the records of a reply.
+    template <class Reply>
+    std::function<void(const Reply &)>
+    counted(std::function<void(const Reply &)> Done) {
+      return [this, Done = std::move(Done)](const Reply &Sent) {
+        for (const StoredRecord &Each : Sent.m_records)
+          m_bytesRead += appendBytes(Each.m_record);
+        Done(Sent);
+      };
+    }
+
     FakeLog &m_log;
   };
 
@@ -91,7 +104,7 @@
   Runtime &m_host;
   std::mt19937_64 &m_random;
   std::map<LogTopic, Topic> m_topics;
-  std::map<std::string, Producer> m_producers;
+  std::map<std::pair<LogTopic, std::string>, Producer> m_producers;
 };
 
 } // namespace catkinseam
--- a/catkinseam/platform/http_keyed_log.cc
+++ b/catkinseam/platform/http_keyed_log.cc
@@ -20,6 +20,8 @@
   switch (Topic) {
   case LogTopic::Jobs:
     return "keyed.jobs";
+  case LogTopic::Progress:
+    return "keyed.progress";
   case LogTopic::Operator:
     return "keyed.op";
   case LogTopic::Workers:
