Spread elections while the log is slow, and let a restarted owner take over at once

The owner's records came late, all 97 nodes took it for silent within 0.3 s and appended their claims, 144 ms each on one partition: 14 s of work. From then on the log refused the owner's appends and 9 of 10 submissions (2 s were waiting). Change: the delay between nodes, and that of smaller nodes, grows with the log's latency (20 times), and the owner's silence is measured against the longest recent interval between its records (3 times, at most 3 s).

Change: a node that finds itself named as the owner under another boot id starts an election at once.

--- a/catkinseam/ownership/candidate.cc
+++ b/catkinseam/ownership/candidate.cc
@@ -18,7 +18,7 @@
                 .m_batchingWindow = Values.m_followerBatchingWindow},
                {[this](const StoredRecord &Each) { onRecord(Each); },
                 [this] { onRead(); },
-                nullptr,
+                [this](const std::set<std::string> &) { onLoaded(); },
                 [this] { onLogRegained(); }}),
       m_ownership(Host.clock(), Values.m_ownership, Values.m_node),
       m_checkTimer(Host), m_retryTimer(Host), m_endTimer(Host) {}
@@ -58,6 +58,14 @@
     resolveElection();
 }
 
+void Candidate::onLoaded() {
+  // This node was the owner before it was restarted, so there is none.
+  const OwnerRecord &Newest = m_jobs.owner();
+  if (Newest.m_node == m_options.m_node &&
+      Newest.m_bootId != m_options.m_bootId)
+    m_ownership.onOwnerLeaving();
+}
+
 void Candidate::onLogRegained() {
   if (m_owner)
     m_owner->onLogRegained();
--- a/catkinseam/ownership/candidate.h
+++ b/catkinseam/ownership/candidate.h
@@ -69,6 +69,7 @@
 private:
   void onRecord(const StoredRecord &Record);
   void onRead();
+  void onLoaded();
   void onLogRegained();
   void check();
   void claimEpoch();
--- a/catkinseam/ownership/owner_test.cc
+++ b/catkinseam/ownership/owner_test.cc
@@ -225,6 +225,23 @@
   BOOST_TEST(Times.back() <= 1500);
 }
 
+// All nodes lose power at once. The node that was the owner knows that there is
+// none, so it need not wait for the owner's records.
+BOOST_AUTO_TEST_CASE(RestartedOwnerTakesOverAtOnce) {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    SimulatedCluster Cluster({.m_seed = Seed});
+    Cluster.run(2 * Second + Milliseconds(37 * Seed));
+    const FakeNode *Owner = Cluster.owner();
+    for (std::size_t Index = 0; Index < 3; ++Index)
+      Cluster.node(Index).kill();
+    Cluster.run(1 * Second);
+    for (std::size_t Index = 0; Index < 3; ++Index)
+      Cluster.startNode(Index);
+    Cluster.run(Milliseconds(300));
+    BOOST_TEST(Cluster.owner() == Owner);
+  }
+}
+
 // Guards against tasks that run again after a takeover with more workers than
 // one page of the registry holds. The new owner polled the workers of the first
 // page before it had loaded the jobs, acknowledged ended runs without a known
--- a/catkinseam/ownership/ownership.cc
+++ b/catkinseam/ownership/ownership.cc
@@ -4,15 +4,15 @@
 #include "catkinseam/base/hash.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace catkinseam {
 
 Ownership::Ownership(const Clock &Time, const Options &Values,
                      const std::string &NodeName)
     : m_clock(Time), m_options(Values),
-      m_jitter(static_cast<Milliseconds::rep>(
-          hashBytes(NodeName) %
-          static_cast<std::uint64_t>(Values.m_maxJitter.count() + 1))),
+      m_jitterFraction(static_cast<double>(hashBytes(NodeName) % 1024) /
+                       1024.0),
       m_lastOwnerActivity(Time.now()) {}
 
 void Ownership::onRead(TimePoint When, Duration Latency) {
@@ -28,6 +28,16 @@
   m_logLatency = Latency;
 }
 
+void Ownership::onOwnerActivity() {
+  const Duration Interval = m_clock.now() - m_lastOwnerActivity;
+  const double Remembered =
+      std::exp(-std::chrono::duration<double>(Interval) /
+               std::chrono::duration<double>(m_options.m_intervalMemory));
+  m_longestInterval = std::max(
+      Interval, std::chrono::duration_cast<Duration>(m_longestInterval * Remembered));
+  m_lastOwnerActivity = m_clock.now();
+}
+
 void Ownership::onElectionFailed() {
   m_nextElection = m_clock.now() + m_options.m_electionBackoff;
 }
@@ -35,30 +45,44 @@
 void Ownership::onOwnerChanged() {
   m_isOwnerLeaving = false;
   m_lastOwnerActivity = m_clock.now();
+  m_longestInterval = Duration::zero();
 }
 
-Milliseconds Ownership::electionDelay() const {
+Duration Ownership::electionDelay() const {
   if (m_ownerProcessorShare)
     return m_options.m_processorShare < *m_ownerProcessorShare
-               ? m_options.m_smallerShareDelay
-               : Milliseconds(0);
+               ? scaledToLatency(m_options.m_smallerShareDelay)
+               : Duration::zero();
   const double MissingShare =
       1.0 - std::min(1.0, m_options.m_processorShare /
                               m_options.m_fullProcessorShare);
   return toMilliseconds(m_options.m_firstElectionDelay * MissingShare);
 }
 
+Duration Ownership::scaledToLatency(Duration Delay) const {
+  return std::max<Duration>(Delay,
+                            m_options.m_jitterLatencyMultiplier * m_logLatency);
+}
+
+Duration Ownership::jitter() const {
+  return std::chrono::duration_cast<Duration>(
+      m_jitterFraction * scaledToLatency(m_options.m_maxJitter));
+}
+
 bool Ownership::shouldStartElection() const {
   const TimePoint Now = m_clock.now();
   if (Now < m_nextElection ||
       Now - m_lastRead > m_options.m_maxReadAge + 2 * m_logLatency)
     return false;
   if (m_isOwnerLeaving)
-    return Now - m_lastOwnerActivity >= m_jitter / 4 + electionDelay();
+    return Now - m_lastOwnerActivity >= jitter() / 4 + electionDelay();
+  const Duration Timeout = std::max<Duration>(
+      m_options.m_ownerTimeout + m_options.m_latencyMultiplier * m_logLatency,
+      std::min<Duration>(m_options.m_intervalMultiplier * m_longestInterval,
+                         m_options.m_maxIntervalTimeout));
   // Only a read shows that the owner was silent until then.
   return m_lastRead - m_lastOwnerActivity >=
-         m_options.m_ownerTimeout + m_jitter + electionDelay() +
-             m_options.m_latencyMultiplier * m_logLatency;
+         Timeout + jitter() + electionDelay();
 }
 
 } // namespace catkinseam
--- a/catkinseam/ownership/ownership.h
+++ b/catkinseam/ownership/ownership.h
@@ -27,9 +27,17 @@
     /// Time without a record from the owner after which a node starts an
     /// election.
     Milliseconds m_ownerTimeout{600};
-    /// Upper bound of a delay derived from the node's name and added to the
-    /// timeout, so that nodes do not start elections at the same time.
+    /// The timeout is at least this multiple of the longest recent interval
+    /// between records of the owner, up to m_maxIntervalTimeout.
+    int m_intervalMultiplier = 3;
+    Milliseconds m_maxIntervalTimeout{3000};
+    /// Time constant with which the longest interval is forgotten.
+    Milliseconds m_intervalMemory{10000};
+    /// A delay derived from the node's name is added to the timeout, so that
+    /// hundreds of nodes do not append claims at the same time. Its upper bound
+    /// is this, or a multiple of the log's latency if that is longer.
     Milliseconds m_maxJitter{200};
+    int m_jitterLatencyMultiplier = 20;
     /// This many times the log's latency is added to the timeout as well.
     int m_latencyMultiplier = 6;
     /// A node starts no election when its last read of the topic is older than
@@ -37,8 +45,9 @@
     Milliseconds m_maxReadAge{700};
     /// Share of one processor available to this node.
     double m_processorShare = 1.0;
-    /// Added when the last owner had a larger processor share, so that nodes
-    /// of that size start their election first.
+    /// Added when the last owner had a larger processor share, so that nodes of
+    /// that size start their election first. The same multiple of the log's
+    /// latency applies.
     Milliseconds m_smallerShareDelay{200};
     /// Added before the first owner: in full at a processor share of zero,
     /// decreasing linearly to none at `m_fullProcessorShare`.
@@ -59,7 +68,7 @@
   void onRead(TimePoint When, Duration Latency);
 
   /// Reports a record that only an owner writes.
-  void onOwnerActivity() { m_lastOwnerActivity = m_clock.now(); }
+  void onOwnerActivity();
 
   /// Reports the processor share of the newest owner.
   void onOwnerProcessorShare(double ProcessorShare) {
@@ -80,14 +89,21 @@
 
 private:
   /// Returns the additional delay of nodes with a small processor share.
-  Milliseconds electionDelay() const;
+  Duration electionDelay() const;
+  /// Returns a delay between nodes, longer while the log is slow.
+  Duration scaledToLatency(Duration Delay) const;
+  /// Returns the additional delay that differs from node to node.
+  Duration jitter() const;
 
   const Clock &m_clock;
   const Options m_options;
-  const Milliseconds m_jitter;
+  /// From 0 to 1.
+  const double m_jitterFraction;
   TimePoint m_lastRead;
   Duration m_logLatency{0};
   TimePoint m_lastOwnerActivity;
+  /// Longest recent interval between records of the current owner.
+  Duration m_longestInterval{0};
   TimePoint m_nextElection;
   bool m_isOwnerLeaving = false;
   /// Not set before the first owner.
--- a/catkinseam/ownership/ownership_test.cc
+++ b/catkinseam/ownership/ownership_test.cc
@@ -5,6 +5,11 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
 namespace catkinseam {
 
 namespace {
@@ -82,6 +87,63 @@
   BOOST_TEST(timeUntilElection(Time, Each) >= Milliseconds(1500));
 }
 
+// Hundreds of nodes miss the owner while the log is slow. Each claim that they
+// append occupies the log for longer than the owner's own appends may wait.
+BOOST_AUTO_TEST_CASE(ElectionsAreSpreadWhileTheLogIsSlow) {
+  constexpr Milliseconds Latency{300};
+  // Until a claim has been appended and read by the other nodes.
+  constexpr Milliseconds ClaimTime = 3 * Latency;
+  ManualClock Time;
+  std::vector<std::unique_ptr<Ownership>> Nodes;
+  for (int Number = 0; Number < 300; ++Number) {
+    // One node in five is as strong as the owner.
+    const double Share = Number % 5 == 0 ? 0.5 : 0.07;
+    Nodes.push_back(std::make_unique<Ownership>(
+        Time, Ownership::Options{.m_processorShare = Share},
+        "edge-" + std::to_string(Number)));
+    Nodes.back()->onOwnerProcessorShare(0.5);
+    Nodes.back()->onOwnerActivity();
+  }
+  std::vector<TimePoint> Claims;
+  for (int Step = 0; Step < 3000; ++Step) {
+    Time.advance(Milliseconds(10));
+    for (std::unique_ptr<Ownership> &Each : Nodes) {
+      if (!Each)
+        continue;
+      Each->onRead(Time.now(), Latency);
+      if (!Each->shouldStartElection())
+        continue;
+      Claims.push_back(Time.now());
+      Each.reset();
+    }
+  }
+  BOOST_REQUIRE(Claims.size() == 300U);
+  const auto Early =
+      std::count_if(Claims.begin(), Claims.end(), [&](TimePoint Each) {
+        return Each < Claims.front() + ClaimTime;
+      });
+  // The log refuses appends once 2 s are waiting.
+  BOOST_TEST(Early <= 14);
+}
+
+// The owner's appends take long while the log is slow, so its records come at
+// long intervals.
+BOOST_AUTO_TEST_CASE(LongIntervalsBetweenRecordsAreNoSilence) {
+  ManualClock Time;
+  TestNode Each(Time, "edge-1", 0.1);
+  Each.m_ownership.onOwnerProcessorShare(0.1);
+  for (const int Interval : {200, 200, 500, 900, 900, 1400, 1400, 1400}) {
+    for (int Elapsed = 0; Elapsed < Interval; Elapsed += 100) {
+      Time.advance(Milliseconds(100));
+      BOOST_TEST(!Each.startsElection());
+    }
+    Each.m_ownership.onOwnerActivity();
+  }
+  // A successor's records come in time again.
+  Each.m_ownership.onOwnerChanged();
+  BOOST_TEST(timeUntilElection(Time, Each) <= Milliseconds(850));
+}
+
 // An outdated read does not show that the owner is inactive.
 BOOST_AUTO_TEST_CASE(NoElectionWithoutRecentRead) {
   ManualClock Time;
