Relay submissions to the owner's node while the log is slow

Cause: the log processes the appends of a topic one at a time.

Change: while the latency of its reads is 40 ms or more, a node sends its submissions and cancellations to the owner's node, which appends what arrives during one append in the next. What cannot be sent there is appended directly, and after a relayed append without a reply the node relays nothing for 2 s. The owner names its address in its records (node.peers; optional). The handler takes submissions and cancellations only. Direct appends may take 4 times the measured latency before they count as unanswered.

Weighed: partitions of the jobs topic (every node would read all of them, 24 times the calls), always relaying (depends on the owner in normal times for nothing but fewer appends).

--- a/catkinseam/front/job_service.cc
+++ b/catkinseam/front/job_service.cc
@@ -282,6 +282,34 @@
         });
 }
 
+void JobService::appendForPeer(std::vector<KeyedRecord> Records,
+                               Milliseconds Budget,
+                               std::function<void(LogOutcome)> Done) {
+  struct Pending {
+    std::size_t m_left = 0;
+    std::size_t m_refused = 0;
+    std::size_t m_records = 0;
+    bool m_isUnknown = false;
+  };
+  const auto All = std::make_shared<Pending>();
+  All->m_left = All->m_records = Records.size();
+  if (Records.empty())
+    return Done(LogOutcome::Done);
+  for (KeyedRecord &Each : Records)
+    write(std::move(Each), Budget, [All, Done](LogOutcome Outcome) {
+      All->m_refused += Outcome == LogOutcome::Refused;
+      All->m_isUnknown = All->m_isUnknown || Outcome == LogOutcome::Unknown;
+      if (--All->m_left > 0)
+        return;
+      const bool IsInDoubt =
+          All->m_isUnknown ||
+          (All->m_refused > 0 && All->m_refused < All->m_records);
+      Done(IsInDoubt            ? LogOutcome::Unknown
+           : All->m_refused > 0 ? LogOutcome::Refused
+                                : LogOutcome::Done);
+    });
+}
+
 std::optional<JobState> JobService::stateOf(const std::string &Id) const {
   if (const LedgerJob *Found = m_ledger.find(Id))
     return Found->state();
--- a/catkinseam/front/job_service.h
+++ b/catkinseam/front/job_service.h
@@ -82,6 +82,12 @@
   void cancel(const std::string &Id, Milliseconds Budget,
               std::function<void(CancelOutcome)> Done);
 
+  /// Appends records that another node has relayed. `Budget` is how long that
+  /// node waits. `Done` receives Done, Refused if no record was stored, or
+  /// Unknown.
+  void appendForPeer(std::vector<KeyedRecord> Records, Milliseconds Budget,
+                     std::function<void(LogOutcome)> Done);
+
   /// The state of a job, or none if this node knows no such job.
   std::optional<JobState> stateOf(const std::string &Id) const;
 
--- a/catkinseam/ledger/ledger_test.cc
+++ b/catkinseam/ledger/ledger_test.cc
@@ -64,11 +64,11 @@
 
 BOOST_AUTO_TEST_CASE(FirstOwnerOfAnEpochWins) {
   Ledger Jobs;
-  Jobs.apply(0, OwnerKey, encode(OwnerRecord{3, "n1", "boot-a", false, 1.0}));
-  Jobs.apply(1, OwnerKey, encode(OwnerRecord{3, "n2", "boot-b", false, 1.0}));
-  Jobs.apply(2, OwnerKey, encode(OwnerRecord{2, "n3", "boot-c", false, 1.0}));
+  Jobs.apply(0, OwnerKey, encode(OwnerRecord{3, "n1", "boot-a", false, 1.0, ""}));
+  Jobs.apply(1, OwnerKey, encode(OwnerRecord{3, "n2", "boot-b", false, 1.0, ""}));
+  Jobs.apply(2, OwnerKey, encode(OwnerRecord{2, "n3", "boot-c", false, 1.0, ""}));
   BOOST_TEST(Jobs.owner().m_node == "n1");
-  Jobs.apply(3, OwnerKey, encode(OwnerRecord{3, "n1", "boot-a", true, 1.0}));
+  Jobs.apply(3, OwnerKey, encode(OwnerRecord{3, "n1", "boot-a", true, 1.0, ""}));
   BOOST_TEST(Jobs.owner().m_isResigning);
 }
 
--- a/catkinseam/ledger/records.h
+++ b/catkinseam/ledger/records.h
@@ -104,9 +104,11 @@
   bool m_isResigning = false;
   /// Share of one processor available to the owner's node.
   double m_processorShare = 0.0;
+  /// Address for other nodes, as HOST:PORT; empty if there is none.
+  std::string m_peer;
 
   template <class Archive> void serialize(Archive &Target) {
-    Target(m_epoch, m_node, m_bootId, m_isResigning, m_processorShare);
+    Target(m_epoch, m_node, m_bootId, m_isResigning, m_processorShare, m_peer);
   }
 };
 
--- a/catkinseam/node/node.cc
+++ b/catkinseam/node/node.cc
@@ -35,6 +35,8 @@
   Candidate::Options Opts;
   Opts.m_node = Values.m_name;
   Opts.m_bootId = randomId();
+  if (Values.m_peerEndpoint.m_port != 0)
+    Opts.m_peer = toString(Values.m_peerEndpoint);
   Opts.m_ownership.m_processorShare = Values.m_processorShare;
   Opts.m_owner.m_appendLimits = appendLimits(Values);
   Scheduler::Options &Scheduling = Opts.m_owner.m_scheduler;
@@ -71,7 +73,12 @@
           {.m_topic = LogTopic::Operator, .m_wait = Milliseconds(2000)},
           {[this](const StoredRecord &Record) { onOperatorRecord(Record); },
            nullptr, nullptr}),
-      m_jobService(Loop, m_store, m_ledger, jobServiceOptions(Values)),
+      m_recordRelay(Loop),
+      m_relayedStore(Loop, m_store, m_recordRelay,
+                     {[this] { return ownerPeer(); },
+                      [this] { return m_candidate.logLatency(); }},
+                     {}),
+      m_jobService(Loop, m_relayedStore, m_ledger, jobServiceOptions(Values)),
       m_ingress(m_jobService, m_metrics, Loop,
                 {[this] { return m_config ? &*m_config : nullptr; },
                  [this] { return m_candidate.isCurrent(); },
@@ -109,6 +116,7 @@
                      {{"Content-Type", "text/plain; version=0.0.4"}},
                      metricsText()});
           }));
+  BOOST_LEAF_CHECK(openPeerListener());
   logInfo("node.started", {{"node", m_settings.m_name},
                            {"data_centre", m_settings.m_dataCentre},
                            {"callers", toString(m_settings.m_callerEndpoint)}});
@@ -117,6 +125,32 @@
   return {};
 }
 
+Result<void> Node::openPeerListener() {
+  if (m_settings.m_peerEndpoint.m_port == 0)
+    return {};
+  HttpListener::Options Limits;
+  Limits.m_bodyBytes =
+      static_cast<std::uint64_t>(m_settings.m_storeAppendBytes) * 2;
+  BOOST_LEAF_ASSIGN(m_peerListener,
+                    HttpListener::open(m_loop, m_settings.m_peerEndpoint,
+                                       Limits,
+                                       [this](const HttpRequest &Request,
+                                              const HttpResponder &Respond) {
+                                         handleRelayedRecords(Request, Respond,
+                                                              m_jobService);
+                                       }));
+  return {};
+}
+
+std::optional<Endpoint> Node::ownerPeer() const {
+  const OwnerRecord &Owner = m_ledger.owner();
+  if (m_candidate.owner() || Owner.m_node == m_settings.m_name ||
+      Owner.m_peer.empty())
+    return std::nullopt;
+  auto Parsed = attempt([&] { return parseEndpoint(Owner.m_peer); });
+  return Parsed ? std::optional<Endpoint>(Parsed.value()) : std::nullopt;
+}
+
 std::string Node::metricsText() {
   m_metrics.setGauge("catkinseam_config_version",
                      m_config ? static_cast<double>(m_config->m_version) : 0);
--- a/catkinseam/node/node.h
+++ b/catkinseam/node/node.h
@@ -10,7 +10,9 @@
 #include "catkinseam/aio/http_listener.h"
 #include "catkinseam/front/job_service.h"
 #include "catkinseam/front/routing.h"
+#include "catkinseam/front/relayed_log.h"
 #include "catkinseam/ledger/keyed_log_reader.h"
+#include "catkinseam/node/record_relay.h"
 #include "catkinseam/ownership/candidate.h"
 #include "catkinseam/platform/http_keyed_log.h"
 #include "catkinseam/platform/ingress.h"
@@ -45,6 +47,9 @@
   bool isReady() const;
   void stopWhenDrained();
   std::string metricsText();
+  /// Returns where to relay records to; see RelayedLog.
+  std::optional<Endpoint> ownerPeer() const;
+  Result<void> openPeerListener();
 
   EventLoop &m_loop;
   NodeSettings m_settings;
@@ -53,12 +58,15 @@
   Ledger m_ledger;
   Candidate m_candidate;
   KeyedLogReader m_operatorReader;
+  HttpRecordRelay m_recordRelay;
+  RelayedLog m_relayedStore;
   JobService m_jobService;
   Ingress m_ingress;
   std::optional<OperatorConfig> m_config;
   std::unique_ptr<HttpListener> m_callerListener;
   std::unique_ptr<HttpListener> m_readinessListener;
   std::unique_ptr<HttpListener> m_metricsListener;
+  std::unique_ptr<HttpListener> m_peerListener;
   Timer m_stopTimer;
   bool m_isStopping = false;
   TimePoint m_stopStartedAt;
--- a/catkinseam/ownership/candidate.cc
+++ b/catkinseam/ownership/candidate.cc
@@ -83,7 +83,8 @@
 void Candidate::claimEpoch() {
   logInfo("owner.campaign", {{"epoch", std::to_string(m_claimedEpoch)}});
   const OwnerRecord Claim{m_claimedEpoch, m_options.m_node, m_options.m_bootId,
-                          false, m_options.m_ownership.m_processorShare};
+                          false, m_options.m_ownership.m_processorShare,
+                          m_options.m_peer};
   m_log.append(LogTopic::Jobs, {{OwnerKey, encode(Claim)}},
                AppendId{OwnerProducer, m_claimedEpoch, 0},
                m_options.m_claimTimeout,
@@ -141,6 +142,7 @@
   Values.m_epoch = Epoch;
   Values.m_node = m_options.m_node;
   Values.m_bootId = m_options.m_bootId;
+  Values.m_peer = m_options.m_peer;
   Values.m_processorShare = m_options.m_ownership.m_processorShare;
   m_owner = std::make_unique<Owner>(
       m_host, m_log, m_jobs, m_makeLink, m_parseRegistration, Values,
--- a/catkinseam/ownership/candidate.h
+++ b/catkinseam/ownership/candidate.h
@@ -42,8 +42,10 @@
     /// The owner reads more often, to learn of new jobs sooner.
     Milliseconds m_ownerBatchingWindow{12};
     Ownership::Options m_ownership;
-    /// Its epoch, node, boot id and processor share are ignored; the candidate
-    /// sets them.
+    /// Address for other nodes, as HOST:PORT; empty if there is none.
+    std::string m_peer;
+    /// Its epoch, node, boot id, peer address and processor share are ignored;
+    /// the candidate sets them.
     Owner::Options m_owner;
   };
 
@@ -63,6 +65,9 @@
   /// `Options::m_maxReadAge`.
   bool isCurrent() const;
 
+  /// Returns the current latency of the log.
+  Duration logLatency() const { return m_reader.replyLatency(); }
+
   /// Returns the owner role, or null while this node is not the owner.
   const Owner *owner() const { return m_owner.get(); }
 
--- a/catkinseam/ownership/owner.cc
+++ b/catkinseam/ownership/owner.cc
@@ -274,7 +274,7 @@
 
 OwnerRecord Owner::ownRecord(bool IsLeaving) const {
   return {m_options.m_epoch, m_options.m_node, m_options.m_bootId, IsLeaving,
-          m_options.m_processorShare};
+          m_options.m_processorShare, m_options.m_peer};
 }
 
 void Owner::logSummary() {
--- a/catkinseam/ownership/owner.h
+++ b/catkinseam/ownership/owner.h
@@ -39,6 +39,8 @@
     std::uint64_t m_epoch = 0;
     std::string m_node;
     std::string m_bootId;
+    /// Address for other nodes, as HOST:PORT; empty if there is none.
+    std::string m_peer;
     /// Share of one processor available to this node.
     double m_processorShare = 1.0;
     Milliseconds m_progressPageTimeout{1500};
--- a/catkinseam/ownership/testing/fake_log.cc
+++ b/catkinseam/ownership/testing/fake_log.cc
@@ -1,6 +1,8 @@
 // In-memory keyed log.
 #include "catkinseam/ownership/testing/fake_log.h"
 
+#include <algorithm>
+
 namespace catkinseam {
 
 namespace {
@@ -102,6 +104,16 @@
   Done(Reply);
 }
 
+std::optional<Duration> FakeLog::occupy(LogTopic TopicId) {
+  constexpr Milliseconds MaxWaiting{2000};
+  TimePoint &BusyUntil = m_busyUntil[TopicId];
+  BusyUntil = std::max(BusyUntil, m_host.now());
+  if (BusyUntil - m_host.now() > MaxWaiting)
+    return std::nullopt;
+  BusyUntil += m_faults.m_appendTime;
+  return BusyUntil - m_host.now();
+}
+
 void FakeLog::View::append(LogTopic Topic,
                            const std::vector<KeyedRecord> &Records,
                            const std::optional<AppendId> &Id,
@@ -114,17 +126,27 @@
     });
     return;
   }
+  const std::optional<Duration> Occupied = m_log.occupy(Topic);
+  if (!Occupied) {
+    Host.schedule(m_log.m_faults.m_latency, [Done] {
+      Done({LogOutcome::Refused, 0});
+    });
+    return;
+  }
   const bool IsDelayed = m_log.chance(m_log.m_faults.m_delayedRate);
   const bool IsReplyLost =
       IsDelayed || m_log.chance(m_log.m_faults.m_lostReplyRate);
   constexpr Milliseconds DelayedBy{3000};
-  Host.schedule(IsDelayed ? DelayedBy : m_log.m_faults.m_latency,
-                [Log = &m_log, Topic, Records, Id, IsReplyLost, Done] {
-                  const AppendReply Reply = Log->execute(Topic, Records, Id);
-                  if (!IsReplyLost)
-                    Done(Reply);
-                });
-  if (IsReplyLost)
+  const Duration Delay =
+      IsDelayed ? Duration(DelayedBy) : *Occupied + m_log.m_faults.m_latency;
+  const bool IsTooLate = Delay > Timeout;
+  Host.schedule(Delay, [Log = &m_log, Topic, Records, Id,
+                        IsReplyLost = IsReplyLost || IsTooLate, Done] {
+    const AppendReply Reply = Log->execute(Topic, Records, Id);
+    if (!IsReplyLost)
+      Done(Reply);
+  });
+  if (IsReplyLost || IsTooLate)
     Host.schedule(Timeout, [Done] { Done({LogOutcome::Unknown, 0}); });
 }
 
--- a/catkinseam/ownership/testing/fake_log.h
+++ b/catkinseam/ownership/testing/fake_log.h
@@ -25,6 +25,9 @@
     double m_delayedRate = 0.0;
     /// Maximum number of records returned by one read.
     std::size_t m_maxReadRecords = 10000;
+    /// Time for which an append occupies its topic. An append is refused when
+    /// more than 2 s of others are waiting.
+    Milliseconds m_appendTime{0};
     /// Appends to this topic are rejected as invalid.
     std::optional<LogTopic> m_rejectedTopic;
   };
@@ -103,7 +106,12 @@
 
   Runtime &m_host;
   std::mt19937_64 &m_random;
+  /// Returns the delay until an append to the topic is carried out, or none if
+  /// too many are waiting.
+  std::optional<Duration> occupy(LogTopic TopicId);
+
   std::map<LogTopic, Topic> m_topics;
+  std::map<LogTopic, TimePoint> m_busyUntil;
   std::map<std::pair<LogTopic, std::string>, Producer> m_producers;
 };
 
--- a/catkinseam/settings/node_settings.cc
+++ b/catkinseam/settings/node_settings.cc
@@ -18,6 +18,7 @@
       {"node", "callers", &NodeSettings::m_callerEndpoint, true},
       {"node", "readiness", &NodeSettings::m_readinessEndpoint, true},
       {"node", "metrics", &NodeSettings::m_metricsEndpoint, true},
+      {"node", "peers", &NodeSettings::m_peerEndpoint, false},
       {"platform", "store", &NodeSettings::m_storeEndpoint, true},
       {"platform", "record_bytes", &NodeSettings::m_storeRecordBytes, false,
        4096, 1LL << 30},
--- a/catkinseam/settings/node_settings.h
+++ b/catkinseam/settings/node_settings.h
@@ -23,6 +23,9 @@
   Endpoint m_callerEndpoint;
   Endpoint m_readinessEndpoint;
   Endpoint m_metricsEndpoint;
+  /// Where other nodes relay records to while this node is the owner; without a
+  /// port, they do not.
+  Endpoint m_peerEndpoint;
 
   // [platform]
   Endpoint m_storeEndpoint;
--- a/scripts/lib/nodes.sh
+++ b/scripts/lib/nodes.sh
@@ -36,6 +36,7 @@
 callers = "127.0.0.1:$port"
 readiness = "127.0.0.1:$((port + 1))"
 metrics = "127.0.0.1:$((port + 2))"
+peers = "127.0.0.1:$((port + 3))"
 [platform]
 store = "127.0.0.1:$node_base"
 TOML
