Do not probe a slow log with appends

Cause: a node whose append was not answered asked every 0.2 s, by an append of no records, whether the log answers again.

Change: while reads are answered, slowly, they are the answer to the probe. The owner's appends use the measured latency for their timeouts too, 8 times, since reads show a lower bound of it.

The owner still changes once: its first attempts end before the log has answered.

--- a/catkinseam/front/relayed_log.cc
+++ b/catkinseam/front/relayed_log.cc
@@ -14,15 +14,22 @@
 
 RelayedLog::~RelayedLog() { *m_isAlive = false; }
 
+bool RelayedLog::isSlow() const {
+  return m_callbacks.m_latency() >= m_options.m_slowLatency;
+}
+
 bool RelayedLog::isRelaying() const {
-  return m_callbacks.m_latency() >= m_options.m_slowLatency &&
-         m_host.now() >= m_suspendedUntil;
+  return isSlow() && m_host.now() >= m_suspendedUntil;
 }
 
 void RelayedLog::append(LogTopic Topic, const std::vector<KeyedRecord> &Records,
                         const std::optional<AppendId> &Id, Milliseconds Timeout,
                         std::function<void(const AppendReply &)> Done) {
-  const bool IsRelayable = Topic == LogTopic::Jobs && !Id && !Records.empty();
+  if (Records.empty() && isSlow()) {
+    m_host.post([Done = std::move(Done)] { Done({LogOutcome::Done, 0}); });
+    return;
+  }
+  const bool IsRelayable = Topic == LogTopic::Jobs && !Id;
   const std::optional<Endpoint> Peer =
       IsRelayable && isRelaying() ? m_callbacks.m_ownerPeer() : std::nullopt;
   if (!Peer)
--- a/catkinseam/front/relayed_log.h
+++ b/catkinseam/front/relayed_log.h
@@ -57,15 +57,16 @@
     /// After a relayed append without a reply, no append is relayed for this
     /// time.
     Milliseconds m_suspension{2000};
-    /// A direct append may take at least this multiple of the log's latency.
-    int m_latencyMultiplier = 4;
+    /// A direct append may take at least this multiple of the log's latency, of
+    /// which reads show a lower bound.
+    int m_latencyMultiplier = 8;
   };
 
   struct Callbacks {
     /// Returns the owner's address for other nodes; none if it is not known or
     /// this node is the owner.
     std::function<std::optional<Endpoint>()> m_ownerPeer;
-    /// Returns the current latency of the log.
+    /// Returns the current latency of the log; zero if its reads fail.
     std::function<Duration()> m_latency;
   };
 
@@ -74,7 +75,8 @@
   ~RelayedLog() override;
 
   /// Relays appends to the jobs topic that have no append id. One that could not
-  /// be sent to the owner's node is appended directly.
+  /// be sent to the owner's node is appended directly. An append of no records,
+  /// which only probes the log, is not sent while the log answers reads slowly.
   void append(LogTopic Topic, const std::vector<KeyedRecord> &Records,
               const std::optional<AppendId> &Id, Milliseconds Timeout,
               std::function<void(const AppendReply &)> Done) override;
@@ -85,6 +87,7 @@
               std::function<void(const NewestReply &)> Done) override;
 
 private:
+  bool isSlow() const;
   bool isRelaying() const;
   void appendDirectly(LogTopic Topic, const std::vector<KeyedRecord> &Records,
                       const std::optional<AppendId> &Id, Milliseconds Timeout,
--- a/catkinseam/front/relayed_log_test.cc
+++ b/catkinseam/front/relayed_log_test.cc
@@ -118,6 +118,24 @@
   BOOST_TEST(m_accepted * 100 >= m_submitted * 95);
 }
 
+// Every node has lost a reply when the log became slow, and wants to know when
+// it answers again. Their probes must not occupy the log.
+BOOST_FIXTURE_TEST_CASE(ProbesDoNotOccupyASlowLog, Fixture) {
+  addNodes(97);
+  m_log.m_faults.m_lostReplyRate = 1.0;
+  submitEvery(Milliseconds(5), 97);
+  m_host.advance(Milliseconds(900));
+  m_log.m_faults = {};
+  m_log.m_faults.m_appendTime = Milliseconds(144);
+  m_log.m_faults.m_latency = Milliseconds(288);
+  m_host.advance(Milliseconds(2000));
+  m_accepted = 0;
+  m_submitted = 1000;
+  submitEvery(Milliseconds(41), 50);
+  m_host.advance(Milliseconds(3000));
+  BOOST_TEST(m_accepted * 100 >= 50 * 95);
+}
+
 BOOST_FIXTURE_TEST_CASE(AppendsDirectlyWhileTheLogIsFast, Fixture) {
   addNodes(10);
   submitEvery(Milliseconds(41), 20);
--- a/catkinseam/node/node.cc
+++ b/catkinseam/node/node.cc
@@ -60,8 +60,13 @@
 Node::Node(EventLoop &Loop, const NodeSettings &Values)
     : m_loop(Loop), m_settings(Values),
       m_store(Loop, Values.m_storeEndpoint, {}),
+      m_recordRelay(Loop),
+      m_relayedStore(Loop, m_store, m_recordRelay,
+                     {[this] { return ownerPeer(); },
+                      [this] { return m_candidate.logLatency(); }},
+                     {}),
       m_candidate(
-          Loop, m_store, m_ledger,
+          Loop, m_relayedStore, m_ledger,
           [&Loop](const WorkerRegistration &Registration)
               -> std::unique_ptr<WorkerLink> {
             return std::make_unique<HttpWorkerLink>(
@@ -73,11 +78,6 @@
           {.m_topic = LogTopic::Operator, .m_wait = Milliseconds(2000)},
           {[this](const StoredRecord &Record) { onOperatorRecord(Record); },
            nullptr, nullptr}),
-      m_recordRelay(Loop),
-      m_relayedStore(Loop, m_store, m_recordRelay,
-                     {[this] { return ownerPeer(); },
-                      [this] { return m_candidate.logLatency(); }},
-                     {}),
       m_jobService(Loop, m_relayedStore, m_ledger, jobServiceOptions(Values)),
       m_ingress(m_jobService, m_metrics, Loop,
                 {[this] { return m_config ? &*m_config : nullptr; },
--- a/catkinseam/node/node.h
+++ b/catkinseam/node/node.h
@@ -54,12 +54,12 @@
   EventLoop &m_loop;
   NodeSettings m_settings;
   HttpKeyedLog m_store;
+  HttpRecordRelay m_recordRelay;
+  RelayedLog m_relayedStore;
   Metrics m_metrics;
   Ledger m_ledger;
   Candidate m_candidate;
   KeyedLogReader m_operatorReader;
-  HttpRecordRelay m_recordRelay;
-  RelayedLog m_relayedStore;
   JobService m_jobService;
   Ingress m_ingress;
   std::optional<OperatorConfig> m_config;
--- a/catkinseam/ownership/candidate.h
+++ b/catkinseam/ownership/candidate.h
@@ -65,8 +65,10 @@
   /// `Options::m_maxReadAge`.
   bool isCurrent() const;
 
-  /// Returns the current latency of the log.
-  Duration logLatency() const { return m_reader.replyLatency(); }
+  /// Returns the current latency of the log; zero if its reads fail.
+  Duration logLatency() const {
+    return isCurrent() ? m_reader.replyLatency() : Duration::zero();
+  }
 
   /// Returns the owner role, or null while this node is not the owner.
   const Owner *owner() const { return m_owner.get(); }
