Read the jobs topic rarely on weak nodes, and when a caller asks

Change: a node with a smaller processor share than the owner reads every 0.5 s (stronger ones start elections first), and a question about a job that has not ended makes it read now, without a wait, before it answers: the answer is newer than before. While a read waits at the log it delivers at once, and while reads fail the known state is shown at once.

Also: a request that no worker answered is logged with its reason and what the dispatcher decided on (request.refused), and its response names the trace.

Test: RefreshDeliversWhatWasAppended.

--- a/catkinseam/ledger/keyed_log_reader.cc
+++ b/catkinseam/ledger/keyed_log_reader.cc
@@ -3,6 +3,8 @@
 
 #include "catkinseam/telemetry/log.h"
 
+#include <utility>
+
 namespace catkinseam {
 
 KeyedLogReader::KeyedLogReader(Runtime &Host, KeyedLog &Log,
@@ -14,6 +16,7 @@
 KeyedLogReader::~KeyedLogReader() { *m_isAlive = false; }
 
 void KeyedLogReader::start() {
+  m_isBatching = false;
   m_loadedKeys.clear();
   m_isFirstPage = true;
   loadPage("");
@@ -60,10 +63,34 @@
   readNext();
 }
 
+void KeyedLogReader::refresh(std::function<void()> Done) {
+  if (m_isWaitingAtLog || m_isFailing || !m_isLoaded)
+    return Done();
+  m_refreshes.push_back(std::move(Done));
+  if (!m_isBatching)
+    return;
+  m_timer.cancel();
+  m_isBatching = false;
+  read(Milliseconds(0));
+}
+
+void KeyedLogReader::finishRefreshes() {
+  const std::vector<std::function<void()>> Due = std::move(m_refreshes);
+  m_refreshes.clear();
+  for (const std::function<void()> &Each : Due)
+    Each();
+}
+
 void KeyedLogReader::readNext() {
+  m_isBatching = false;
+  read(m_options.m_wait);
+  m_isWaitingAtLog = m_options.m_wait > Milliseconds::zero();
+}
+
+void KeyedLogReader::read(Milliseconds Wait) {
   m_readStartedAt = m_host.now();
-  m_log.read(m_options.m_topic, m_nextOffset, m_options.m_wait,
-             m_options.m_wait + m_options.m_timeoutMargin,
+  m_log.read(m_options.m_topic, m_nextOffset, Wait,
+             Wait + m_options.m_timeoutMargin,
              [this, IsAlive = m_isAlive](const ReadReply &Read) {
                if (*IsAlive)
                  onRead(Read);
@@ -71,6 +98,7 @@
 }
 
 void KeyedLogReader::onRead(const ReadReply &Read) {
+  const bool WasWaiting = std::exchange(m_isWaitingAtLog, false);
   if (Read.m_outcome == LogOutcome::HistoryDeleted) {
     logInfo("log.history_gone", {{"topic", logTopicName(m_options.m_topic)},
                                  {"offset", std::to_string(m_nextOffset)}});
@@ -78,7 +106,8 @@
   }
   if (Read.m_outcome != LogOutcome::Done) {
     reportFailure("read", Read.m_outcome);
-    return scheduleRetry([this] { readNext(); });
+    scheduleRetry([this] { readNext(); });
+    return finishRefreshes();
   }
   if (m_isFailing) {
     m_isFailing = false;
@@ -100,9 +129,9 @@
   m_isBehind = IsBehind;
   m_previousLatency = m_latency;
   m_latency = m_host.now() - m_readStartedAt;
-  if (m_latency >= m_options.m_wait)
+  if (WasWaiting && m_latency >= m_options.m_wait)
     m_latency -= m_options.m_wait;
-  else if (!m_previousReadHadRecords)
+  else if (WasWaiting && !m_previousReadHadRecords)
     m_latency = Duration::zero();
   m_previousReadHadRecords = !Read.m_records.empty();
   m_nextOffset = Read.m_nextOffset;
@@ -116,8 +145,14 @@
     m_callbacks.m_onRead();
   if (!*IsAlive)
     return;
-  if (Read.m_records.empty() || IsBehind)
+  if (IsBehind)
+    return readNext();
+  finishRefreshes();
+  if (!*IsAlive)
+    return;
+  if (Read.m_records.empty() && WasWaiting)
     return readNext();
+  m_isBatching = true;
   m_timer.start(m_batchingWindow, [this] { readNext(); });
 }
 
--- a/catkinseam/ledger/keyed_log_reader.h
+++ b/catkinseam/ledger/keyed_log_reader.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace catkinseam {
 
@@ -54,6 +55,12 @@
   /// Starts reading, from the newest record of each key.
   void start();
 
+  /// Calls `Done` when all records that were appended before this call have been
+  /// delivered, or the read for them has failed. Ends the batching window. Calls
+  /// `Done` immediately while a read waits at the log, which then delivers
+  /// records at once, and while reads fail.
+  void refresh(std::function<void()> Done);
+
   /// Whether the newest record of each key has been delivered since start().
   bool isLoaded() const { return m_isLoaded; }
 
@@ -75,6 +82,8 @@
   void onPage(const NewestReply &Page);
   TimePoint replyTime() const;
   void readNext();
+  void read(Milliseconds Wait);
+  void finishRefreshes();
   void onRead(const ReadReply &Read);
   void scheduleRetry(std::function<void()> Call);
   void reportFailure(const char *Call, LogOutcome Outcome);
@@ -85,6 +94,11 @@
   const Callbacks m_callbacks;
   Milliseconds m_batchingWindow;
   Timer m_timer;
+  /// The timer runs because of the batching window.
+  bool m_isBatching = false;
+  /// The read in flight waits at the log for a record.
+  bool m_isWaitingAtLog = false;
+  std::vector<std::function<void()>> m_refreshes;
   std::set<std::string> m_loadedKeys;
   bool m_isLoaded = false;
   bool m_isFirstPage = true;
--- a/catkinseam/ledger/ledger_test.cc
+++ b/catkinseam/ledger/ledger_test.cc
@@ -172,6 +172,49 @@
   }
 }
 
+// A node reads rarely, because reads are costly. When it is asked, it must know
+// what was appended before, and a read that finds nothing must not wait.
+BOOST_AUTO_TEST_CASE(RefreshDeliversWhatWasAppended) {
+  ManualRuntime Host;
+  std::mt19937_64 Random(1);
+  FakeLog Log(Host, Random);
+  FakeLog::View View(Log);
+  std::set<std::string> Seen;
+  KeyedLogReader Reader(Host, View,
+                        {.m_topic = LogTopic::Operator,
+                         .m_batchingWindow = Milliseconds(5000)},
+                        {[&](const StoredRecord &Record) {
+                           Seen.insert(Record.m_record.m_key);
+                         },
+                         nullptr, nullptr});
+  Reader.start();
+  Host.advance(Milliseconds(20));
+  Log.put(LogTopic::Operator, "first", "1");
+  Host.advance(Milliseconds(1000));
+  BOOST_TEST(Seen.contains("first"));
+  for (int Number = 0; Number < 10; ++Number) {
+    const std::string Key = "k" + std::to_string(Number);
+    Log.put(LogTopic::Operator, Key, "1");
+    bool IsDone = false;
+    Reader.refresh([&] {
+      IsDone = true;
+      BOOST_TEST(Seen.contains(Key));
+    });
+    Host.advance(Milliseconds(20));
+    BOOST_TEST(IsDone);
+  }
+  bool IsDone = false;
+  Reader.refresh([&] { IsDone = true; });
+  Host.advance(Milliseconds(20));
+  BOOST_TEST(IsDone);
+  // The log does not answer: the caller gets its turn when the read has failed.
+  View.m_isPartitioned = true;
+  IsDone = false;
+  Reader.refresh([&] { IsDone = true; });
+  Host.advance(Milliseconds(1500));
+  BOOST_TEST(IsDone);
+}
+
 // A reader falls behind on a busy topic. Its reads succeed, but it must not
 // count as current before it has read to the end.
 BOOST_AUTO_TEST_CASE(LaggingReaderIsNotCurrent) {
--- a/catkinseam/node/node.cc
+++ b/catkinseam/node/node.cc
@@ -82,6 +82,9 @@
       m_ingress(m_jobService, m_metrics, Loop,
                 {[this] { return m_config ? &*m_config : nullptr; },
                  [this] { return m_candidate.isCurrent(); },
+                 [this](std::function<void()> Done) {
+                   m_candidate.refresh(std::move(Done));
+                 },
                  [this] { return isReady(); }}),
       m_stopTimer(Loop) {}
 
--- a/catkinseam/ownership/candidate.cc
+++ b/catkinseam/ownership/candidate.cc
@@ -47,6 +47,8 @@
                            {"node", Newest.m_node}});
     m_ownership.onOwnerChanged();
     m_ownership.onOwnerProcessorShare(Newest.m_processorShare);
+    if (!m_owner)
+      setFollowerWindow();
   }
   if (Newest.m_isResigning)
     m_ownership.onOwnerLeaving();
@@ -153,9 +155,16 @@
   m_owner->start();
 }
 
+void Candidate::setFollowerWindow() {
+  const bool IsWeak = m_options.m_ownership.m_processorShare <
+                      m_jobs.owner().m_processorShare;
+  m_reader.setBatchingWindow(IsWeak ? m_options.m_weakFollowerBatchingWindow
+                                    : m_options.m_followerBatchingWindow);
+}
+
 void Candidate::onOwnershipLost() {
   m_owner.reset();
-  m_reader.setBatchingWindow(m_options.m_followerBatchingWindow);
+  setFollowerWindow();
   m_ownership.onOwnerChanged();
   m_ownership.onElectionFailed();
 }
--- a/catkinseam/ownership/candidate.h
+++ b/catkinseam/ownership/candidate.h
@@ -39,6 +39,8 @@
     /// Pause between reads, so that one call returns several records. Calls are
     /// costly, and customers who query a state hardly notice the delay.
     Milliseconds m_followerBatchingWindow{100};
+    /// The same on nodes that would leave the election to stronger ones.
+    Milliseconds m_weakFollowerBatchingWindow{500};
     /// The owner reads more often, to learn of new jobs sooner.
     Milliseconds m_ownerBatchingWindow{12};
     Ownership::Options m_ownership;
@@ -65,6 +67,12 @@
   /// `Options::m_maxReadAge`.
   bool isCurrent() const;
 
+  /// Calls `Done` when the ledger includes what was appended before this call, or
+  /// could not be brought up to date.
+  void refresh(std::function<void()> Done) {
+    m_reader.refresh(std::move(Done));
+  }
+
   /// Returns the current latency of the log; zero if its reads fail.
   Duration logLatency() const {
     return isCurrent() ? m_reader.replyLatency() : Duration::zero();
@@ -85,6 +93,8 @@
   void scheduleClaimRetry();
   void resolveElection();
   void becomeOwner(std::uint64_t Epoch);
+  /// Sets how often this node reads the jobs topic while it is not the owner.
+  void setFollowerWindow();
   void onOwnershipLost();
 
   Runtime &m_host;
--- a/catkinseam/platform/ingress.cc
+++ b/catkinseam/platform/ingress.cc
@@ -93,12 +93,21 @@
   if (Request.m_method == "POST")
     return submit(Context, Request);
   if (Request.m_method == "GET")
-    return answerState(Context);
+    return refreshThen(Context, &Ingress::answerState);
   if (Request.m_method == "DELETE")
-    return cancel(Context);
+    return refreshThen(Context, &Ingress::cancel);
   reject(Context, 405, "no_method", "method is not supported");
 }
 
+void Ingress::refreshThen(const CallContext &Context,
+                          void (Ingress::*Handler)(const CallContext &)) {
+  const std::optional<JobState> Known = m_jobService.stateOf(Context.m_jobId);
+  if (Known && isFinal(*Known))
+    return (this->*Handler)(Context);
+  m_callbacks.m_refresh(
+      [this, Context, Handler] { (this->*Handler)(Context); });
+}
+
 void Ingress::submit(const CallContext &Context, const HttpRequest &Request) {
   CallContext Updated = Context;
   Updated.m_kind = "submit";
--- a/catkinseam/platform/ingress.h
+++ b/catkinseam/platform/ingress.h
@@ -22,6 +22,9 @@
     std::function<const OperatorConfig *()> m_config;
     /// Returns whether this node's view of the jobs is up to date.
     std::function<bool()> m_isCurrent;
+    /// Calls back when the node's view of the jobs includes all earlier changes,
+    /// or could not be brought up to date.
+    std::function<void(std::function<void()>)> m_refresh;
     /// Returns whether the node is ready to serve calls.
     std::function<bool()> m_isReady;
   };
@@ -38,6 +41,9 @@
 private:
   struct CallContext;
 
+  /// Runs `Handler` once this node knows the job's current state.
+  void refreshThen(const CallContext &Context,
+                   void (Ingress::*Handler)(const CallContext &));
   void submit(const CallContext &Context, const HttpRequest &Request);
   void cancel(const CallContext &Context);
   void answerState(const CallContext &Context);
--- a/catkinseam/request/request_dispatcher.cc
+++ b/catkinseam/request/request_dispatcher.cc
@@ -265,11 +265,27 @@
          static_cast<std::int64_t>(Slots);
 }
 
+Duration RequestDispatcher::maxWait(const KindPolicy &Kind) const {
+  return fromSeconds(toSeconds(serviceTime(Kind, PlanningQuantile)) *
+                     m_options.m_maxWaitFactor);
+}
+
 Decision RequestDispatcher::refuse(const RequestSpec &Spec,
                                    RefusalReason Reason) const {
   Decision Result;
   Result.m_id = Spec.m_id;
   Result.m_reason = Reason;
+  RefusalInputs &Inputs = Result.m_inputs;
+  Inputs.m_waitingRequests = waitingRequests();
+  Inputs.m_usableSlots = usableSlots();
+  Inputs.m_estimatedWait = estimateWait(Spec.m_kind);
+  Inputs.m_maxWait = maxWait(Spec.m_kind);
+  Inputs.m_slack = Spec.m_deadline -
+                   serviceTime(Spec.m_kind, PlanningQuantile) - m_clock.now();
+  for (const auto &[Name, Row] : m_upstreams) {
+    Inputs.m_ejectedWorkers += Row.m_ejectedUntil > m_clock.now();
+    Inputs.m_leavingWorkers += Row.m_isLeaving;
+  }
   Result.m_retryAfter = std::max(MinRetryAfter, 2 * estimateWait(Spec.m_kind));
   return Result;
 }
@@ -297,8 +313,7 @@
   if (LatestStart < m_clock.now())
     return {refuse(Spec, RefusalReason::TooLate)};
   const Duration Wait = estimateWait(Spec.m_kind);
-  const Duration MaxWait =
-      fromSeconds(toSeconds(Service) * m_options.m_maxWaitFactor);
+  const Duration MaxWait = maxWait(Spec.m_kind);
   // One request may always wait: with few slots, the estimated wait of the
   // first one alone can exceed the maximum.
   const bool IsQueueFull = !Pending.empty() && Wait > MaxWait;
--- a/catkinseam/request/request_dispatcher.h
+++ b/catkinseam/request/request_dispatcher.h
@@ -48,6 +48,19 @@
   RetryBudget, ///< A retry that the retry budget does not allow.
 };
 
+/// What a refusal was based on.
+struct RefusalInputs {
+  std::uint32_t m_waitingRequests = 0;
+  std::uint32_t m_usableSlots = 0;
+  std::uint32_t m_ejectedWorkers = 0;
+  std::uint32_t m_leavingWorkers = 0;
+  /// Estimated wait for a slot, and the most that is accepted.
+  Duration m_estimatedWait{0};
+  Duration m_maxWait{0};
+  /// Time left until the latest start that meets the deadline.
+  Duration m_slack{0};
+};
+
 /// Whether a request is dispatched, and where to, or refused, and why.
 struct Decision {
   RequestId m_id = 0;
@@ -56,6 +69,7 @@
   std::string m_worker;
   /// Valid if refused.
   RefusalReason m_reason = RefusalReason::NoWorker;
+  RefusalInputs m_inputs;
   /// Delay after which the caller may retry, if refused.
   Duration m_retryAfter{0};
 };
@@ -204,6 +218,8 @@
   Decision dispatch(const RequestSpec &Spec, const std::string &Worker);
   Decision refuse(const RequestSpec &Spec, RefusalReason Reason) const;
   Duration estimateWait(const KindPolicy &Kind) const;
+  /// Returns the most that a request of this kind may wait for a slot.
+  Duration maxWait(const KindPolicy &Kind) const;
   bool hasServingWorker() const;
   bool hasFastWorker() const;
   void dispatchQueue(Queue &Pending, std::vector<Decision> &Decisions);
--- a/catkinseam/server/request_service.cc
+++ b/catkinseam/server/request_service.cc
@@ -124,9 +124,40 @@
   const Duration Elapsed = m_deps.m_clock.now() - Context.m_arrived;
   m_deps.m_metrics.countRequest(Context.m_kind.m_name, Outcome, Elapsed);
   recordSpan(Context, "entry", Start, Elapsed, Outcome);
+  if (Done.m_kind != Completion::Kind::Answered)
+    logRefusal(Context, Done, Outcome, Elapsed);
   return respond(Context, std::move(Done));
 }
 
+void RequestService::logRefusal(const RequestContext &Context,
+                                const Completion &Done,
+                                const std::string &Outcome,
+                                Duration Elapsed) const {
+  const auto Milli = [](Duration Span) {
+    return std::to_string(toMilliseconds(Span).count());
+  };
+  const RefusalInputs Inputs = Done.m_inputs.value_or(RefusalInputs());
+  logWarn("request.refused",
+          {{"trace", Context.m_trace.m_traceId},
+           {"key", Context.m_key},
+           {"kind", Context.m_kind.m_name},
+           {"outcome", Outcome},
+           {"reason", Done.m_reason},
+           {"calls", std::to_string(Done.m_calls)},
+           {"worker", Context.m_worker},
+           {"took_ms", Milli(Elapsed)},
+           {"by_dispatcher", Done.m_inputs ? "1" : "0"},
+           {"waiting", std::to_string(Inputs.m_waitingRequests)},
+           {"usable_slots", std::to_string(Inputs.m_usableSlots)},
+           {"ejected", std::to_string(Inputs.m_ejectedWorkers)},
+           {"leaving", std::to_string(Inputs.m_leavingWorkers)},
+           {"wait_ms", Milli(Inputs.m_estimatedWait)},
+           {"max_wait_ms", Milli(Inputs.m_maxWait)},
+           {"slack_ms", Milli(Inputs.m_slack)},
+           {"config", std::to_string(Context.m_view->m_configVersion)},
+           {"services", std::to_string(Context.m_view->m_services.size())}});
+}
+
 Result<RequestService::RequestContext>
 RequestService::read(const HttpRequest &Request) {
   RequestContext Context;
@@ -219,6 +250,7 @@
     m_deps.m_metrics.observeQueueWait(Context.m_kind.m_name,
                                       m_deps.m_clock.now() - WaitStart);
     if (!Target.m_isDispatched) {
+      Done.m_inputs = Target.m_inputs;
       if (Done.m_kind != Completion::Kind::NotRun)
         return Done; // An earlier attempt was sent, so not NotRun.
       Done.m_kind = Completion::Kind::NotRun;
@@ -234,9 +266,12 @@
                                 return Dispatcher.allowsRetries();
                               });
     const CallResult Reply = callWorker(Context, Target, MayRetry);
+    ++Done.m_calls;
     if (std::optional<Completion> Final =
-            evaluateCall(Context, Reply, Target.m_id))
+            evaluateCall(Context, Reply, Target.m_id)) {
+      Final->m_calls = Done.m_calls;
       return *Final;
+    }
     ExcludedWorker = Target.m_worker;
     if (Reply.m_response) {
       Done.m_kind = Completion::Kind::Answered;
@@ -420,6 +455,8 @@
   }
   if (!Context.m_worker.empty())
     Response.m_headers.emplace_back("Catkinseam-Worker", Context.m_worker);
+  Response.m_headers.emplace_back("Catkinseam-Trace",
+                                  Context.m_trace.m_traceId);
   Response.m_headers.emplace_back("Catkinseam-Served-By",
                                   m_options.m_entryName);
   Response.m_headers.emplace_back(
--- a/catkinseam/server/request_service.h
+++ b/catkinseam/server/request_service.h
@@ -94,6 +94,10 @@
     HttpResponse m_response;
     std::string m_reason;
     Duration m_retryAfter = std::chrono::seconds(1);
+    /// Set if the request dispatcher refused the request.
+    std::optional<RefusalInputs> m_inputs;
+    /// Calls to workers.
+    int m_calls = 0;
   };
 
   struct Waiter {
@@ -112,6 +116,9 @@
   std::optional<Completion> evaluateCall(const RequestContext &Context,
                                          const CallResult &Reply, RequestId Id);
   HttpResponse respond(const RequestContext &Context, Completion Done);
+  /// Logs why a request was not answered by a worker.
+  void logRefusal(const RequestContext &Context, const Completion &Done,
+                  const std::string &Outcome, Duration Elapsed) const;
   void recordSpan(const RequestContext &Context, const char *Name,
                   WallTime Start, Duration Length, const std::string &Outcome);
   Duration attemptTimeout(const KindPolicy &Kind) const;
