Let quick requests wait 20 ms in any case

Requests that arrive together after a pause were taken for overload. The refusal in the log-outage phase itself was not seen again; of the other reasons none fits it (no worker would refuse all, too late needs a passed deadline, the retry budget needs a call first).

Change: a wait of up to 20 ms is accepted for any kind. Kinds with a service time of 27 ms or more are not affected.

--- a/catkinseam/request/request_dispatcher.h
+++ b/catkinseam/request/request_dispatcher.h
@@ -110,6 +110,9 @@
     std::size_t m_maxWaitingRequests = 2000;
     /// Maximum estimated wait for a slot, relative to the kind's service time.
     double m_maxWaitFactor = 0.75;
+    /// A wait of up to this is accepted for any kind: requests that arrive
+    /// together after a pause of the process or its machine are no overload.
+    Duration m_minMaxWait = std::chrono::milliseconds(20);
     /// Maximum share of the slots for long kinds, 0 to 1.
     double m_maxLongShare = 0.5;
     /// Share of the slots that long kinds may use under any load, 0 to 1.
--- a/catkinseam/request/request_dispatcher_test.cc
+++ b/catkinseam/request/request_dispatcher_test.cc
@@ -71,6 +71,36 @@
   BOOST_TEST(Next.front().m_id == 3U);
 }
 
+// A process that was held up for some milliseconds finds the requests of that
+// time at once. They could wait for 10 s; refusing them for a wait of 9 ms, as
+// process_request_faults saw once, serves nobody.
+BOOST_AUTO_TEST_CASE(QueuesABurstOfQuickRequests) {
+  CoreFixture Fixture("static");
+  Fixture.m_dispatcher.setWorkers({{"w1", 8}, {"w2", 8}});
+  const KindPolicy Quick{"quick", true, false, 10ms, 10s};
+  int Refused = 0;
+  for (int Index = 0; Index < 36; ++Index) {
+    const std::optional<Decision> Outcome = Fixture.submit(Quick, 10s);
+    Refused += Outcome && !Outcome->m_isDispatched;
+  }
+  BOOST_TEST(Refused == 0);
+}
+
+// A refusal carries what it was based on, for the log.
+BOOST_AUTO_TEST_CASE(RefusalNamesItsInputs) {
+  CoreFixture Fixture("static");
+  Fixture.m_dispatcher.setWorkers({{"w1", 2}});
+  for (int Index = 0; Index < 3; ++Index)
+    Fixture.submit(shortKind());
+  const std::optional<Decision> Outcome = Fixture.submit(shortKind());
+  BOOST_REQUIRE(Outcome.has_value());
+  BOOST_TEST(Outcome->m_inputs.m_waitingRequests == 1U);
+  BOOST_TEST(Outcome->m_inputs.m_usableSlots == 2U);
+  BOOST_TEST((Outcome->m_inputs.m_estimatedWait == 50ms));
+  BOOST_TEST((Outcome->m_inputs.m_maxWait == 37500us));
+  BOOST_TEST((Outcome->m_inputs.m_slack == 950ms));
+}
+
 BOOST_AUTO_TEST_CASE(RefusesAtTheLatestStartNotAtTheDeadline) {
   CoreFixture Fixture("static");
   Fixture.m_dispatcher.setWorkers({{"w1", 1}});
