--- a/catkinseam/front/job_service.cc
+++ b/catkinseam/front/job_service.cc
@@ -215,11 +215,10 @@
   constexpr std::size_t SubmissionOverhead = 1024;
   const std::size_t Limit = m_options.m_appendLimits.m_maxRecordBytes;
   const auto TooLarge = [Limit](const char *Content, std::size_t Bytes) {
-    return makeError(ErrorCode::Invalid, std::string("field \"steps\" needs ") +
-                                             std::to_string(Bytes) +
-                                             " bytes for " + Content +
-                                             "; the limit is " +
-                                             std::to_string(Limit));
+    return makeError(ErrorCode::Invalid,
+                     std::string("field \"steps\" needs ") +
+                         std::to_string(Bytes) + " bytes for " + Content +
+                         "; the limit is " + std::to_string(Limit));
   };
   if (const std::size_t Bytes = estimateProgressBytes(Spec); Bytes > Limit)
     return TooLarge("the progress of its tasks", Bytes);
--- a/catkinseam/front/job_service.h
+++ b/catkinseam/front/job_service.h
@@ -71,8 +71,8 @@
   /// field that is too large, its size and the limit.
   Result<void> checkSize(const JobSpec &Spec) const;
 
-  /// Stores a job that passes checkSize(). Repeating a submission under the same id has no effect.
-  /// `Budget` is how long the caller waits.
+  /// Stores a job that passes checkSize(). Repeating a submission under the
+  /// same id has no effect. `Budget` is how long the caller waits.
   void submit(const QueuePolicy &Policy, const std::string &Id,
               const JobSpec &Spec, Milliseconds Budget,
               std::function<void(SubmitOutcome)> Done);
--- a/catkinseam/front/relayed_log.cc
+++ b/catkinseam/front/relayed_log.cc
@@ -53,12 +53,13 @@
       });
 }
 
-void RelayedLog::appendDirectly(
-    LogTopic Topic, const std::vector<KeyedRecord> &Records,
-    const std::optional<AppendId> &Id, Milliseconds Timeout,
-    std::function<void(const AppendReply &)> Done) {
-  const Milliseconds LeastTimeout = toMilliseconds(
-      m_options.m_latencyMultiplier * m_callbacks.m_latency());
+void RelayedLog::appendDirectly(LogTopic Topic,
+                                const std::vector<KeyedRecord> &Records,
+                                const std::optional<AppendId> &Id,
+                                Milliseconds Timeout,
+                                std::function<void(const AppendReply &)> Done) {
+  const Milliseconds LeastTimeout =
+      toMilliseconds(m_options.m_latencyMultiplier * m_callbacks.m_latency());
   m_direct.append(Topic, Records, Id, std::max(Timeout, LeastTimeout),
                   std::move(Done));
 }
--- a/catkinseam/front/relayed_log.h
+++ b/catkinseam/front/relayed_log.h
@@ -5,9 +5,9 @@
 //
 // The log processes the appends of a topic one at a time. While each of them is
 // slow, hundreds of nodes that append by themselves wait for each other longer
-// than their callers do. The owner's node appends what arrives during one append
-// in the next, so the number of appends no longer depends on the number of
-// nodes.
+// than their callers do. The owner's node appends what arrives during one
+// append in the next, so the number of appends no longer depends on the number
+// of nodes.
 #ifndef CATKINSEAM_FRONT_RELAYED_LOG_H
 #define CATKINSEAM_FRONT_RELAYED_LOG_H
 
@@ -74,9 +74,10 @@
              Callbacks Handlers, const Options &Values);
   ~RelayedLog() override;
 
-  /// Relays appends to the jobs topic that have no append id. One that could not
-  /// be sent to the owner's node is appended directly. An append of no records,
-  /// which only probes the log, is not sent while the log answers reads slowly.
+  /// Relays appends to the jobs topic that have no append id. One that could
+  /// not be sent to the owner's node is appended directly. An append of no
+  /// records, which only probes the log, is not sent while the log answers
+  /// reads slowly.
   void append(LogTopic Topic, const std::vector<KeyedRecord> &Records,
               const std::optional<AppendId> &Id, Milliseconds Timeout,
               std::function<void(const AppendReply &)> Done) override;
--- a/catkinseam/front/relayed_log_test.cc
+++ b/catkinseam/front/relayed_log_test.cc
@@ -32,10 +32,9 @@
       return;
     }
     m_host.schedule(NetworkDelay, [this, Records, Timeout, Done] {
-      m_owner->appendForPeer(Records, Timeout,
-                             [Done](LogOutcome Outcome) {
-                               Done({Delivery::Answered, Outcome});
-                             });
+      m_owner->appendForPeer(Records, Timeout, [Done](LogOutcome Outcome) {
+        Done({Delivery::Answered, Outcome});
+      });
     });
   }
 
--- a/catkinseam/ledger/keyed_log.cc
+++ b/catkinseam/ledger/keyed_log.cc
@@ -23,7 +23,8 @@
 
 std::size_t appendBytes(const KeyedRecord &Record) {
   // One byte holds the length of the key.
-  return 1 + Record.m_key.size() + (Record.m_value ? Record.m_value->size() : 0);
+  return 1 + Record.m_key.size() +
+         (Record.m_value ? Record.m_value->size() : 0);
 }
 
 const char *logOutcomeName(LogOutcome Outcome) {
--- a/catkinseam/ledger/keyed_log_reader.h
+++ b/catkinseam/ledger/keyed_log_reader.h
@@ -55,10 +55,10 @@
   /// Starts reading, from the newest record of each key.
   void start();
 
-  /// Calls `Done` when all records that were appended before this call have been
-  /// delivered, or the read for them has failed. Ends the batching window. Calls
-  /// `Done` immediately while a read waits at the log, which then delivers
-  /// records at once, and while reads fail.
+  /// Calls `Done` when all records that were appended before this call have
+  /// been delivered, or the read for them has failed. Ends the batching window.
+  /// Calls `Done` immediately while a read waits at the log, which then
+  /// delivers records at once, and while reads fail.
   void refresh(std::function<void()> Done);
 
   /// Whether the newest record of each key has been delivered since start().
--- a/catkinseam/ledger/ledger_test.cc
+++ b/catkinseam/ledger/ledger_test.cc
@@ -64,11 +64,15 @@
 
 BOOST_AUTO_TEST_CASE(FirstOwnerOfAnEpochWins) {
   Ledger Jobs;
-  Jobs.apply(0, OwnerKey, encode(OwnerRecord{3, "n1", "boot-a", false, 1.0, ""}));
-  Jobs.apply(1, OwnerKey, encode(OwnerRecord{3, "n2", "boot-b", false, 1.0, ""}));
-  Jobs.apply(2, OwnerKey, encode(OwnerRecord{2, "n3", "boot-c", false, 1.0, ""}));
+  Jobs.apply(0, OwnerKey,
+             encode(OwnerRecord{3, "n1", "boot-a", false, 1.0, ""}));
+  Jobs.apply(1, OwnerKey,
+             encode(OwnerRecord{3, "n2", "boot-b", false, 1.0, ""}));
+  Jobs.apply(2, OwnerKey,
+             encode(OwnerRecord{2, "n3", "boot-c", false, 1.0, ""}));
   BOOST_TEST(Jobs.owner().m_node == "n1");
-  Jobs.apply(3, OwnerKey, encode(OwnerRecord{3, "n1", "boot-a", true, 1.0, ""}));
+  Jobs.apply(3, OwnerKey,
+             encode(OwnerRecord{3, "n1", "boot-a", true, 1.0, ""}));
   BOOST_TEST(Jobs.owner().m_isResigning);
 }
 
@@ -152,11 +156,10 @@
   FakeLog Log(Host, Random);
   FakeLog::View View(Log);
   std::set<std::string> Seen;
-  KeyedLogReader Reader(Host, View, {.m_topic = LogTopic::Operator},
-                        {[&](const StoredRecord &Record) {
-                           Seen.insert(Record.m_record.m_key);
-                         },
-                         nullptr, nullptr});
+  KeyedLogReader Reader(
+      Host, View, {.m_topic = LogTopic::Operator},
+      {[&](const StoredRecord &Record) { Seen.insert(Record.m_record.m_key); },
+       nullptr, nullptr});
   Reader.start();
   Host.advance(Milliseconds(100));
   View.m_isPartitioned = true;
@@ -180,13 +183,11 @@
   FakeLog Log(Host, Random);
   FakeLog::View View(Log);
   std::set<std::string> Seen;
-  KeyedLogReader Reader(Host, View,
-                        {.m_topic = LogTopic::Operator,
-                         .m_batchingWindow = Milliseconds(5000)},
-                        {[&](const StoredRecord &Record) {
-                           Seen.insert(Record.m_record.m_key);
-                         },
-                         nullptr, nullptr});
+  KeyedLogReader Reader(
+      Host, View,
+      {.m_topic = LogTopic::Operator, .m_batchingWindow = Milliseconds(5000)},
+      {[&](const StoredRecord &Record) { Seen.insert(Record.m_record.m_key); },
+       nullptr, nullptr});
   Reader.start();
   Host.advance(Milliseconds(20));
   Log.put(LogTopic::Operator, "first", "1");
--- a/catkinseam/node/node.cc
+++ b/catkinseam/node/node.cc
@@ -59,8 +59,7 @@
 
 Node::Node(EventLoop &Loop, const NodeSettings &Values)
     : m_loop(Loop), m_settings(Values),
-      m_store(Loop, Values.m_storeEndpoint, {}),
-      m_recordRelay(Loop),
+      m_store(Loop, Values.m_storeEndpoint, {}), m_recordRelay(Loop),
       m_relayedStore(Loop, m_store, m_recordRelay,
                      {[this] { return ownerPeer(); },
                       [this] { return m_candidate.logLatency(); }},
@@ -134,14 +133,13 @@
   HttpListener::Options Limits;
   Limits.m_bodyBytes =
       static_cast<std::uint64_t>(m_settings.m_storeAppendBytes) * 2;
-  BOOST_LEAF_ASSIGN(m_peerListener,
-                    HttpListener::open(m_loop, m_settings.m_peerEndpoint,
-                                       Limits,
-                                       [this](const HttpRequest &Request,
-                                              const HttpResponder &Respond) {
-                                         handleRelayedRecords(Request, Respond,
-                                                              m_jobService);
-                                       }));
+  BOOST_LEAF_ASSIGN(
+      m_peerListener,
+      HttpListener::open(
+          m_loop, m_settings.m_peerEndpoint, Limits,
+          [this](const HttpRequest &Request, const HttpResponder &Respond) {
+            handleRelayedRecords(Request, Respond, m_jobService);
+          }));
   return {};
 }
 
--- a/catkinseam/node/node.h
+++ b/catkinseam/node/node.h
@@ -9,8 +9,8 @@
 
 #include "catkinseam/aio/http_listener.h"
 #include "catkinseam/front/job_service.h"
-#include "catkinseam/front/routing.h"
 #include "catkinseam/front/relayed_log.h"
+#include "catkinseam/front/routing.h"
 #include "catkinseam/ledger/keyed_log_reader.h"
 #include "catkinseam/node/record_relay.h"
 #include "catkinseam/ownership/candidate.h"
--- a/catkinseam/node/record_relay.cc
+++ b/catkinseam/node/record_relay.cc
@@ -57,8 +57,8 @@
                              Milliseconds Timeout,
                              std::function<void(const Reply &)> Done) {
   if (!m_client || m_client->server() != Peer)
-    m_client = std::make_unique<AsyncHttpClient>(
-        m_loop, Peer, AsyncHttpClient::Options{});
+    m_client = std::make_unique<AsyncHttpClient>(m_loop, Peer,
+                                                 AsyncHttpClient::Options{});
   RelayedRecords Body;
   for (const KeyedRecord &Each : Records)
     Body.emplace_back(Each.m_key, Each.m_value.value_or(""));
@@ -84,7 +84,8 @@
   std::vector<KeyedRecord> Records;
   for (auto &[Key, Value] : Body.value()) {
     if (!isRelayable(Key))
-      return Respond({StatusMalformed, {}, "key \"" + Key + "\" is not relayed"});
+      return Respond(
+          {StatusMalformed, {}, "key \"" + Key + "\" is not relayed"});
     Records.push_back({std::move(Key), std::move(Value)});
   }
   Service.appendForPeer(
--- a/catkinseam/node/record_relay_test.cc
+++ b/catkinseam/node/record_relay_test.cc
@@ -1,4 +1,5 @@
-// The handler of relayed records with well-formed, foreign and malformed bodies.
+// The handler of relayed records with well-formed, foreign and malformed
+// bodies.
 #define BOOST_TEST_MODULE record_relay
 #include "catkinseam/node/record_relay.h"
 
@@ -36,8 +37,8 @@
   }
 
   static std::string bodyOf(const std::string &Key, const std::string &Value) {
-    return encode(std::vector<std::pair<std::string, std::string>>{
-        {Key, Value}});
+    return encode(
+        std::vector<std::pair<std::string, std::string>>{{Key, Value}});
   }
 };
 
--- a/catkinseam/ownership/candidate.cc
+++ b/catkinseam/ownership/candidate.cc
@@ -84,8 +84,11 @@
 
 void Candidate::claimEpoch() {
   logInfo("owner.campaign", {{"epoch", std::to_string(m_claimedEpoch)}});
-  const OwnerRecord Claim{m_claimedEpoch, m_options.m_node, m_options.m_bootId,
-                          false, m_options.m_ownership.m_processorShare,
+  const OwnerRecord Claim{m_claimedEpoch,
+                          m_options.m_node,
+                          m_options.m_bootId,
+                          false,
+                          m_options.m_ownership.m_processorShare,
                           m_options.m_peer};
   m_log.append(LogTopic::Jobs, {{OwnerKey, encode(Claim)}},
                AppendId{OwnerProducer, m_claimedEpoch, 0},
@@ -156,8 +159,8 @@
 }
 
 void Candidate::setFollowerWindow() {
-  const bool IsWeak = m_options.m_ownership.m_processorShare <
-                      m_jobs.owner().m_processorShare;
+  const bool IsWeak =
+      m_options.m_ownership.m_processorShare < m_jobs.owner().m_processorShare;
   m_reader.setBatchingWindow(IsWeak ? m_options.m_weakFollowerBatchingWindow
                                     : m_options.m_followerBatchingWindow);
 }
--- a/catkinseam/ownership/candidate.h
+++ b/catkinseam/ownership/candidate.h
@@ -67,8 +67,8 @@
   /// `Options::m_maxReadAge`.
   bool isCurrent() const;
 
-  /// Calls `Done` when the ledger includes what was appended before this call, or
-  /// could not be brought up to date.
+  /// Calls `Done` when the ledger includes what was appended before this call,
+  /// or could not be brought up to date.
   void refresh(std::function<void()> Done) {
     m_reader.refresh(std::move(Done));
   }
--- a/catkinseam/ownership/owner.cc
+++ b/catkinseam/ownership/owner.cc
@@ -27,28 +27,26 @@
       m_cycleTimer(Host), m_heartbeatTimer(Host), m_progressTimer(Host),
       m_announcementTimer(Host), m_wakeTimer(Host), m_summaryTimer(Host),
       m_learnedModelTimer(Host),
-      m_progressAppender(
-          Host, Log,
-          {.m_topic = LogTopic::Progress,
-           .m_epoch = Values.m_epoch,
-           .m_limits = Values.m_appendLimits},
-          {[this] { onStored(); },
-           [this](const char *Reason) { stepDown(Reason); },
-           [this](const RecordGroup &Rejected) {
-             return onProgressInvalid(Rejected);
-           },
-           [this] { m_scheduler.setStoreReachable(false); }}),
-      m_announcer(
-          Host, Log,
-          {.m_topic = LogTopic::Jobs,
-           .m_epoch = Values.m_epoch,
-           .m_limits = Values.m_appendLimits},
-          {[this] { onAnnounced(); },
-           [this](const char *Reason) { stepDown(Reason); },
-           [](const RecordGroup &) -> std::optional<RecordGroup> {
-             return std::nullopt;
-           },
-           [] {}}),
+      m_progressAppender(Host, Log,
+                         {.m_topic = LogTopic::Progress,
+                          .m_epoch = Values.m_epoch,
+                          .m_limits = Values.m_appendLimits},
+                         {[this] { onStored(); },
+                          [this](const char *Reason) { stepDown(Reason); },
+                          [this](const RecordGroup &Rejected) {
+                            return onProgressInvalid(Rejected);
+                          },
+                          [this] { m_scheduler.setStoreReachable(false); }}),
+      m_announcer(Host, Log,
+                  {.m_topic = LogTopic::Jobs,
+                   .m_epoch = Values.m_epoch,
+                   .m_limits = Values.m_appendLimits},
+                  {[this] { onAnnounced(); },
+                   [this](const char *Reason) { stepDown(Reason); },
+                   [](const RecordGroup &) -> std::optional<RecordGroup> {
+                     return std::nullopt;
+                   },
+                   [] {}}),
       m_lastDurableAppend(Host.now()) {}
 
 Owner::~Owner() {
@@ -273,8 +271,8 @@
 }
 
 OwnerRecord Owner::ownRecord(bool IsLeaving) const {
-  return {m_options.m_epoch, m_options.m_node, m_options.m_bootId, IsLeaving,
-          m_options.m_processorShare, m_options.m_peer};
+  return {m_options.m_epoch, m_options.m_node,           m_options.m_bootId,
+          IsLeaving,         m_options.m_processorShare, m_options.m_peer};
 }
 
 void Owner::logSummary() {
@@ -321,8 +319,8 @@
   // No other owner can append any more, so the pages are consistent.
   for (const StoredRecord &Each : Page.m_records) {
     std::string Id;
-    if (Each.m_record.m_value && parseRecordKey(Each.m_record.m_key, Id) ==
-                                     RecordKind::Progress)
+    if (Each.m_record.m_value &&
+        parseRecordKey(Each.m_record.m_key, Id) == RecordKind::Progress)
       m_storedProgress[Id] = *Each.m_record.m_value;
   }
   if (Page.m_hasMore && !Page.m_records.empty())
@@ -354,8 +352,8 @@
   m_scheduler.failJob(Rejected.m_job);
   JobProgress Failed;
   Failed.m_state = JobState::Failed;
-  return RecordGroup{
-      "", {{progressKey(Rejected.m_job), encodeProgress(Failed)}}};
+  return RecordGroup{"",
+                     {{progressKey(Rejected.m_job), encodeProgress(Failed)}}};
 }
 
 void Owner::onStored() {
@@ -377,8 +375,8 @@
                        m_pendingDecisions.m_expiredJobs.end());
   if (m_isLeaving)
     return announce();
-  const bool IsStale = m_host.now() - m_progressAppender.startedAt() >
-                       m_options.m_maxStartAge;
+  const bool IsStale =
+      m_host.now() - m_progressAppender.startedAt() > m_options.m_maxStartAge;
   sendStarts(
       m_scheduler.release(m_pendingDecisions, IsStale || !m_isCurrent()));
   for (auto &[Id, Connection] : m_connections)
@@ -440,8 +438,7 @@
   m_expiredJobs.clear();
   m_announcesLeaving = m_isLeaving && !m_progressAppender.isBusy();
   if (Groups.empty() || m_announcesLeaving)
-    Groups.push_back(
-        {"", {{OwnerKey, encode(ownRecord(m_announcesLeaving))}}});
+    Groups.push_back({"", {{OwnerKey, encode(ownRecord(m_announcesLeaving))}}});
   m_lastAnnouncement = m_host.now();
   m_announcer.append(std::move(Groups));
 }
--- a/catkinseam/ownership/ownership.cc
+++ b/catkinseam/ownership/ownership.cc
@@ -22,8 +22,8 @@
       m_lastRead != TimePoint() &&
       When - m_lastRead > m_options.m_maxReadAge + 2 * Latency;
   if (WasInterrupted)
-    m_lastOwnerActivity =
-        std::max<TimePoint>(m_lastOwnerActivity, When + m_options.m_outageGrace);
+    m_lastOwnerActivity = std::max<TimePoint>(m_lastOwnerActivity,
+                                              When + m_options.m_outageGrace);
   m_lastRead = When;
   m_logLatency = Latency;
 }
@@ -33,8 +33,8 @@
   const double Remembered =
       std::exp(-std::chrono::duration<double>(Interval) /
                std::chrono::duration<double>(m_options.m_intervalMemory));
-  m_longestInterval = std::max(
-      Interval, std::chrono::duration_cast<Duration>(m_longestInterval * Remembered));
+  m_longestInterval = std::max(Interval, std::chrono::duration_cast<Duration>(
+                                             m_longestInterval * Remembered));
   m_lastOwnerActivity = m_clock.now();
 }
 
--- a/catkinseam/ownership/ownership_test.cc
+++ b/catkinseam/ownership/ownership_test.cc
@@ -76,8 +76,8 @@
   }
 }
 
-// The log does not answer for some seconds, to any node. The owner must get time
-// to append once it answers again.
+// The log does not answer for some seconds, to any node. The owner must get
+// time to append once it answers again.
 BOOST_AUTO_TEST_CASE(OutageOfTheLogIsNoSilenceOfTheOwner) {
   ManualClock Time;
   TestNode Each(Time, "edge-1", 0.1);
--- a/catkinseam/request/request_dispatcher.cc
+++ b/catkinseam/request/request_dispatcher.cc
@@ -266,10 +266,9 @@
 }
 
 Duration RequestDispatcher::maxWait(const KindPolicy &Kind) const {
-  return std::max(
-      m_options.m_minMaxWait,
-      fromSeconds(toSeconds(serviceTime(Kind, PlanningQuantile)) *
-                  m_options.m_maxWaitFactor));
+  return std::max(m_options.m_minMaxWait,
+                  fromSeconds(toSeconds(serviceTime(Kind, PlanningQuantile)) *
+                              m_options.m_maxWaitFactor));
 }
 
 Decision RequestDispatcher::refuse(const RequestSpec &Spec,
--- a/catkinseam/scheduler/interference_model.h
+++ b/catkinseam/scheduler/interference_model.h
@@ -140,9 +140,9 @@
     }
   };
 
-  /// Returns the learned state of the images in use. Leaves out a filler's terms
-  /// in the fit of a service when their weight, in squared processor shares, is
-  /// below `MinWeight`.
+  /// Returns the learned state of the images in use. Leaves out a filler's
+  /// terms in the fit of a service when their weight, in squared processor
+  /// shares, is below `MinWeight`.
   State state(double MinWeight = 0.0) const;
 
   struct EncodedState {
--- a/catkinseam/scheduler/interference_test.cc
+++ b/catkinseam/scheduler/interference_test.cc
@@ -144,8 +144,8 @@
   BOOST_TEST(!Cut.m_bytes.empty());
   BOOST_TEST(Cut.m_bytes.size() <= MaxBytes);
   BOOST_TEST(Cut.m_minWeight > 0.0);
-  auto Decoded = attempt(
-      [&] { return decode<InterferenceModel::State>(Cut.m_bytes); });
+  auto Decoded =
+      attempt([&] { return decode<InterferenceModel::State>(Cut.m_bytes); });
   BOOST_REQUIRE(Decoded);
   BOOST_TEST(Decoded.value().m_services.size() == Images);
 }
--- a/catkinseam/scheduler/scheduler_test.cc
+++ b/catkinseam/scheduler/scheduler_test.cc
@@ -125,8 +125,8 @@
   BOOST_TEST(Task.m_runs[0].m_run == 1U);
 }
 
-// The reply to a start is lost, as by a connection that is reset, and the worker
-// runs the task. The run must go on.
+// The reply to a start is lost, as by a connection that is reset, and the
+// worker runs the task. The run must go on.
 BOOST_FIXTURE_TEST_CASE(RunWithLostStartReplyGoesOn, Fixture) {
   addWorker("w1");
   addWorker("w2");
@@ -137,8 +137,8 @@
   m_scheduler.onStart(Starts[0], {OrderOutcome::Unknown, std::nullopt});
   BOOST_TEST(m_scheduler.control().m_stops.empty());
   // The worker is asked at once.
-  BOOST_TEST((m_scheduler.nextPoll(Starts[0].m_worker)->m_maxWait ==
-              Milliseconds(0)));
+  BOOST_TEST(
+      (m_scheduler.nextPoll(Starts[0].m_worker)->m_maxWait == Milliseconds(0)));
   answerPoll(Starts[0].m_worker, {{Starts[0].m_task, 1, "", 10, 0}}, {});
   BOOST_TEST(m_scheduler.control().m_stops.empty());
   BOOST_TEST(scheduleOnce() == 0U);
--- a/catkinseam/scheduler/work_order_test.cc
+++ b/catkinseam/scheduler/work_order_test.cc
@@ -57,8 +57,8 @@
   m_scheduler.addJob(jobAcceptedAt("00000000000000a1", Start, 2), nullptr);
   m_clock.advance(Milliseconds(2400));
   // Late by 1.45 s, and of use for 0.55 s more.
-  m_scheduler.addJob(
-      jobAcceptedAt("00000000000000a2", m_clock.wallNow(), 2), nullptr);
+  m_scheduler.addJob(jobAcceptedAt("00000000000000a2", m_clock.wallNow(), 2),
+                     nullptr);
   endRun("w1", m_sentStarts["w1"].front(), RunEnd::Done);
   m_clock.advance(Milliseconds(50));
   BOOST_TEST(scheduleOnce() == 1U);
