--- a/catkinseam/platform/adapters_test.cc
+++ b/catkinseam/platform/adapters_test.cc
@@ -144,4 +144,22 @@
     BOOST_TEST(Messages.find(Expected) != std::string::npos, Expected);
 }
 
+BOOST_AUTO_TEST_CASE(LogLimitsOfNodeSettingsAreValidated) {
+  const std::string Complete =
+      "[node]\nname = \"n\"\ndata_centre = \"a\"\ncallers = \"127.0.0.1:1\"\n"
+      "readiness = \"127.0.0.1:2\"\nmetrics = \"127.0.0.1:3\"\n"
+      "peers = \"127.0.0.1:5\"\n[platform]\nstore = \"127.0.0.1:4\"\n";
+  const LoadedNodeSettings Valid = parseNodeSettings(
+      Complete + "record_bytes = 8192\nappend_bytes = 8192\n");
+  BOOST_TEST(Valid.m_errors.empty());
+  BOOST_TEST(Valid.m_settings.m_storeRecordBytes == 8192);
+  BOOST_TEST(Valid.m_settings.m_peerEndpoint.m_port == 5);
+  const LoadedNodeSettings Invalid = parseNodeSettings(
+      Complete + "record_bytes = 8192\nappend_bytes = 4096\n");
+  BOOST_REQUIRE(Invalid.m_errors.size() == 1U);
+  BOOST_TEST(toString(Invalid.m_errors.front())
+                 .find("platform.append_bytes: must not be below "
+                       "platform.record_bytes") != std::string::npos);
+}
+
 } // namespace catkinseam
