Remove jobs that a reload no longer finds, and forget accepted ids

Causes, found by reading for what a departed name could do after a restart: a node that missed deletions and whose history was gone kept showing the jobs; an id accepted by a node stayed accepted there for ever, so once the job had been deleted the node said queued, and took the same id anew without storing it.

Change: after a reload the ledger keeps only the jobs whose submission is among the keys; an accepted id counts only until the ledger has its record.

--- a/catkinseam/front/job_service.cc
+++ b/catkinseam/front/job_service.cc
@@ -231,6 +231,10 @@
 void JobService::submit(const QueuePolicy &Policy, const std::string &Id,
                         const JobSpec &Spec, Milliseconds Budget,
                         std::function<void(SubmitOutcome)> Done) {
+  // From here on the ledger alone says whether a job exists.
+  std::erase_if(m_acceptedIds, [this](const std::string &Accepted) {
+    return m_ledger.find(Accepted) != nullptr;
+  });
   if (m_ledger.find(Id) || m_acceptedIds.contains(Id))
     return Done(SubmitOutcome::Accepted);
   Submission Job;
--- a/catkinseam/front/job_service.h
+++ b/catkinseam/front/job_service.h
@@ -126,7 +126,8 @@
   KeyedLog &m_log;
   const Ledger &m_ledger;
   const Options m_options;
-  /// Jobs accepted here whose records may not have been read back yet.
+  /// Jobs accepted here whose records may not have been read back yet. Those
+  /// that were are removed by the next submit().
   std::unordered_set<std::string> m_acceptedIds;
   std::deque<std::shared_ptr<Write>> m_queue;
   bool m_isAppending = false;
--- a/catkinseam/front/job_service_test.cc
+++ b/catkinseam/front/job_service_test.cc
@@ -174,6 +174,24 @@
              std::string::npos);
 }
 
+// An id may be used again once its job has been forgotten. Guards against a
+// node that accepts it without storing the new job.
+BOOST_FIXTURE_TEST_CASE(ForgottenIdIsStoredAnew, Fixture) {
+  submit();
+  m_host.advance(Milliseconds(20));
+  m_ledger.apply(0, submissionKey(Id),
+                 m_log.newestOf(LogTopic::Jobs, submissionKey(Id)));
+  submit("00000000000000a2");
+  m_ledger.apply(1, submissionKey(Id), std::nullopt);
+  m_log.put(LogTopic::Jobs, submissionKey(Id), std::nullopt);
+  BOOST_TEST(!m_jobService.stateOf(Id).has_value());
+  m_outcome.reset();
+  submit();
+  m_host.advance(Milliseconds(50));
+  BOOST_TEST((m_outcome == SubmitOutcome::Accepted));
+  BOOST_TEST(isStored());
+}
+
 BOOST_FIXTURE_TEST_CASE(CancelWaitsForRecordOfOtherNode, Fixture) {
   std::optional<CancelOutcome> Outcome;
   m_jobService.cancel(Id, Budget,
--- a/catkinseam/ledger/ledger.cc
+++ b/catkinseam/ledger/ledger.cc
@@ -23,13 +23,8 @@
   if (Kind == RecordKind::LearnedModel)
     return true;
   if (!Value) {
-    const auto Found = m_jobs.find(Id);
-    if (Kind == RecordKind::Submission && Found != m_jobs.end()) {
-      if (Found->second.m_isSubmitted &&
-          Found->second.state() == JobState::Queued)
-        --m_pendingByQueue[Found->second.m_submission.m_policy.m_queue];
-      m_jobs.erase(Found);
-    }
+    if (Kind == RecordKind::Submission)
+      removeJob(Id);
     return Kind == RecordKind::Progress;
   }
   if (Kind == RecordKind::Submission) {
@@ -45,6 +40,26 @@
   return true;
 }
 
+void Ledger::removeJob(const std::string &Id) {
+  const auto Found = m_jobs.find(Id);
+  if (Found == m_jobs.end())
+    return;
+  if (Found->second.m_isSubmitted && Found->second.state() == JobState::Queued)
+    --m_pendingByQueue[Found->second.m_submission.m_policy.m_queue];
+  m_jobs.erase(Found);
+}
+
+void Ledger::retainOnly(const std::set<std::string> &Keys) {
+  std::vector<std::string> Gone;
+  for (const auto &[Id, Job] : m_jobs)
+    if (Job.m_isSubmitted && !Keys.contains(submissionKey(Id)))
+      Gone.push_back(Id);
+  for (const std::string &Each : Gone)
+    removeJob(Each);
+  if (!Gone.empty())
+    logInfo("ledger.jobs_gone", {{"jobs", std::to_string(Gone.size())}});
+}
+
 void Ledger::applyOwner(const std::string &Value) {
   auto Read = attempt([&] { return decode<OwnerRecord>(Value); });
   if (!Read) {
--- a/catkinseam/ledger/ledger.h
+++ b/catkinseam/ledger/ledger.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -56,6 +57,10 @@
   bool apply(std::int64_t Offset, const std::string &Key,
              const std::optional<std::string> &Value);
 
+  /// Removes the jobs whose submission is not among the keys of the topic,
+  /// after all of these have been read anew.
+  void retainOnly(const std::set<std::string> &Keys);
+
   /// The job, or null if no job was accepted under this id.
   const LedgerJob *find(const std::string &Id) const;
 
@@ -73,6 +78,7 @@
   void setObserver(LedgerObserver *Observer) { m_observer = Observer; }
 
 private:
+  void removeJob(const std::string &Id);
   void applyOwner(const std::string &Value);
   void applySubmission(const std::string &Id, const std::string &Value);
   void applyProgress(std::int64_t Offset, LedgerJob &Job,
--- a/catkinseam/ledger/ledger_test.cc
+++ b/catkinseam/ledger/ledger_test.cc
@@ -62,6 +62,19 @@
   BOOST_TEST((Jobs.find(Id)->state() == JobState::Completed));
 }
 
+// A node that could not read while jobs were deleted, and whose history is
+// gone, must not show them for ever.
+BOOST_AUTO_TEST_CASE(JobsMissingFromReloadAreRemoved) {
+  Ledger Jobs;
+  const std::string Kept = "00000000000000a2";
+  Jobs.apply(0, submissionKey(Id), submission());
+  Jobs.apply(1, submissionKey(Kept), encode(batchJob(Kept, 2)));
+  Jobs.retainOnly({OwnerKey, submissionKey(Kept)});
+  BOOST_TEST(!Jobs.find(Id));
+  BOOST_TEST(Jobs.find(Kept));
+  BOOST_TEST(Jobs.pendingIn("counts") == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(FirstOwnerOfAnEpochWins) {
   Ledger Jobs;
   Jobs.apply(0, OwnerKey,
--- a/catkinseam/ownership/candidate.cc
+++ b/catkinseam/ownership/candidate.cc
@@ -18,7 +18,7 @@
                 .m_batchingWindow = Values.m_followerBatchingWindow},
                {[this](const StoredRecord &Each) { onRecord(Each); },
                 [this] { onRead(); },
-                [this](const std::set<std::string> &) { onLoaded(); },
+                [this](const std::set<std::string> &Keys) { onLoaded(Keys); },
                 [this] { onLogRegained(); }}),
       m_ownership(Host.clock(), Values.m_ownership, Values.m_node),
       m_checkTimer(Host), m_retryTimer(Host), m_endTimer(Host) {}
@@ -60,7 +60,9 @@
     resolveElection();
 }
 
-void Candidate::onLoaded() {
+void Candidate::onLoaded(const std::set<std::string> &Keys) {
+  // Deletions that this node has not read are not among the newest records.
+  m_jobs.retainOnly(Keys);
   // This node was the owner before it was restarted, so there is none.
   const OwnerRecord &Newest = m_jobs.owner();
   if (Newest.m_node == m_options.m_node &&
--- a/catkinseam/ownership/candidate.h
+++ b/catkinseam/ownership/candidate.h
@@ -84,7 +84,7 @@
 private:
   void onRecord(const StoredRecord &Record);
   void onRead();
-  void onLoaded();
+  void onLoaded(const std::set<std::string> &Keys);
   void onLogRegained();
   void check();
   void claimEpoch();
