Take over only with all submissions of the time before the fence

Cause, found by reading the diff: since progress has a topic of its own, the earlier owner can store progress between the successor's claim in the jobs topic and its fence in the progress topic. If the successor then read that progress before the submission of its job, it deleted it as belonging to no job, and started the run again under the same number when the submission came: one task in two places. On one topic the claim itself was the fence.

Change: the successor takes over when a read of the jobs topic that began after the fence has reached the end; until then its reads do not wait. Deletions of progress precede the progress of the same append, as an id may be in use again.

--- a/catkinseam/ledger/keyed_log_reader.cc
+++ b/catkinseam/ledger/keyed_log_reader.cc
@@ -10,8 +10,8 @@
 KeyedLogReader::KeyedLogReader(Runtime &Host, KeyedLog &Log,
                                const Options &Opts, Callbacks Handlers)
     : m_host(Host), m_log(Log), m_options(Opts),
-      m_callbacks(std::move(Handlers)), m_batchingWindow(Opts.m_batchingWindow),
-      m_timer(Host) {}
+      m_callbacks(std::move(Handlers)), m_wait(Opts.m_wait),
+      m_batchingWindow(Opts.m_batchingWindow), m_timer(Host) {}
 
 KeyedLogReader::~KeyedLogReader() { *m_isAlive = false; }
 
@@ -83,8 +83,8 @@
 
 void KeyedLogReader::readNext() {
   m_isBatching = false;
-  read(m_options.m_wait);
-  m_isWaitingAtLog = m_options.m_wait > Milliseconds::zero();
+  read(m_wait);
+  m_isWaitingAtLog = m_wait > Milliseconds::zero();
 }
 
 void KeyedLogReader::read(Milliseconds Wait) {
@@ -120,6 +120,7 @@
   const bool IsBehind = Read.m_nextOffset < Read.m_endOffset;
   if (!IsBehind)
     m_caughtUpAt = replyTime();
+  const TimePoint StartedAt = m_readStartedAt;
   if (IsBehind != m_isBehind)
     logInfo(IsBehind ? "log.behind" : "log.caught_up",
             {{"topic", logTopicName(m_options.m_topic)},
@@ -141,6 +142,8 @@
     if (!*IsAlive)
       return;
   }
+  if (!IsBehind)
+    m_coveredUntil = StartedAt;
   if (m_callbacks.m_onRead)
     m_callbacks.m_onRead();
   if (!*IsAlive)
--- a/catkinseam/ledger/keyed_log_reader.h
+++ b/catkinseam/ledger/keyed_log_reader.h
@@ -68,12 +68,19 @@
   /// the first.
   TimePoint caughtUpAt() const { return m_caughtUpAt; }
 
+  /// All records that were appended before this time have been delivered; the
+  /// clock's epoch before the first read.
+  TimePoint coveredUntil() const { return m_coveredUntil; }
+
   /// Current reply time of the log: the lower of the last two reads, without
   /// the time that a read waited for a record.
   Duration replyLatency() const {
     return std::min(m_latency, m_previousLatency);
   }
 
+  /// Changes how long a read waits for a record, up to Options::m_wait.
+  void setWait(Milliseconds Wait) { m_wait = Wait; }
+
   /// Changes the batching window.
   void setBatchingWindow(Milliseconds Window) { m_batchingWindow = Window; }
 
@@ -92,6 +99,7 @@
   KeyedLog &m_log;
   const Options m_options;
   const Callbacks m_callbacks;
+  Milliseconds m_wait;
   Milliseconds m_batchingWindow;
   Timer m_timer;
   /// The timer runs because of the batching window.
@@ -109,6 +117,7 @@
   TimePoint m_caughtUpAt;
   /// Reply time of the first page of newest records.
   TimePoint m_firstPageAt;
+  TimePoint m_coveredUntil;
   TimePoint m_readStartedAt;
   Duration m_latency{0};
   Duration m_previousLatency{0};
--- a/catkinseam/ownership/candidate.cc
+++ b/catkinseam/ownership/candidate.cc
@@ -58,6 +58,11 @@
   m_ownership.onRead(m_reader.caughtUpAt(), m_reader.replyLatency());
   if (m_claimedEpoch != 0)
     resolveElection();
+  if (m_owner)
+    m_owner->onLedgerRead();
+  // A new owner waits until the ledger covers the time of its fence.
+  const bool IsTakingOver = m_owner && !m_owner->hasTakenOver();
+  m_reader.setWait(IsTakingOver ? Milliseconds(0) : m_options.m_readWait);
 }
 
 void Candidate::onLoaded(const std::set<std::string> &Keys) {
@@ -154,6 +159,7 @@
   m_owner = std::make_unique<Owner>(
       m_host, m_log, m_jobs, m_makeLink, m_parseRegistration, Values,
       [this] { return isCurrent(); },
+      [this] { return m_reader.coveredUntil(); },
       [this] {
         m_endTimer.start(Duration::zero(), [this] { onOwnershipLost(); });
       });
--- a/catkinseam/ownership/owner.cc
+++ b/catkinseam/ownership/owner.cc
@@ -10,10 +10,12 @@
              WorkerLinkFactory MakeLink,
              WorkerRegistrationParser ParseRegistration, const Options &Values,
              std::function<bool()> IsCurrent,
+             std::function<TimePoint()> CoveredUntil,
              std::function<void()> OnOwnershipLost)
     : m_host(Host), m_log(Log), m_jobs(Jobs), m_makeLink(std::move(MakeLink)),
       m_parseRegistration(std::move(ParseRegistration)), m_options(Values),
       m_isCurrent(std::move(IsCurrent)),
+      m_coveredUntil(std::move(CoveredUntil)),
       m_onOwnershipLost(std::move(OnOwnershipLost)),
       m_scheduler(Host.clock(), Values.m_scheduler),
       m_workerReader(
@@ -93,6 +95,11 @@
   if (m_hasTakenOver || !m_hasLoadedWorkers || !m_isLearnedModelRead ||
       !m_isProgressLoaded)
     return;
+  // Until its progress was fenced, the earlier owner may have started jobs that
+  // were submitted after this owner's claim. Without their submissions, their
+  // progress would seem to belong to no job.
+  if (m_coveredUntil() <= m_progressFencedAt)
+    return;
   m_hasTakenOver = true;
   m_learnedModels.startStoring();
   for (const auto &[Id, Job] : m_jobs.jobs())
@@ -277,11 +284,12 @@
 
 void Owner::store(Decisions Next) {
   std::vector<RecordGroup> Groups;
-  for (const auto &[Id, Progress] : Next.m_progress)
-    Groups.push_back({Id, {{progressKey(Id), encodeProgress(Progress)}}});
+  // First, as an id may be in use again.
   for (const std::string &Id : m_forgottenJobs)
     Groups.push_back({"", {{progressKey(Id), std::nullopt}}});
   m_forgottenJobs.clear();
+  for (const auto &[Id, Progress] : Next.m_progress)
+    Groups.push_back({Id, {{progressKey(Id), encodeProgress(Progress)}}});
   // Ends alone leave no record.
   if (Groups.empty())
     Groups.push_back({"", {{OwnerKey, encode(ownRecord(false))}}});
@@ -307,6 +315,7 @@
   m_scheduler.setStoreReachable(true);
   if (!m_hasFencedProgress) {
     m_hasFencedProgress = true;
+    m_progressFencedAt = m_host.now();
     if (m_isLeaving)
       return announce();
     m_learnedModels.load([this] {
--- a/catkinseam/ownership/owner.h
+++ b/catkinseam/ownership/owner.h
@@ -82,12 +82,16 @@
 
   /// `IsCurrent` returns whether the ledger is up to date with the log; no run
   /// is started while it is not.
+  /// `CoveredUntil` returns the time before which all records of the jobs topic
+  /// are in the ledger.
   /// `OnOwnershipLost` is called once, when the log or a worker rejects this
   /// owner's epoch, or the log rejects an append of the owner as invalid or out
   /// of order. The owner must then be destroyed, but not from within the call.
   Owner(Runtime &Host, KeyedLog &Log, Ledger &Jobs, WorkerLinkFactory MakeLink,
         WorkerRegistrationParser ParseRegistration, const Options &Values,
-        std::function<bool()> IsCurrent, std::function<void()> OnOwnershipLost);
+        std::function<bool()> IsCurrent,
+        std::function<TimePoint()> CoveredUntil,
+        std::function<void()> OnOwnershipLost);
   ~Owner() override;
 
   void start();
@@ -96,6 +100,12 @@
   /// departure is durable.
   void leave(std::function<void()> Done);
 
+  /// Reports that the ledger was read on.
+  void onLedgerRead() { takeOverJobs(); }
+
+  /// Whether this owner schedules.
+  bool hasTakenOver() const { return m_hasTakenOver; }
+
   /// Repeats an append that is waiting for its reply, after the log has been
   /// found to answer again.
   void onLogRegained();
@@ -159,6 +169,7 @@
   const WorkerRegistrationParser m_parseRegistration;
   const Options m_options;
   const std::function<bool()> m_isCurrent;
+  const std::function<TimePoint()> m_coveredUntil;
   const std::function<void()> m_onOwnershipLost;
   Scheduler m_scheduler;
   KeyedLogReader m_workerReader;
@@ -198,6 +209,7 @@
   FencedAppender m_announcer;
   /// Whether the log rejects appends of earlier owners to the progress topic.
   bool m_hasFencedProgress = false;
+  TimePoint m_progressFencedAt;
   TimePoint m_lastAnnouncement;
   TimePoint m_lastDurableAppend;
   std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
