--- a/catkinseam/ownership/learned_model_store.cc
+++ b/catkinseam/ownership/learned_model_store.cc
@@ -8,8 +8,7 @@
 
 LearnedModelStore::LearnedModelStore(Runtime &Host, KeyedLog &Log,
                                      Scheduler &Plan, const Options &Values)
-    : m_host(Host), m_log(Log), m_scheduler(Plan), m_options(Values),
-      m_timer(Host) {}
+    : m_log(Log), m_scheduler(Plan), m_options(Values), m_timer(Host) {}
 
 LearnedModelStore::~LearnedModelStore() { *m_isAlive = false; }
 
--- a/catkinseam/ownership/learned_model_store.h
+++ b/catkinseam/ownership/learned_model_store.h
@@ -45,7 +45,6 @@
   void restore(const NewestReply &Reply);
   void store();
 
-  Runtime &m_host;
   KeyedLog &m_log;
   Scheduler &m_scheduler;
   const Options m_options;
