--- a/standin/node_platform_main.cc
+++ b/standin/node_platform_main.cc
@@ -37,6 +37,8 @@
 bool topicOf(const std::string &Name, LogTopic &Topic) {
   static const std::map<std::string, LogTopic> Names = {
       {"keyed.jobs", LogTopic::Jobs},
+      {"keyed.progress", LogTopic::Progress},
+      {"keyed.learned", LogTopic::Learned},
       {"keyed.op", LogTopic::Operator},
       {"keyed.servers", LogTopic::Workers},
       {"keyed.status", LogTopic::Status}};
