Bound the timeout that a relayed request may ask for

Cause, found by reading the diff: the handler on the peer port took any timeout_ms. One near the largest number overflowed the deadline, which then lay in the past: a record in doubt was not tried again and its caller was told so at once. The port takes calls without authentication.

Change: a timeout is at most 60 s.

--- a/catkinseam/node/record_relay.cc
+++ b/catkinseam/node/record_relay.cc
@@ -3,6 +3,7 @@
 
 #include "catkinseam/base/codec.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace catkinseam {
@@ -17,6 +18,8 @@
 constexpr int StatusUnknown = 504;
 /// Part of the timeout reserved for delivering the reply.
 constexpr Milliseconds ReplyMargin{20};
+/// Longest timeout that a caller may ask for.
+constexpr Milliseconds MaxTimeout{60000};
 
 using RelayedRecords = std::vector<std::pair<std::string, std::string>>;
 
@@ -47,7 +50,7 @@
   const std::string Text = Request.queryValue(TimeoutParameter);
   std::int64_t Count = 0;
   std::from_chars(Text.data(), Text.data() + Text.size(), Count);
-  return Milliseconds(std::max<std::int64_t>(Count, 0));
+  return std::clamp(Milliseconds(Count), Milliseconds(0), MaxTimeout);
 }
 
 } // namespace
--- a/catkinseam/node/record_relay_test.cc
+++ b/catkinseam/node/record_relay_test.cc
@@ -21,11 +21,11 @@
   JobService m_service{m_host, m_view, m_ledger, {}};
 
   /// Returns the status of the response; zero if there was none.
-  int post(const std::string &Body) {
+  int post(const std::string &Body, const std::string &TimeoutMs = "900") {
     HttpRequest Request;
     Request.m_method = "POST";
     Request.m_path = "/records";
-    Request.m_query = "timeout_ms=900";
+    Request.m_query = "timeout_ms=" + TimeoutMs;
     Request.m_body = Body;
     int Status = 0;
     handleRelayedRecords(
@@ -50,6 +50,16 @@
   BOOST_TEST(m_log.newestOf(LogTopic::Jobs, Key).value_or("") == "job");
 }
 
+// The deadline of a timeout near the largest number would lie in the past, and
+// the record in doubt would not be tried again.
+BOOST_FIXTURE_TEST_CASE(HugeTimeoutsAreBounded, Fixture) {
+  m_log.m_faults.m_lostReplyRate = 1.0;
+  m_host.schedule(Milliseconds(300),
+                  [this] { m_log.m_faults.m_lostReplyRate = 0.0; });
+  BOOST_TEST(post(bodyOf(submissionKey("00000000000000a1"), "job"),
+                  "9223372036854775807") == 200);
+}
+
 BOOST_FIXTURE_TEST_CASE(RefusesWhatTheLogRefuses, Fixture) {
   m_log.m_faults.m_isDown = true;
   BOOST_TEST(post(bodyOf(submissionKey("00000000000000a1"), "job")) == 503);
