--- a/catkinseam/node/node.cc
+++ b/catkinseam/node/node.cc
@@ -81,6 +81,7 @@
       m_ingress(m_jobService, m_metrics, Loop,
                 {[this] { return m_config ? &*m_config : nullptr; },
                  [this] { return m_candidate.isCurrent(); },
+                 [this] { return m_candidate.ledgerAge(); },
                  [this](std::function<void()> Done) {
                    m_candidate.refresh(std::move(Done));
                  },
--- a/catkinseam/ownership/candidate.h
+++ b/catkinseam/ownership/candidate.h
@@ -67,6 +67,11 @@
   /// `Options::m_maxReadAge`.
   bool isCurrent() const;
 
+  /// Returns how long ago the ledger was up to date with the log.
+  Milliseconds ledgerAge() const {
+    return toMilliseconds(m_host.now() - m_reader.caughtUpAt());
+  }
+
   /// Calls `Done` when the ledger includes what was appended before this call,
   /// or could not be brought up to date.
   void refresh(std::function<void()> Done) {
--- a/catkinseam/platform/ingress.cc
+++ b/catkinseam/platform/ingress.cc
@@ -186,14 +186,17 @@
                      const char *Outcome) {
   const Duration Latency = m_runtime.now() - Context.m_arrivalTime;
   m_metrics.countRequest(Context.m_kind, Outcome, Latency);
-  if (Context.m_kind != std::string_view("state"))
-    logInfo("call",
-            {{"kind", Context.m_kind},
-             {"queue", Context.m_queue},
-             {"job", Context.m_jobId},
-             {"outcome", Outcome},
-             {"status", std::to_string(Response.m_status)},
-             {"took_ms", std::to_string(toMilliseconds(Latency).count())}});
+  // States are asked for often; only answers without a state are logged.
+  if (Context.m_kind != std::string_view("state") || Response.m_status != 200)
+    logInfo(
+        "call",
+        {{"kind", Context.m_kind},
+         {"queue", Context.m_queue},
+         {"job", Context.m_jobId},
+         {"outcome", Outcome},
+         {"status", std::to_string(Response.m_status)},
+         {"took_ms", std::to_string(toMilliseconds(Latency).count())},
+         {"ledger_age_ms", std::to_string(m_callbacks.m_ledgerAge().count())}});
   Context.m_respond(std::move(Response));
 }
 
--- a/catkinseam/platform/ingress.h
+++ b/catkinseam/platform/ingress.h
@@ -22,6 +22,8 @@
     std::function<const OperatorConfig *()> m_config;
     /// Returns whether this node's view of the jobs is up to date.
     std::function<bool()> m_isCurrent;
+    /// Returns how long ago the node's view of the jobs was up to date.
+    std::function<Milliseconds()> m_ledgerAge;
     /// Calls back when the node's view of the jobs includes all earlier
     /// changes, or could not be brought up to date.
     std::function<void(std::function<void()>)> m_refresh;
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -276,7 +276,8 @@
       continue;
     WorkerInfo &Worker = *Run->m_worker;
     if (AreStale || !isAvailable(Worker, m_clock.now())) {
-      discardRun(*Task, Each.m_run, Duration::zero());
+      withdrawRun(*Task, Each.m_run,
+                  AreStale ? "decision_stale" : "worker_unavailable");
       continue;
     }
     Run->m_phase = RunPhase::Starting;
@@ -299,7 +300,7 @@
   if (Run.m_phase == RunPhase::Stopping)
     return;
   if (Run.m_phase == RunPhase::Recording)
-    return discardRun(Task, Run.m_number, Duration::zero());
+    return withdrawRun(Task, Run.m_number, "stop_requested");
   Run.m_phase = RunPhase::Stopping;
   Run.m_isStartInDoubt = false;
   Run.m_since = m_clock.now();
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -180,6 +180,7 @@
   void beginStep(StepInfo &Step);
   void restore(JobInfo &Job, const JobProgress &Recorded);
   void restoreTask(TaskInfo &Task, const TaskRecord &Recorded);
+  static void logRestored(const JobInfo &Job);
   void markDirty(JobInfo &Job);
   void completeTask(TaskInfo &Task);
   void endJob(JobInfo &Job, JobState State);
@@ -204,6 +205,8 @@
                              RunNumber Number);
   /// Removes a run that ended without completing its task.
   void discardRun(TaskInfo &Task, RunNumber Number, Duration Delay);
+  /// Removes a run whose start was not sent.
+  void withdrawRun(TaskInfo &Task, RunNumber Number, const char *Reason);
   /// Whether the task has failed its maximum number of attempts.
   static bool hasExhaustedAttempts(const TaskInfo &Task);
   void requestStop(TaskInfo &Task, RunInfo &Run);
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -91,8 +91,10 @@
             ? Job.m_acceptedMs
             : Job.m_spec.m_firstDueMs + Number * Job.m_spec.m_interval.count();
   }
-  if (Recorded)
+  if (Recorded) {
     restore(Row, *Recorded);
+    logRestored(Row);
+  }
   if (Job.m_spec.m_occurrences == 0 && !Row.m_occurrences.empty())
     openOccurrence(Row.m_occurrences.front());
 }
@@ -195,6 +197,16 @@
   }
 }
 
+void Scheduler::logRestored(const JobInfo &Job) {
+  std::uint32_t Done = 0;
+  for (const OccurrenceInfo &Occurrence : Job.m_occurrences)
+    for (const StepInfo &Step : Occurrence.m_steps)
+      Done += Step.m_doneCount;
+  logInfo("job.restored", {{"job", Job.m_submission.m_id},
+                           {"done", std::to_string(Done)},
+                           {"runs", std::to_string(Job.m_activeRunCount)}});
+}
+
 void Scheduler::restoreTask(TaskInfo &Task, const TaskRecord &Recorded) {
   Task.m_isDone = Recorded.m_isDone;
   Task.m_failures = Recorded.m_failures;
@@ -329,6 +341,14 @@
   --Task.m_step->m_occurrence->m_job->m_activeRunCount;
 }
 
+void Scheduler::withdrawRun(TaskInfo &Task, RunNumber Number,
+                            const char *Reason) {
+  logInfo("run.withdrawn", {{"task", toString(keyOf(Task))},
+                            {"run", std::to_string(Number)},
+                            {"reason", Reason}});
+  discardRun(Task, Number, Duration::zero());
+}
+
 void Scheduler::discardRun(TaskInfo &Task, RunNumber Number, Duration Delay) {
   removeRun(Task, Number);
   markDirty(*Task.m_step->m_occurrence->m_job);
@@ -361,6 +381,13 @@
   const Duration RanFor = m_clock.now() - Run->m_since;
   if (!Checkpoint.empty())
     Task.m_checkpoint = Checkpoint;
+  if (End == RunEnd::Failed)
+    ++Task.m_failures;
+  logInfo("run.ended", {{"task", toString(keyOf(Task))},
+                        {"run", std::to_string(Number)},
+                        {"worker", Worker.m_registration.m_id},
+                        {"end", runEndName(End)},
+                        {"failures", std::to_string(Task.m_failures)}});
   if (End == RunEnd::Done) {
     removeRun(Task, Number);
     recordSuccess(Worker);
@@ -368,15 +395,9 @@
     return completeTask(Task);
   }
   if (End == RunEnd::Failed) {
-    ++Task.m_failures;
     recordFailure(Worker, Job.m_submission.m_id);
     Task.m_avoidedWorkers.push_back(Worker.m_registration.m_id);
   }
-  logInfo("run.ended", {{"task", toString(keyOf(Task))},
-                        {"run", std::to_string(Number)},
-                        {"worker", Worker.m_registration.m_id},
-                        {"end", runEndName(End)},
-                        {"failures", std::to_string(Task.m_failures)}});
   discardRun(Task, Number, RestartDelay);
   const bool IsSpent = Task.m_failures >= Job.policy().m_maxAttempts &&
                        !Step.m_spec->m_isService;
