--- /dev/null
+++ b/catkinseam/node/job_lookup_test.cc
@@ -0,0 +1,141 @@
+// Answers to customers about jobs that this node has not read yet.
+#define BOOST_TEST_MODULE job_lookup
+#include "catkinseam/ownership/candidate.h"
+#include "catkinseam/ownership/testing/simulated_cluster.h"
+#include "catkinseam/platform/ingress.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+namespace catkinseam {
+
+namespace {
+
+const std::string Id = "00000000000000a1";
+const std::string Prefix = "/counts/";
+
+Candidate::Options candidateOptions() {
+  Candidate::Options Values;
+  Values.m_node = "edge-1";
+  Values.m_bootId = "b1";
+  return Values;
+}
+
+/// One node that follows the log while another node is the owner.
+struct Fixture {
+  ManualRuntime m_host;
+  std::mt19937_64 m_random{1};
+  FakeLog m_log{m_host, m_random};
+  FakeLog::View m_view{m_log};
+  Ledger m_ledger;
+  Candidate m_candidate{
+      m_host,
+      m_view,
+      m_ledger,
+      [](const WorkerRegistration &) { return std::unique_ptr<WorkerLink>(); },
+      [](const std::string &, const std::string &)
+          -> Result<WorkerRegistration> { return WorkerRegistration{}; },
+      candidateOptions()};
+  JobService m_jobService{m_host, m_view, m_ledger, {}};
+  Metrics m_metrics;
+  OperatorConfig m_config;
+  Ingress m_ingress{m_jobService,
+                    m_metrics,
+                    m_host,
+                    {[this] { return &m_config; },
+                     [this] { return m_candidate.isCurrent(); },
+                     [this] { return m_candidate.ledgerAge(); },
+                     [this](std::function<void()> Done) {
+                       m_candidate.refresh(std::move(Done));
+                     },
+                     [] { return true; }}};
+  std::vector<int> m_statuses;
+
+  Fixture() {
+    QueueRoute Route;
+    Route.m_host = "tally.example";
+    Route.m_pathPrefix = Prefix;
+    Route.m_policy = batchJob(Id, 1).m_policy;
+    m_config.m_routes.push_back(Route);
+    m_candidate.start();
+    run(Milliseconds(1000));
+  }
+
+  /// Lets time pass while the owner sends its heartbeats.
+  void run(Milliseconds Time) {
+    constexpr Milliseconds Step{10};
+    constexpr int StepsPerHeartbeat = 20;
+    for (int At = 0; At * Step < Time; ++At) {
+      if (At % StepsPerHeartbeat == 0)
+        m_log.put(LogTopic::Jobs, OwnerKey,
+                  encode(OwnerRecord{1, "edge-2", "b2", false, 1.0, ""}));
+      m_host.advance(Step);
+    }
+  }
+
+  /// Another node accepts the job.
+  void acceptElsewhere(const std::string &Job = Id) {
+    m_log.put(LogTopic::Jobs, submissionKey(Job), encode(batchJob(Job, 1)));
+  }
+
+  void call(const char *Method) {
+    HttpRequest Request;
+    Request.m_method = Method;
+    Request.m_path = Prefix + Id;
+    Request.m_headers = {{"Host", "tally.example"}};
+    m_ingress.onCall(Request, [this](const HttpResponse &Response) {
+      m_statuses.push_back(Response.m_status);
+    });
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(UnknownJobIsDenied, Fixture) {
+  call("GET");
+  call("DELETE");
+  run(Milliseconds(1000));
+  BOOST_TEST(m_statuses == std::vector<int>({410, 410}),
+             boost::test_tools::per_element());
+}
+
+// A late reader. The connection to the log has gone silent, so the read that
+// waits there delivers nothing, and the node has not yet noticed.
+BOOST_FIXTURE_TEST_CASE(JobIsNotDeniedWhileReadsAreSilent, Fixture) {
+  m_view.m_isPartitioned = true;
+  run(Milliseconds(300));
+  acceptElsewhere();
+  run(Milliseconds(100));
+  call("GET");
+  call("DELETE");
+  run(Milliseconds(3000));
+  BOOST_TEST(m_statuses == std::vector<int>({503, 503}),
+             boost::test_tools::per_element());
+}
+
+// A reload. The record of the job is on neither the pages of the newest records
+// nor, yet, in the reads that follow them.
+BOOST_FIXTURE_TEST_CASE(JobAcceptedDuringReloadIsNotDenied, Fixture) {
+  for (int Number = 0; Number < 200; ++Number)
+    acceptElsewhere(jobId(0xb000 + static_cast<std::uint64_t>(Number)));
+  m_view.m_isPartitioned = true;
+  run(Milliseconds(3000));
+  m_log.compact();
+  m_log.m_faults.m_latency = Milliseconds(80);
+  m_view.m_isPartitioned = false;
+  // The job's key precedes all others, so its page is read first.
+  const std::size_t BytesBefore = m_view.m_bytesRead;
+  while (m_view.m_bytesRead == BytesBefore)
+    run(Milliseconds(10));
+  acceptElsewhere();
+  for (int At = 0; At < 300; ++At) {
+    call("GET");
+    run(Milliseconds(10));
+  }
+  run(Milliseconds(2000));
+  BOOST_TEST(m_statuses.size() == 300U);
+  BOOST_TEST(std::count(m_statuses.begin(), m_statuses.end(), 410) == 0);
+  BOOST_TEST(std::count(m_statuses.begin(), m_statuses.end(), 200) > 0);
+}
+
+} // namespace catkinseam
