--- /dev/null
+++ b/catkinseam/scheduler/run_end_test.cc
@@ -0,0 +1,80 @@
+// Ends of runs that the scheduler had given up.
+#define BOOST_TEST_MODULE run_end
+#include "catkinseam/scheduler/testing/scheduler_fixture.h"
+
+namespace catkinseam {
+
+namespace {
+
+const std::string Id = "00000000000000a1";
+
+struct Fixture : SchedulerFixture {
+  /// Lets the leases of a worker expire while its polls remain unanswered.
+  void loseWorker(const std::string &Name) {
+    const auto Order = m_scheduler.nextPoll(Name);
+    BOOST_REQUIRE(Order.has_value());
+    m_scheduler.onPoll(*Order, m_clock.now(), PollReply{});
+    m_clock.advance(Milliseconds(10000));
+    m_scheduler.control();
+  }
+
+  /// Lets the lost worker report that it had completed its run.
+  void reportDone(const StartOrder &Run) {
+    answerPoll(Run.m_worker, {},
+               {{1, Run.m_task, Run.m_run, RunEnd::Done, ""}});
+  }
+
+  std::size_t waitingTasks() const {
+    return m_scheduler.summarize().m_waitingTasks;
+  }
+};
+
+} // namespace
+
+// A task ran a second time after its end had been acknowledged: its worker was
+// given up, and reported the end while the next run was planned but not sent.
+BOOST_FIXTURE_TEST_CASE(CompletedTaskWithPlannedRunIsNotStarted, Fixture) {
+  addWorker("w1", {1000, 8000, 0});
+  addWorker("w2", {1000, 8000, 0});
+  // The other task of the step runs on, so the job does not end.
+  m_scheduler.addJob(makeJob(Id, 2), nullptr);
+  BOOST_REQUIRE(scheduleOnce() == 2U);
+  const StartOrder Lost = m_sentStarts["w1"].front();
+  loseWorker("w1");
+  addWorker("w3", {1000, 8000, 0});
+  const Decisions Planned = m_scheduler.decide();
+  reportDone(Lost);
+  BOOST_TEST(m_scheduler.release(Planned, false).empty());
+  BOOST_TEST(waitingTasks() == 0U);
+  BOOST_TEST(scheduleOnce() == 0U);
+}
+
+// The same for a gang, of which one end completes all members.
+BOOST_FIXTURE_TEST_CASE(CompletedGangWithPlannedRunIsNotStarted, Fixture) {
+  addWorker("w1", {1000, 8000, 0});
+  addWorker("w2", {1000, 8000, 0});
+  addWorker("w3", {2000, 8000, 0});
+  Submission Job = makeJob(Id, 2);
+  Job.m_spec.m_steps[0].m_isGang = true;
+  Job.m_spec.m_steps[0].m_maxPerWorker = 1;
+  Job.m_spec.m_steps.push_back(makeJob(Id, 1).m_spec.m_steps[0]);
+  m_scheduler.addJob(Job, nullptr);
+  scheduleOnce();
+  std::vector<StartOrder> Lost;
+  for (const auto &[Name, Starts] : m_sentStarts)
+    for (const StartOrder &Each : Starts)
+      if (Each.m_task.m_step == 0)
+        Lost.push_back(Each);
+  BOOST_REQUIRE(Lost.size() == 2U);
+  for (const StartOrder &Each : Lost)
+    loseWorker(Each.m_worker);
+  addWorker("w4", {1000, 8000, 0});
+  addWorker("w5", {1000, 8000, 0});
+  const Decisions Planned = m_scheduler.decide();
+  reportDone(Lost.front());
+  for (const StartOrder &Each : m_scheduler.release(Planned, false))
+    BOOST_TEST(Each.m_task.m_step != 0U);
+  BOOST_TEST(waitingTasks() == 0U);
+}
+
+} // namespace catkinseam
