Complete a task before its other runs are stopped

Cause: completing a task stopped its other runs first and marked it as done after that. A run that is planned and not sent yet is not stopped but withdrawn, which puts its task back into the queue unless the task is done. In a step with further open tasks the completed task stayed there and was started. The same order let a failure of such a run fail the job of a task that had completed.

Change: all tasks that one end completes are marked first; whatever becomes of their runs later, a completed task is neither queued nor counted as failed. The second check of spent attempts in applyRunEnd repeated the one in discardRun and is gone.

--- a/catkinseam/scheduler/run_end_test.cc
+++ b/catkinseam/scheduler/run_end_test.cc
@@ -49,7 +49,26 @@
   BOOST_TEST(scheduleOnce() == 0U);
 }
 
-// The same for a gang, of which one end completes all members.
+// A job failed although its task had completed: the only attempt that the queue
+// allows completed on a worker that was given up, and a second run then failed.
+BOOST_FIXTURE_TEST_CASE(FailureAfterLateSuccessDoesNotFailJob, Fixture) {
+  addWorker("w1", {1000, 8000, 0});
+  addWorker("w2", {1000, 8000, 0});
+  Submission Job = makeJob(Id, 2);
+  Job.m_policy.m_maxAttempts = 1;
+  m_scheduler.addJob(Job, nullptr);
+  BOOST_REQUIRE(scheduleOnce() == 2U);
+  const StartOrder Lost = m_sentStarts["w1"].front();
+  loseWorker("w1");
+  addWorker("w3", {1000, 8000, 0});
+  BOOST_REQUIRE(scheduleOnce() == 1U);
+  reportDone(Lost);
+  endRun("w3", m_sentStarts["w3"].front(), RunEnd::Failed);
+  for (const auto &[Name, Progress] : m_scheduler.decide().m_progress)
+    BOOST_TEST((Progress.m_state == JobState::InProgress));
+}
+
+// The same as the first for a gang, of which one end completes all members.
 BOOST_FIXTURE_TEST_CASE(CompletedGangWithPlannedRunIsNotStarted, Fixture) {
   addWorker("w1", {1000, 8000, 0});
   addWorker("w2", {1000, 8000, 0});
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -357,7 +357,9 @@
   if (Task.m_step->m_spec->m_isGang)
     for (TaskInfo &Each : Task.m_step->m_tasks)
       stopAllRuns(Each);
-  if (!Task.m_runs.empty())
+  // Whatever becomes of the other runs of a completed task, it neither starts
+  // again nor fails its job.
+  if (!Task.m_runs.empty() || Task.m_isDone)
     return;
   JobInfo &Job = *Task.m_step->m_occurrence->m_job;
   if (hasExhaustedAttempts(Task) && !isFinal(Job.m_state))
@@ -399,10 +401,6 @@
     Task.m_avoidedWorkers.push_back(Worker.m_registration.m_id);
   }
   discardRun(Task, Number, RestartDelay);
-  const bool IsSpent = Task.m_failures >= Job.policy().m_maxAttempts &&
-                       !Step.m_spec->m_isService;
-  if (IsSpent && Task.m_runs.empty() && !isFinal(Job.m_state))
-    endJob(Job, JobState::Failed);
 }
 
 void Scheduler::applyDiscardedSuccess(TaskInfo &Task, WorkerInfo &Worker,
@@ -433,16 +431,21 @@
       enqueueTask(Task, RestartDelay);
     return;
   }
-  const auto Finish = [&](TaskInfo &Each) {
-    dequeueTask(Each);
-    stopAllRuns(Each);
-    Each.m_isDone = true;
-    ++Step.m_doneCount;
-  };
+  std::vector<TaskInfo *> Completed;
   if (Step.m_spec->m_isGang)
-    std::for_each(Step.m_tasks.begin(), Step.m_tasks.end(), Finish);
+    for (TaskInfo &Each : Step.m_tasks)
+      Completed.push_back(&Each);
   else
-    Finish(Task);
+    Completed.push_back(&Task);
+  // Before any run is stopped: a planned run that is withdrawn puts its task
+  // back into the queue unless the task is done.
+  for (TaskInfo *Each : Completed)
+    Each->m_isDone = true;
+  for (TaskInfo *Each : Completed) {
+    dequeueTask(*Each);
+    stopAllRuns(*Each);
+  }
+  Step.m_doneCount += static_cast<std::uint32_t>(Completed.size());
   if (Step.m_doneCount < Step.m_spec->m_count || isFinal(Job.m_state))
     return;
   m_speculativeSteps.erase(&Step);
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -76,6 +76,8 @@
 struct TaskInfo {
   StepInfo *m_step = nullptr;
   std::uint32_t m_index = 0;
+  /// Never reset. The runs of a completed task are being stopped, and none is
+  /// started.
   bool m_isDone = false;
   std::uint32_t m_failures = 0;
   RunNumber m_lastRun = 0;
