Deny a job only from a ledger that covers the time of the question

Cause: a node denied an unknown id if its ledger had counted as current at some time within the last 1.5 s. The class of fault: absence concluded from an age, where only reading past the moment of the question shows it.

Change: an unknown id is denied after a read that began after the call has reached the end of the topic; while the node loads or its reads fail, the answer is 503 with Retry-After. One path for GET and DELETE (front/job_lookup); the fixed delay before the cancellation of an unknown job is gone.

--- a/catkinseam/front/job_service.cc
+++ b/catkinseam/front/job_service.cc
@@ -23,8 +23,6 @@
   switch (Outcome) {
   case CancelOutcome::Cancelled:
     return "cancelled";
-  case CancelOutcome::NoSuchJob:
-    return "no_such_job";
   case CancelOutcome::NotCancelled:
     return "not_cancelled";
   case CancelOutcome::Unknown:
@@ -256,23 +254,6 @@
 
 void JobService::cancel(const std::string &Id, Milliseconds Budget,
                         std::function<void(CancelOutcome)> Done) {
-  if (stateOf(Id))
-    return storeCancel(Id, Budget, std::move(Done));
-  // Another node may just have accepted the job, and its record may not have
-  // been read here yet.
-  m_host.schedule(
-      m_options.m_visibilityDelay,
-      [this, Id, Budget, Done = std::move(Done), IsAlive = m_isAlive] {
-        if (!*IsAlive)
-          return;
-        if (!stateOf(Id))
-          return Done(CancelOutcome::NoSuchJob);
-        storeCancel(Id, Budget - m_options.m_visibilityDelay, Done);
-      });
-}
-
-void JobService::storeCancel(const std::string &Id, Milliseconds Budget,
-                             std::function<void(CancelOutcome)> Done) {
   if (const std::optional<JobState> State = stateOf(Id);
       State && isFinal(*State))
     return Done(CancelOutcome::Cancelled);
--- a/catkinseam/front/job_service.h
+++ b/catkinseam/front/job_service.h
@@ -29,8 +29,7 @@
 };
 
 enum class CancelOutcome {
-  Cancelled, ///< The cancellation is stored; no more tasks start.
-  NoSuchJob,
+  Cancelled,    ///< The cancellation is stored; no more tasks start.
   NotCancelled, ///< The cancellation is not stored.
   Unknown,      ///< The cancellation may be stored, now or later.
 };
@@ -59,8 +58,6 @@
     AppendLimits m_appendLimits;
     /// Part of the caller's time budget reserved for delivering the response.
     Milliseconds m_responseMargin{100};
-    /// Maximum delay until records appended by other nodes are read here.
-    Milliseconds m_visibilityDelay{250};
   };
 
   JobService(Runtime &Host, KeyedLog &Log, const Ledger &Jobs,
@@ -77,8 +74,7 @@
               const JobSpec &Spec, Milliseconds Budget,
               std::function<void(SubmitOutcome)> Done);
 
-  /// Cancels a job. An id unknown here is looked up again after
-  /// `m_visibilityDelay`. `Budget` is how long the caller waits.
+  /// Cancels a job that exists. `Budget` is how long the caller waits.
   void cancel(const std::string &Id, Milliseconds Budget,
               std::function<void(CancelOutcome)> Done);
 
@@ -119,8 +115,6 @@
                     LogOutcome Outcome);
   void completeOrRetry(const std::shared_ptr<Write> &Pending,
                        LogOutcome Outcome);
-  void storeCancel(const std::string &Id, Milliseconds Budget,
-                   std::function<void(CancelOutcome)> Done);
 
   Runtime &m_host;
   KeyedLog &m_log;
--- a/catkinseam/ledger/keyed_log_reader.cc
+++ b/catkinseam/ledger/keyed_log_reader.cc
@@ -17,6 +17,7 @@
 
 void KeyedLogReader::start() {
   m_isBatching = false;
+  m_isLoading = true;
   m_loadedKeys.clear();
   m_isFirstPage = true;
   loadPage("");
@@ -57,6 +58,7 @@
   if (Page.m_hasMore && !Page.m_records.empty())
     return loadPage(Page.m_records.back().m_record.m_key);
   m_isLoaded = true;
+  m_isLoading = false;
   m_caughtUpAt = m_firstPageAt;
   if (m_callbacks.m_onLoaded)
     m_callbacks.m_onLoaded(m_loadedKeys);
@@ -74,6 +76,28 @@
   read(Milliseconds(0));
 }
 
+void KeyedLogReader::cover(std::function<void(bool)> Done) {
+  if (!m_isLoaded || m_isLoading || m_isFailing)
+    return Done(false);
+  m_coverages.push_back({m_readCount + 1, std::move(Done)});
+  if (!m_isBatching)
+    return;
+  m_timer.cancel();
+  m_isBatching = false;
+  read(Milliseconds(0));
+}
+
+void KeyedLogReader::finishCoverages(bool IsCovered) {
+  std::vector<Coverage> Due;
+  std::vector<Coverage> Left;
+  for (Coverage &Each : m_coverages)
+    (IsCovered && Each.m_firstRead > m_readCount ? Left : Due)
+        .push_back(std::move(Each));
+  m_coverages = std::move(Left);
+  for (const Coverage &Each : Due)
+    Each.m_done(IsCovered);
+}
+
 void KeyedLogReader::finishRefreshes() {
   const std::vector<std::function<void()>> Due = std::move(m_refreshes);
   m_refreshes.clear();
@@ -89,6 +113,7 @@
 
 void KeyedLogReader::read(Milliseconds Wait) {
   m_readStartedAt = m_host.now();
+  ++m_readCount;
   m_log.read(m_options.m_topic, m_nextOffset, Wait,
              Wait + m_options.m_timeoutMargin,
              [this, IsAlive = m_isAlive](const ReadReply &Read) {
@@ -102,12 +127,17 @@
   if (Read.m_outcome == LogOutcome::HistoryDeleted) {
     logInfo("log.history_gone", {{"topic", logTopicName(m_options.m_topic)},
                                  {"offset", std::to_string(m_nextOffset)}});
-    return start();
+    start();
+    return finishCoverages(false);
   }
   if (Read.m_outcome != LogOutcome::Done) {
     reportFailure("read", Read.m_outcome);
     scheduleRetry([this] { readNext(); });
-    return finishRefreshes();
+    const std::shared_ptr<bool> IsAlive = m_isAlive;
+    finishRefreshes();
+    if (*IsAlive)
+      finishCoverages(false);
+    return;
   }
   if (m_isFailing) {
     m_isFailing = false;
@@ -153,6 +183,12 @@
   finishRefreshes();
   if (!*IsAlive)
     return;
+  finishCoverages(true);
+  if (!*IsAlive)
+    return;
+  // A coverage that was called for during this read needs another one.
+  if (!m_coverages.empty())
+    return read(Milliseconds(0));
   if (Read.m_records.empty() && WasWaiting)
     return readNext();
   m_isBatching = true;
--- a/catkinseam/ledger/keyed_log_reader.h
+++ b/catkinseam/ledger/keyed_log_reader.h
@@ -61,6 +61,12 @@
   /// delivers records at once, and while reads fail.
   void refresh(std::function<void()> Done);
 
+  /// Calls `Done(true)` when a read that began after this call has reached the
+  /// end of the topic and its records have been delivered. Calls `Done(false)`
+  /// when that read fails, and immediately while reads fail or the newest
+  /// records are being loaded.
+  void cover(std::function<void(bool IsCovered)> Done);
+
   /// Whether the newest record of each key has been delivered since start().
   bool isLoaded() const { return m_isLoaded; }
 
@@ -91,6 +97,7 @@
   void readNext();
   void read(Milliseconds Wait);
   void finishRefreshes();
+  void finishCoverages(bool IsCovered);
   void onRead(const ReadReply &Read);
   void scheduleRetry(std::function<void()> Call);
   void reportFailure(const char *Call, LogOutcome Outcome);
@@ -107,8 +114,18 @@
   /// The read in flight waits at the log for a record.
   bool m_isWaitingAtLog = false;
   std::vector<std::function<void()>> m_refreshes;
+  struct Coverage {
+    /// Number of the first read that began after the call.
+    std::uint64_t m_firstRead = 0;
+    std::function<void(bool)> m_done;
+  };
+  std::vector<Coverage> m_coverages;
+  /// Number of reads that have begun; at most one is in flight.
+  std::uint64_t m_readCount = 0;
   std::set<std::string> m_loadedKeys;
   bool m_isLoaded = false;
+  /// The newest records are being read, for the first time or again.
+  bool m_isLoading = false;
   bool m_isFirstPage = true;
   bool m_isFailing = false;
   /// The last read ended before the end of the topic.
--- a/catkinseam/node/node.cc
+++ b/catkinseam/node/node.cc
@@ -78,13 +78,16 @@
           {[this](const StoredRecord &Record) { onOperatorRecord(Record); },
            nullptr, nullptr}),
       m_jobService(Loop, m_relayedStore, m_ledger, jobServiceOptions(Values)),
-      m_ingress(m_jobService, m_metrics, Loop,
+      m_jobLookup(m_jobService, {[this](std::function<void()> Done) {
+                                   m_candidate.refresh(std::move(Done));
+                                 },
+                                 [this](std::function<void(bool)> Done) {
+                                   m_candidate.cover(std::move(Done));
+                                 }}),
+      m_ingress(m_jobService, m_jobLookup, m_metrics, Loop,
                 {[this] { return m_config ? &*m_config : nullptr; },
                  [this] { return m_candidate.isCurrent(); },
                  [this] { return m_candidate.ledgerAge(); },
-                 [this](std::function<void()> Done) {
-                   m_candidate.refresh(std::move(Done));
-                 },
                  [this] { return isReady(); }}),
       m_stopTimer(Loop) {}
 
--- a/catkinseam/node/node.h
+++ b/catkinseam/node/node.h
@@ -61,6 +61,7 @@
   Candidate m_candidate;
   KeyedLogReader m_operatorReader;
   JobService m_jobService;
+  JobLookup m_jobLookup;
   Ingress m_ingress;
   std::optional<OperatorConfig> m_config;
   std::unique_ptr<HttpListener> m_callerListener;
--- a/catkinseam/ownership/candidate.h
+++ b/catkinseam/ownership/candidate.h
@@ -67,9 +67,10 @@
   /// `Options::m_maxReadAge`.
   bool isCurrent() const;
 
-  /// Returns how long ago the ledger was up to date with the log.
+  /// Returns how long ago the last read began that brought the ledger up to
+  /// date with the log.
   Milliseconds ledgerAge() const {
-    return toMilliseconds(m_host.now() - m_reader.caughtUpAt());
+    return toMilliseconds(m_host.now() - m_reader.coveredUntil());
   }
 
   /// Calls `Done` when the ledger includes what was appended before this call,
@@ -78,6 +79,11 @@
     m_reader.refresh(std::move(Done));
   }
 
+  /// See KeyedLogReader::cover().
+  void cover(std::function<void(bool IsCovered)> Done) {
+    m_reader.cover(std::move(Done));
+  }
+
   /// Returns the current latency of the log; zero if its reads fail.
   Duration logLatency() const {
     return isCurrent() ? m_reader.replyLatency() : Duration::zero();
--- a/catkinseam/platform/ingress.cc
+++ b/catkinseam/platform/ingress.cc
@@ -46,10 +46,10 @@
   TimePoint m_arrivalTime;
 };
 
-Ingress::Ingress(JobService &Jobs, Metrics &Counters, Runtime &Loop,
-                 Callbacks Handlers)
-    : m_jobService(Jobs), m_metrics(Counters), m_runtime(Loop),
-      m_callbacks(std::move(Handlers)) {}
+Ingress::Ingress(JobService &Jobs, JobLookup &Lookup, Metrics &Counters,
+                 Runtime &Loop, Callbacks Handlers)
+    : m_jobService(Jobs), m_jobLookup(Lookup), m_metrics(Counters),
+      m_runtime(Loop), m_callbacks(std::move(Handlers)) {}
 
 void Ingress::onReadiness(const HttpRequest &Request,
                           const HttpResponder &Respond) {
@@ -92,20 +92,30 @@
                   "\"" + Context.m_jobId + "\" is not a job ID");
   if (Request.m_method == "POST")
     return submit(Context, Request);
-  if (Request.m_method == "GET")
-    return refreshThen(Context, &Ingress::answerState);
-  if (Request.m_method == "DELETE")
-    return refreshThen(Context, &Ingress::cancel);
+  if (Request.m_method == "GET") {
+    Context.m_kind = "state";
+    return lookUpThen(Context, &Ingress::answerState);
+  }
+  if (Request.m_method == "DELETE") {
+    Context.m_kind = "cancel";
+    return lookUpThen(Context, &Ingress::cancel);
+  }
   reject(Context, 405, "no_method", "method is not supported");
 }
 
-void Ingress::refreshThen(const CallContext &Context,
-                          void (Ingress::*Handler)(const CallContext &)) {
-  const std::optional<JobState> Known = m_jobService.stateOf(Context.m_jobId);
-  if (Known && isFinal(*Known))
-    return (this->*Handler)(Context);
-  m_callbacks.m_refresh(
-      [this, Context, Handler] { (this->*Handler)(Context); });
+void Ingress::lookUpThen(const CallContext &Context, JobHandler Handler) {
+  m_jobLookup.find(
+      Context.m_jobId, [this, Context, Handler](const JobLookup::Reply &Found) {
+        switch (Found.m_outcome) {
+        case JobLookup::Outcome::Found:
+          return (this->*Handler)(Context, Found.m_state);
+        case JobLookup::Outcome::NoSuchJob:
+          return answer(Context, makeJsonResponse(410, "{}"), "no_such_job");
+        case JobLookup::Outcome::NotCurrent:
+          return reject(Context, 503, "not_current",
+                        "job state on this node is not up to date");
+        }
+      });
 }
 
 void Ingress::submit(const CallContext &Context, const HttpRequest &Request) {
@@ -142,44 +152,30 @@
       });
 }
 
-void Ingress::cancel(const CallContext &Context) {
-  CallContext Updated = Context;
-  Updated.m_kind = "cancel";
+void Ingress::cancel(const CallContext &Context, JobState) {
+  const Milliseconds Elapsed =
+      toMilliseconds(m_runtime.now() - Context.m_arrivalTime);
   m_jobService.cancel(
-      Context.m_jobId, Context.m_timeout,
-      [this, Updated](CancelOutcome Outcome) {
+      Context.m_jobId, Context.m_timeout - Elapsed,
+      [this, Context](CancelOutcome Outcome) {
         const char *Name = cancelOutcomeName(Outcome);
         switch (Outcome) {
         case CancelOutcome::Cancelled:
-          return answer(Updated, makeJsonResponse(200, "{}"), Name);
-        case CancelOutcome::NoSuchJob:
-          if (!m_callbacks.m_isCurrent())
-            return reject(Updated, 503, "not_current",
-                          "job state on this node is not up to date");
-          return answer(Updated, makeJsonResponse(410, "{}"), Name);
+          return answer(Context, makeJsonResponse(200, "{}"), Name);
         case CancelOutcome::NotCancelled:
-          return reject(Updated, 503, Name,
-                        "cancellation of job \"" + Updated.m_jobId +
+          return reject(Context, 503, Name,
+                        "cancellation of job \"" + Context.m_jobId +
                             "\" could not be stored");
         case CancelOutcome::Unknown:
-          return reject(Updated, 504, Name,
-                        "cancellation of job \"" + Updated.m_jobId +
+          return reject(Context, 504, Name,
+                        "cancellation of job \"" + Context.m_jobId +
                             "\" may have been stored");
         }
       });
 }
 
-void Ingress::answerState(const CallContext &Context) {
-  CallContext Updated = Context;
-  Updated.m_kind = "state";
-  const std::optional<JobState> State = m_jobService.stateOf(Context.m_jobId);
-  if (State)
-    return answer(Updated, makeJsonResponse(200, jobStateBody(*State)),
-                  "answered");
-  if (!m_callbacks.m_isCurrent())
-    return reject(Updated, 503, "not_current",
-                  "job state on this node is not up to date");
-  answer(Updated, makeJsonResponse(410, "{}"), "no_such_job");
+void Ingress::answerState(const CallContext &Context, JobState State) {
+  answer(Context, makeJsonResponse(200, jobStateBody(State)), "answered");
 }
 
 void Ingress::answer(const CallContext &Context, HttpResponse Response,
--- a/catkinseam/platform/ingress.h
+++ b/catkinseam/platform/ingress.h
@@ -6,7 +6,7 @@
 #define CATKINSEAM_PLATFORM_INGRESS_H
 
 #include "catkinseam/aio/http_listener.h"
-#include "catkinseam/front/job_service.h"
+#include "catkinseam/front/job_lookup.h"
 #include "catkinseam/front/routing.h"
 #include "catkinseam/telemetry/metrics.h"
 
@@ -24,14 +24,11 @@
     std::function<bool()> m_isCurrent;
     /// Returns how long ago the node's view of the jobs was up to date.
     std::function<Milliseconds()> m_ledgerAge;
-    /// Calls back when the node's view of the jobs includes all earlier
-    /// changes, or could not be brought up to date.
-    std::function<void(std::function<void()>)> m_refresh;
     /// Returns whether the node is ready to serve calls.
     std::function<bool()> m_isReady;
   };
 
-  Ingress(JobService &Jobs, Metrics &Counters, Runtime &Loop,
+  Ingress(JobService &Jobs, JobLookup &Lookup, Metrics &Counters, Runtime &Loop,
           Callbacks Handlers);
 
   /// Handles a customer's call. May call `Respond` after returning.
@@ -43,18 +40,20 @@
 private:
   struct CallContext;
 
-  /// Runs `Handler` once this node knows the job's current state.
-  void refreshThen(const CallContext &Context,
-                   void (Ingress::*Handler)(const CallContext &));
+  using JobHandler = void (Ingress::*)(const CallContext &, JobState);
+
+  /// Runs `Handler` with the state of the job, or answers that there is none.
+  void lookUpThen(const CallContext &Context, JobHandler Handler);
   void submit(const CallContext &Context, const HttpRequest &Request);
-  void cancel(const CallContext &Context);
-  void answerState(const CallContext &Context);
+  void cancel(const CallContext &Context, JobState State);
+  void answerState(const CallContext &Context, JobState State);
   void answer(const CallContext &Context, HttpResponse Response,
               const char *Outcome);
   void reject(const CallContext &Context, int Status, const char *Outcome,
               const std::string &Reason);
 
   JobService &m_jobService;
+  JobLookup &m_jobLookup;
   Metrics &m_metrics;
   Runtime &m_runtime;
   const Callbacks m_callbacks;
