--- /dev/null
+++ b/catkinseam/ownership/crashing_task_test.cc
@@ -0,0 +1,133 @@
+// Tasks that crash the workers which start them.
+#define BOOST_TEST_MODULE crashing_task
+#include "catkinseam/ownership/testing/simulated_cluster.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+namespace catkinseam {
+
+namespace {
+
+/// Starts of one task until it is given up at the latest. After three crashes
+/// it may be started twice more.
+constexpr std::size_t MaxStarts = 5;
+constexpr std::size_t Workers = 12;
+
+/// A cluster in which some tasks crash each worker that starts them.
+class CrashingCluster {
+public:
+  /// A crashed worker is down for `DownTime`, and registers again a second
+  /// after its return.
+  CrashingCluster(std::uint64_t Seed, Milliseconds DownTime)
+      : m_cluster({.m_seed = Seed, .m_workers = Workers}),
+        m_downTime(DownTime) {
+    for (std::size_t Index = 0; Index < Workers; ++Index)
+      m_cluster.worker(Index).m_onStart = [this, Index](const TaskKey &Task) {
+        if (m_crashing.contains(Task))
+          m_cluster.m_host.schedule(CrashDelay,
+                                    [this, Index] { crash(Index); });
+      };
+    m_cluster.run(Milliseconds(2000));
+  }
+
+  /// Submits a job; its task `Index` crashes workers.
+  void submitCrashing(const Submission &Job, std::uint32_t Index) {
+    m_crashing.insert({Job.m_id, 0, 0, Index});
+    m_cluster.submit(Job);
+  }
+
+  std::size_t startsOf(const TaskKey &Task) const {
+    return static_cast<std::size_t>(std::count_if(
+        m_cluster.m_history.m_runs.begin(), m_cluster.m_history.m_runs.end(),
+        [&](const RecordedRun &Each) { return Each.m_task == Task; }));
+  }
+
+  SimulatedCluster m_cluster;
+  std::set<TaskKey> m_crashing;
+
+private:
+  static constexpr Milliseconds CrashDelay{10};
+
+  void crash(std::size_t Index) {
+    FakeWorker &Worker = m_cluster.worker(Index);
+    if (Worker.m_network.m_isPartitioned)
+      return;
+    Worker.m_network.m_isPartitioned = true;
+    Worker.crash();
+    m_cluster.m_host.schedule(
+        m_downTime, [&Worker] { Worker.m_network.m_isPartitioned = false; });
+    m_cluster.m_host.schedule(m_downTime + Milliseconds(1000), [this, Index] {
+      m_cluster.registerWorker(Index);
+    });
+  }
+
+  const Milliseconds m_downTime;
+};
+
+Submission fourTasks(std::uint64_t Number, bool IsSpeculative) {
+  Submission Job = batchJob(jobId(Number), 4);
+  Job.m_spec.m_steps.front().m_isSpeculative = IsSpeculative;
+  return Job;
+}
+
+} // namespace
+
+// One task crashed server after server: it was started again for as long as the
+// job lived. The owner is killed while the first workers are down.
+BOOST_AUTO_TEST_CASE(CrashingTaskIsGivenUp) {
+  for (const bool IsSpeculative : {false, true})
+    for (const Milliseconds DownTime : {Milliseconds(3000), Milliseconds(8000)})
+      for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+        CrashingCluster Each(Seed, DownTime);
+        Each.submitCrashing(fourTasks(1, IsSpeculative), 2);
+        for (std::uint64_t Number = 2; Number < 40; ++Number) {
+          Each.m_cluster.submit(fourTasks(Number, IsSpeculative));
+          Each.m_cluster.run(Milliseconds(50));
+        }
+        Each.m_cluster.run(Milliseconds(100 * Seed));
+        if (Seed % 2 == 0)
+          Each.m_cluster.owner()->kill();
+        Each.m_cluster.run(Milliseconds(60000));
+        BOOST_TEST_CONTEXT("seed " << Seed << ", speculative " << IsSpeculative
+                                   << ", down for " << DownTime.count()
+                                   << " ms") {
+          BOOST_TEST(Each.startsOf({jobId(1), 0, 0, 2}) <= MaxStarts);
+          BOOST_TEST((Each.m_cluster.stateOf(jobId(1)) == JobState::Failed));
+          // The jobs that ran beside it complete.
+          for (std::uint64_t Number = 2; Number < 40; ++Number)
+            BOOST_TEST(
+                (Each.m_cluster.stateOf(jobId(Number)) == JobState::Completed));
+          BOOST_TEST(Each.m_cluster.violations().empty());
+        }
+      }
+}
+
+// Workers that crash for another reason. A task that was there twice must not
+// be given up for it.
+BOOST_AUTO_TEST_CASE(TasksOutliveUnrelatedCrashes) {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    SimulatedCluster Cluster({.m_seed = Seed, .m_workers = Workers});
+    Cluster.run(Milliseconds(2000));
+    for (std::size_t Index = 0; Index < Workers; ++Index)
+      Cluster.worker(Index).m_runTime = Milliseconds(2000);
+    for (std::uint64_t Number = 1; Number <= 6; ++Number)
+      Cluster.submit(batchJob(jobId(Number), 6));
+    Cluster.submit(serviceJob(jobId(7), 4));
+    for (int Round = 0; Round < 4; ++Round) {
+      Cluster.run(Milliseconds(1200));
+      for (std::size_t Index = Seed % 2; Index < Workers; Index += 2)
+        Cluster.crashWorker(Index);
+    }
+    Cluster.run(Milliseconds(30000));
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      for (std::uint64_t Number = 1; Number <= 6; ++Number)
+        BOOST_TEST((Cluster.stateOf(jobId(Number)) == JobState::Completed));
+      BOOST_TEST((Cluster.stateOf(jobId(7)) == JobState::InProgress));
+      BOOST_TEST(Cluster.violations().empty());
+    }
+  }
+}
+
+} // namespace catkinseam
--- a/catkinseam/ownership/testing/fake_worker.cc
+++ b/catkinseam/ownership/testing/fake_worker.cc
@@ -196,6 +196,8 @@
   m_runs[{Order.m_task, Order.m_run}] = Run;
   m_history.started(m_id, Order.m_task, Order.m_run, m_host.now(),
                     m_host.now() - SentAt > DelayedStartThreshold);
+  if (m_onStart)
+    m_onStart(Order.m_task);
   return OrderOutcome::Done;
 }
 
--- a/catkinseam/ownership/testing/fake_worker.h
+++ b/catkinseam/ownership/testing/fake_worker.h
@@ -11,6 +11,7 @@
 #include "catkinseam/ownership/testing/run_history.h"
 #include "catkinseam/scheduler/orders.h"
 
+#include <functional>
 #include <map>
 #include <random>
 
@@ -42,6 +43,8 @@
   Milliseconds m_runTime{300};
   double m_failureRate = 0.0;
   Network m_network;
+  /// Called when a run starts; null for none.
+  std::function<void(const TaskKey &)> m_onStart;
 
 private:
   class Link;
--- a/catkinseam/ownership/testing/simulated_cluster.h
+++ b/catkinseam/ownership/testing/simulated_cluster.h
@@ -97,6 +97,8 @@
   std::size_t workers() const { return m_workers.size(); }
   /// Crashes the worker; its next incarnation is registered after a delay.
   void crashWorker(std::size_t Index);
+  /// Writes the worker's current registration.
+  void registerWorker(std::size_t Index);
 
   /// Returns a line for each invariant violated so far.
   std::vector<std::string> violations() const;
@@ -111,8 +113,6 @@
   FakeLog m_log;
 
 private:
-  void registerWorker(std::size_t Index);
-
   const Options m_options;
   std::vector<SubmittedJob> m_submitted;
   std::vector<std::unique_ptr<FakeWorker>> m_workers;
