Give up tasks that crash the workers which start them

Cause: the loss of a worker left no trace at the tasks that it had just started. They were started again, with a copy each time that the step allows copies.

Change: scheduler/crash_suspects. The tasks of the young runs of a lost worker are suspects: a suspect starts only where nothing else starts for half a second, is not copied again, and its job fails after two certain crashes or four losses. The counts are stored with the task's progress. A worker whose address another one answers at is gone for certain, so its runs are given up then and not when their leases lapse.

--- a/catkinseam/ledger/records.h
+++ b/catkinseam/ledger/records.h
@@ -37,32 +37,53 @@
 struct TaskRecord {
   bool m_isDone = false;
   std::uint32_t m_failures = 0;
+  /// See TaskInfo.
+  std::uint32_t m_lostWorkers = 0;
+  std::uint32_t m_crashedWorkers = 0;
   RunNumber m_lastRun = 0;
   std::string m_checkpoint;
   std::vector<RunRecord> m_runs;
 
-  // Compact encoding, because every node reads every change of a job.
+  // Compact encoding, because a new owner reads the progress of all jobs.
   template <class Archive> void save(Archive &Target) const {
-    Target(m_isDone);
+    const bool HasLosses = !m_isDone && m_lostWorkers > 0;
+    const std::uint8_t Flags =
+        (m_isDone ? DoneFlag : 0U) | (HasLosses ? LossesFlag : 0U);
+    Target(Flags);
     saveVarint(Target, m_failures);
     saveVarint(Target, m_lastRun);
     if (m_isDone)
       return;
+    if (HasLosses) {
+      saveVarint(Target, m_lostWorkers);
+      saveVarint(Target, m_crashedWorkers);
+    }
     saveVarint(Target, m_checkpoint);
     saveVarint(Target, m_runs.size());
     for (const RunRecord &Run : m_runs)
       Target(Run);
   }
   template <class Archive> void load(Archive &Source) {
-    Source(m_isDone);
+    std::uint8_t Flags = 0;
+    Source(Flags);
+    m_isDone = (Flags & DoneFlag) != 0;
     m_failures = static_cast<std::uint32_t>(loadVarint(Source));
     m_lastRun = static_cast<RunNumber>(loadVarint(Source));
     if (m_isDone)
       return;
+    if ((Flags & LossesFlag) != 0) {
+      m_lostWorkers = static_cast<std::uint32_t>(loadVarint(Source));
+      m_crashedWorkers = static_cast<std::uint32_t>(loadVarint(Source));
+    }
     m_checkpoint = loadVarintString(Source);
     for (std::uint64_t Left = loadVarint(Source); Left > 0; --Left)
       Source(m_runs.emplace_back());
   }
+
+private:
+  static constexpr std::uint8_t DoneFlag = 1;
+  /// Workers were lost; without it, no numbers of lost workers follow.
+  static constexpr std::uint8_t LossesFlag = 2;
 };
 
 /// Progress of one step. A step without tasks has not started.
--- /dev/null
+++ b/catkinseam/scheduler/crash_suspects.cc
@@ -0,0 +1,71 @@
+// Which runs are blamed for the loss of a worker, and what follows for their
+// tasks.
+#include "catkinseam/scheduler/crash_suspects.h"
+
+#include "catkinseam/scheduler/interference_model.h"
+
+#include <algorithm>
+
+namespace catkinseam {
+
+namespace {
+
+/// A task is given up after this many workers that have certainly crashed.
+constexpr std::uint32_t MaxCrashedWorkers = 2;
+/// The same for lost workers, which may also have been partitioned.
+constexpr std::uint32_t MaxLostWorkers = 4;
+/// Age from which a run does not keep a trial off its worker.
+constexpr Milliseconds SettlingTime{200};
+
+/// The worker has answered this owner before and does not now.
+bool isLost(const WorkerInfo &Worker) {
+  return Worker.m_hasAcceptedToken && !Worker.m_isReachable;
+}
+
+bool wasSent(const RunInfo &Run) { return Run.m_phase != RunPhase::Recording; }
+
+} // namespace
+
+bool hasSurvivedTrial(const RunInfo &Run) {
+  return Run.m_hasOutlivedOwner ||
+         (Run.m_confirmedAt != TimePoint() &&
+          Run.m_worker->m_aliveUntil - Run.m_confirmedAt >= TrialTime);
+}
+
+bool isSuspect(const TaskInfo &Task) {
+  return Task.m_lostWorkers > 0 ||
+         std::any_of(Task.m_runs.begin(), Task.m_runs.end(),
+                     [](const RunInfo &Each) {
+                       return isLost(*Each.m_worker) && wasSent(Each) &&
+                              !hasSurvivedTrial(Each);
+                     });
+}
+
+bool isGivenUp(const TaskInfo &Task) {
+  return Task.m_crashedWorkers >= MaxCrashedWorkers ||
+         Task.m_lostWorkers >= MaxLostWorkers;
+}
+
+bool allowsTrial(const WorkerInfo &Worker, TimePoint Now) {
+  return std::all_of(Worker.m_runs.begin(), Worker.m_runs.end(),
+                     [Now](const RunRef &Each) {
+                       const RunInfo *Run = findReferencedRun(Each);
+                       return !Run || Run->m_phase == RunPhase::Stopping ||
+                              (Run->m_confirmedAt != TimePoint() &&
+                               Now - Run->m_confirmedAt >= SettlingTime);
+                     });
+}
+
+std::vector<RunRef> blamedRuns(const WorkerInfo &Worker) {
+  std::vector<RunRef> Blamed;
+  for (const RunRef &Each : Worker.m_runs) {
+    const RunInfo *Run = findReferencedRun(Each);
+    if (!Run || !wasSent(*Run) || hasSurvivedTrial(*Run))
+      continue;
+    if (Worker.m_trials == 0 || Run->m_isOnTrial)
+      Blamed.push_back(Each);
+  }
+  return Blamed;
+}
+
+} // namespace catkinseam
--- /dev/null
+++ b/catkinseam/scheduler/crash_suspects.h
@@ -0,0 +1,43 @@
+// Tasks that may crash the workers which start them.
+//
+//   for (const RunRef &Each : blamedRuns(Worker))
+//     ++Each.m_task->m_lostWorkers;
+//   if (isGivenUp(Task)) ... // fails the job
+//
+// When a worker is lost, any run that it had only just started may be the
+// cause. The tasks of these runs become suspects. A suspect is started on
+// trial: on a worker that starts nothing else meanwhile, so that the loss of
+// this worker would point to the suspect alone. Surviving the trial clears the
+// suspect.
+#ifndef CATKINSEAM_SCHEDULER_CRASH_SUSPECTS_H
+#define CATKINSEAM_SCHEDULER_CRASH_SUSPECTS_H
+
+#include "catkinseam/scheduler/tables.h"
+
+#include <vector>
+
+namespace catkinseam {
+
+/// How long a run must be active for its task to count as harmless.
+constexpr Milliseconds TrialTime{500};
+
+/// Whether the worker is known to have been alive after the run had been active
+/// for TrialTime, or since before the owner changed.
+bool hasSurvivedTrial(const RunInfo &Run);
+
+/// Whether the next run of the task has to start on trial.
+bool isSuspect(const TaskInfo &Task);
+
+/// Whether the task is not to be started again.
+bool isGivenUp(const TaskInfo &Task);
+
+/// Whether a suspect may start on this worker: no other run there is so young
+/// that it could be the cause of a loss.
+bool allowsTrial(const WorkerInfo &Worker, TimePoint Now);
+
+/// The runs that may have caused the loss of their worker.
+std::vector<RunRef> blamedRuns(const WorkerInfo &Worker);
+
+} // namespace catkinseam
+
+#endif // CATKINSEAM_SCHEDULER_CRASH_SUSPECTS_H
--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -1,6 +1,8 @@
 // Placement: hard constraints filter workers, a cost function ranks the rest.
 #include "catkinseam/scheduler/placement.h"
 
+#include "catkinseam/scheduler/crash_suspects.h"
+
 #include <algorithm>
 
 namespace catkinseam {
@@ -154,6 +156,8 @@
   if (Spec.m_maxPerWorker > 0 &&
       countStepRuns(*Task.m_step, Worker) >= Spec.m_maxPerWorker)
     return false;
+  if (Worker.m_trials > 0)
+    return false;
   // Copies of a task are useful only on different workers.
   for (const RunInfo &Each : Task.m_runs)
     if (Each.m_worker == &Worker)
@@ -190,10 +194,12 @@
                        const std::vector<WorkerInfo *> &Candidates,
                        const InterferenceModel &Learned, TimePoint Now) {
   const StepSpec &Spec = *Task.m_step->m_spec;
+  const bool NeedsTrial = isSuspect(Task);
   Placement Best;
   double BestCost = 0.0;
   for (WorkerInfo *Each : Candidates) {
-    if (!isAvailable(*Each, Now) || !isFeasible(Task, *Each))
+    if (!isAvailable(*Each, Now) || !isFeasible(Task, *Each) ||
+        (NeedsTrial && !allowsTrial(*Each, Now)))
       continue;
     InterferenceModel::FillerEstimate Estimate;
     if (Spec.m_isFiller) {
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -191,6 +191,9 @@
   if (Task.m_isDone || Task.m_runs.size() != 1 ||
       Task.m_failures + 2 > MaxAttempts)
     return false;
+  // Each copy of a task that crashes its workers would cost another worker.
+  if (Task.m_lostWorkers > 0)
+    return false;
   const RunInfo &Run = Task.m_runs.front();
   if (!Run.m_worker->m_isReachable)
     return true;
@@ -319,6 +322,7 @@
 
 ImmediateOrders Scheduler::control() {
   expireUnreachableWorkers();
+  endTrials();
   evacuateDrainingWorkers();
   listAvailableWorkers();
   updateSuspendedShare();
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -27,6 +27,7 @@
 #include "catkinseam/scheduler/preemption.h"
 #include "catkinseam/scheduler/tables.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -207,6 +208,11 @@
   void discardRun(TaskInfo &Task, RunNumber Number, Duration Delay);
   /// Removes a run whose start was not sent.
   void withdrawRun(TaskInfo &Task, RunNumber Number, const char *Reason);
+  /// Called when a run of the task has not crashed its worker.
+  void clearSuspicion(TaskInfo &Task);
+  /// Ends the trials that have lasted long enough. The tasks remain suspects
+  /// until their workers answer.
+  void endTrials();
   /// Whether the task has failed its maximum number of attempts.
   static bool hasExhaustedAttempts(const TaskInfo &Task);
   void requestStop(TaskInfo &Task, RunInfo &Run);
@@ -216,7 +222,16 @@
   // Workers.
   WorkerInfo &workerRow(const std::string &Id);
   void beginIncarnation(WorkerInfo &Worker, std::int64_t StartedMs);
-  void discardRunsOf(WorkerInfo &Worker, const char *Reason);
+  enum class Loss {
+    Crash,   ///< The incarnation is certainly over.
+    Unknown, ///< The worker does not answer.
+  };
+  void recordLoss(WorkerInfo &Worker);
+  /// Whether many other workers were lost at the same time.
+  bool isMassLoss(TimePoint LostAt) const;
+  /// Blames the runs that may have caused the loss, and discards all.
+  void loseRunsOf(WorkerInfo &Worker, Loss Cause, const char *Reason);
+  void blame(const std::vector<RunRef> &Runs, Loss Cause);
   static bool hasStartInDoubt(const WorkerInfo &Worker);
   void updateClock(WorkerInfo &Worker, Milliseconds Clock);
   void extendLeaseEnd(WorkerInfo &Worker, Milliseconds Expires);
@@ -272,6 +287,8 @@
   /// Available workers by service; rebuilt by each decide() and control().
   std::map<std::string, std::vector<WorkerInfo *>> m_availableByService;
   std::set<std::string> m_dirtyJobs;
+  /// When workers were found lost, in ascending order.
+  std::deque<TimePoint> m_lossTimes;
   std::vector<Decisions::ObservedEnd> m_unstoredEnds;
   /// Stops for runs that workers report and this scheduler does not know.
   std::vector<StopOrder> m_unknownRunStops;
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -1,6 +1,7 @@
 // Jobs: life cycle of occurrences, steps, tasks and runs; stored progress.
 #include "catkinseam/scheduler/scheduler.h"
 
+#include "catkinseam/scheduler/crash_suspects.h"
 #include "catkinseam/telemetry/log.h"
 
 #include <algorithm>
@@ -210,6 +211,8 @@
 void Scheduler::restoreTask(TaskInfo &Task, const TaskRecord &Recorded) {
   Task.m_isDone = Recorded.m_isDone;
   Task.m_failures = Recorded.m_failures;
+  Task.m_lostWorkers = Recorded.m_lostWorkers;
+  Task.m_crashedWorkers = Recorded.m_crashedWorkers;
   Task.m_lastRun = Recorded.m_lastRun;
   Task.m_checkpoint = Recorded.m_checkpoint;
   if (Task.m_isDone) {
@@ -219,8 +222,10 @@
   for (const RunRecord &Each : Recorded.m_runs) {
     WorkerInfo &Worker = workerRow(Each.m_worker);
     // The worker has restarted since, so the run is over.
-    if (Worker.m_registration.m_startedMs > Each.m_workerStartedMs)
+    if (Worker.m_registration.m_startedMs > Each.m_workerStartedMs) {
+      ++Task.m_lostWorkers;
       continue;
+    }
     Worker.m_registration.m_startedMs = Each.m_workerStartedMs;
     addRun(Task, Each.m_run, Worker, RunPhase::Adopted);
   }
@@ -296,6 +301,8 @@
   Run.m_worker = &Worker;
   Run.m_since = m_clock.now();
   Run.m_progressedAt = m_clock.now();
+  Run.m_isOnTrial = isSuspect(Task);
+  Worker.m_trials += Run.m_isOnTrial ? 1 : 0;
   Task.m_runs.push_back(Run);
   Worker.m_runs.push_back({&Task, Number});
   const StepSpec &Spec = *Task.m_step->m_spec;
@@ -333,6 +340,7 @@
     Worker.m_serviceProcessors -= Held.m_milliProcessors;
   }
   Worker.m_reserved -= Held;
+  Worker.m_trials -= Run->m_isOnTrial ? 1 : 0;
   Worker.m_areLoadHeadroomsStale = true;
   std::erase(Worker.m_runs, RunRef{&Task, Number});
   std::erase_if(Task.m_runs, [Number](const RunInfo &Each) {
@@ -362,12 +370,24 @@
   if (!Task.m_runs.empty() || Task.m_isDone)
     return;
   JobInfo &Job = *Task.m_step->m_occurrence->m_job;
-  if (hasExhaustedAttempts(Task) && !isFinal(Job.m_state))
+  if ((hasExhaustedAttempts(Task) || isGivenUp(Task)) && !isFinal(Job.m_state))
     endJob(Job, JobState::Failed);
   else
     enqueueTask(Task, Delay);
 }
 
+void Scheduler::clearSuspicion(TaskInfo &Task) {
+  if (Task.m_lostWorkers == 0)
+    return;
+  logInfo("task.cleared",
+          {{"task", toString(keyOf(Task))},
+           {"lost_workers", std::to_string(Task.m_lostWorkers)},
+           {"crashed_workers", std::to_string(Task.m_crashedWorkers)}});
+  Task.m_lostWorkers = 0;
+  Task.m_crashedWorkers = 0;
+  markDirty(*Task.m_step->m_occurrence->m_job);
+}
+
 bool Scheduler::hasExhaustedAttempts(const TaskInfo &Task) {
   return !Task.m_step->m_spec->m_isService &&
          Task.m_failures >=
@@ -397,6 +417,7 @@
     return completeTask(Task);
   }
   if (End == RunEnd::Failed) {
+    clearSuspicion(Task);
     recordFailure(Worker, Job.m_submission.m_id);
     Task.m_avoidedWorkers.push_back(Worker.m_registration.m_id);
   }
@@ -481,6 +502,8 @@
         TaskRecord &To = StepTo.m_tasks.emplace_back();
         To.m_isDone = Task.m_isDone;
         To.m_failures = Task.m_failures;
+        To.m_lostWorkers = Task.m_lostWorkers;
+        To.m_crashedWorkers = Task.m_crashedWorkers;
         To.m_lastRun = Task.m_lastRun;
         if (Task.m_isDone)
           continue;
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -1,6 +1,7 @@
 // Workers: leases, status polls, incarnations and health.
 #include "catkinseam/scheduler/scheduler.h"
 
+#include "catkinseam/scheduler/crash_suspects.h"
 #include "catkinseam/telemetry/log.h"
 
 #include <algorithm>
@@ -19,6 +20,11 @@
 /// it since its last success.
 constexpr std::size_t QuarantineFailedJobs = 2;
 constexpr Milliseconds QuarantineTime{2500};
+/// The loss of more workers than this and than one in MassLossDivisor, all
+/// within MassLossWindow before or after, has another cause than one task.
+constexpr std::size_t MinMassLoss = 3;
+constexpr std::size_t MassLossDivisor = 10;
+constexpr Milliseconds MassLossWindow{250};
 /// Interval at which stops of an unknown run are repeated.
 constexpr Milliseconds UnknownRunStopInterval{1000};
 
@@ -51,6 +57,9 @@
         "worker.draining",
         {{"worker", Registration.m_id},
          {"remaining_ms", std::to_string(Registration.m_remaining.count())}});
+  // Whatever answers at another address has not answered as this incarnation.
+  if (Registration.m_address != Worker.m_registration.m_address)
+    Worker.m_hasAcceptedToken = false;
   Worker.m_registration = Registration;
   if (!Worker.m_isListed)
     logInfo("worker.listed", {{"worker", Registration.m_id},
@@ -71,7 +80,10 @@
   if (Worker.m_registration.m_startedMs != 0) {
     logInfo("worker.new_life", {{"worker", Worker.m_registration.m_id},
                                 {"born", std::to_string(StartedMs)}});
-    discardRunsOf(Worker, "new_life");
+    // A worker that drains may leave at any time.
+    loseRunsOf(Worker,
+               Worker.m_registration.m_isDraining ? Loss::Unknown : Loss::Crash,
+               "new_life");
     Worker.m_leaseEnd = m_clock.now();
   }
   Worker.m_registration.m_startedMs = StartedMs;
@@ -85,23 +97,64 @@
   Worker.m_quarantinedUntil = TimePoint();
 }
 
-void Scheduler::discardRunsOf(WorkerInfo &Worker, const char *Reason) {
+void Scheduler::loseRunsOf(WorkerInfo &Worker, Loss Cause, const char *Reason) {
+  if (Worker.m_isReachable)
+    recordLoss(Worker);
+  if (!isMassLoss(Worker.m_lostAt))
+    blame(blamedRuns(Worker), Cause);
   const std::vector<RunRef> Runs = Worker.m_runs;
   for (const RunRef &Each : Runs) {
     if (!findRun(*Each.m_task, Each.m_run))
       continue;
-    logInfo("run.over", {{"task", toString(keyOf(*Each.m_task))},
-                         {"run", std::to_string(Each.m_run)},
-                         {"worker", Worker.m_registration.m_id},
-                         {"reason", Reason}});
+    logInfo(
+        "run.over",
+        {{"task", toString(keyOf(*Each.m_task))},
+         {"run", std::to_string(Each.m_run)},
+         {"worker", Worker.m_registration.m_id},
+         {"reason", Reason},
+         {"lost_workers", std::to_string(Each.m_task->m_lostWorkers)},
+         {"crashed_workers", std::to_string(Each.m_task->m_crashedWorkers)}});
     discardRun(*Each.m_task, Each.m_run, Duration::zero());
   }
 }
 
+void Scheduler::recordLoss(WorkerInfo &Worker) {
+  // Leases of all earlier losses have expired by then.
+  constexpr Milliseconds Remembered{30000};
+  Worker.m_lostAt = m_clock.now();
+  while (!m_lossTimes.empty() &&
+         m_clock.now() - m_lossTimes.front() > Remembered)
+    m_lossTimes.pop_front();
+  m_lossTimes.push_back(m_clock.now());
+}
+
+bool Scheduler::isMassLoss(TimePoint LostAt) const {
+  const auto Losses = static_cast<std::size_t>(std::count_if(
+      m_lossTimes.begin(), m_lossTimes.end(), [LostAt](TimePoint Each) {
+        return std::chrono::abs(Each - LostAt) <= MassLossWindow;
+      }));
+  return Losses > std::max(MinMassLoss, m_workers.size() / MassLossDivisor);
+}
+
+void Scheduler::blame(const std::vector<RunRef> &Runs, Loss Cause) {
+  for (const RunRef &Each : Runs) {
+    TaskInfo &Task = *Each.m_task;
+    ++Task.m_lostWorkers;
+    if (Cause == Loss::Crash)
+      ++Task.m_crashedWorkers;
+    if (isGivenUp(Task))
+      logWarn("task.given_up",
+              {{"task", toString(keyOf(Task))},
+               {"lost_workers", std::to_string(Task.m_lostWorkers)},
+               {"crashed_workers", std::to_string(Task.m_crashedWorkers)}});
+  }
+}
+
 void Scheduler::updateClock(WorkerInfo &Worker, Milliseconds Clock) {
   Worker.m_clock = Clock;
   Worker.m_clockReadAt = m_clock.now();
   Worker.m_isClockKnown = true;
+  Worker.m_aliveUntil = m_clock.now();
 }
 
 void Scheduler::extendLeaseEnd(WorkerInfo &Worker, Milliseconds Expires) {
@@ -166,10 +219,21 @@
     ++Worker.m_missedPolls;
     if (Worker.m_isReachable && Worker.m_missedPolls >= MissedPollLimit) {
       Worker.m_isReachable = false;
+      recordLoss(Worker);
+      // A call that fails before the worker was due to reply has lost its
+      // connection; one that times out says nothing about the time before.
+      if (m_clock.now() - SentAt < Order.m_maxWait)
+        Worker.m_aliveUntil = m_clock.now();
       logWarn("worker.unreachable",
               {{"worker", Order.m_worker},
                {"outcome", orderOutcomeName(Reply.m_outcome)}});
     }
+    // Another incarnation at an address where this one has answered before.
+    if (Reply.m_outcome == OrderOutcome::OtherIncarnation &&
+        Worker.m_hasAcceptedToken) {
+      loseRunsOf(Worker, Loss::Crash, "replaced");
+      Worker.m_leaseEnd = m_clock.now();
+    }
     return;
   }
   if (Reply.m_snapshot.m_startedMs < Worker.m_registration.m_startedMs)
@@ -224,14 +288,18 @@
     }
     Listed.insert({Task, Each.m_run});
     // An earlier owner may have changed the CPU rate.
-    if (Run->m_phase == RunPhase::Adopted)
+    if (Run->m_phase == RunPhase::Adopted) {
       Run->m_confirmedCpuRatePercent = UnknownCpuRate;
+      Run->m_hasOutlivedOwner = true;
+    }
     if (Run->m_phase == RunPhase::Starting ||
         Run->m_phase == RunPhase::Adopted) {
       Run->m_phase = RunPhase::Running;
       Run->m_confirmedAt = m_clock.now();
     }
     Run->m_isStartInDoubt = false;
+    if (Task->m_lostWorkers > 0 && hasSurvivedTrial(*Run))
+      clearSuspicion(*Task);
     if (!Each.m_checkpoint.empty())
       Task->m_checkpoint = Each.m_checkpoint;
     if (Run->m_percent != Each.m_percent)
@@ -291,7 +359,7 @@
   for (const auto &[Id, Worker] : m_workers) {
     if (!Worker->m_runs.empty() && !Worker->m_isReachable &&
         Worker->m_leaseEnd <= Now)
-      discardRunsOf(*Worker, "lease_over");
+      loseRunsOf(*Worker, Loss::Unknown, "lease_over");
     if (!Worker->m_isListed && Worker->m_runs.empty())
       Gone.push_back(Id);
   }
@@ -299,6 +367,21 @@
     m_workers.erase(Each);
 }
 
+void Scheduler::endTrials() {
+  for (const auto &[Id, Worker] : m_workers) {
+    if (Worker->m_trials == 0 || !Worker->m_isReachable)
+      continue;
+    for (const RunRef &Each : Worker->m_runs) {
+      RunInfo *Run = findRun(*Each.m_task, Each.m_run);
+      if (!Run->m_isOnTrial || Run->m_confirmedAt == TimePoint() ||
+          m_clock.now() - Run->m_confirmedAt < TrialTime)
+        continue;
+      Run->m_isOnTrial = false;
+      --Worker->m_trials;
+    }
+  }
+}
+
 void Scheduler::evacuateDrainingWorkers() {
   for (const auto &[Id, Worker] : m_workers) {
     if (!Worker->m_registration.m_isDraining || !Worker->m_isReachable)
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -44,6 +44,11 @@
   /// While starting: no reply to the start arrived, as of m_startDoubtedAt.
   bool m_isStartInDoubt = false;
   TimePoint m_startDoubtedAt;
+  /// The start was sent to a worker that starts nothing else meanwhile; see
+  /// crash_suspects.h.
+  bool m_isOnTrial = false;
+  /// An earlier owner started the run, and the worker still lists it.
+  bool m_hasOutlivedOwner = false;
   /// While stopping: when the stop was last sent and when it was acknowledged.
   TimePoint m_stopSentAt;
   TimePoint m_stopAnsweredAt;
@@ -80,6 +85,10 @@
   /// started.
   bool m_isDone = false;
   std::uint32_t m_failures = 0;
+  /// Workers that were lost when they had just started the task, and those of
+  /// them that have certainly crashed; zero once a run has survived its trial.
+  std::uint32_t m_lostWorkers = 0;
+  std::uint32_t m_crashedWorkers = 0;
   RunNumber m_lastRun = 0;
   std::string m_checkpoint;
   std::vector<RunInfo> m_runs;
@@ -175,11 +184,17 @@
   std::int64_t m_fillerProcessors = 0;
   std::uint32_t m_services = 0;
   std::uint32_t m_fillers = 0;
+  /// Number of runs on trial; no other run is started beside them.
+  std::uint32_t m_trials = 0;
 
   /// The worker's clock, and the local time at which it was received.
   Milliseconds m_clock{0};
   TimePoint m_clockReadAt;
   bool m_isClockKnown = false;
+  /// The worker was certainly running until this time.
+  TimePoint m_aliveUntil;
+  /// When the worker was last found lost.
+  TimePoint m_lostAt;
   /// Local time by which all leases on the worker have expired, if none is
   /// granted anew.
   TimePoint m_leaseEnd;
