--- a/catkinseam/ownership/testing/fake_log.h
+++ b/catkinseam/ownership/testing/fake_log.h
@@ -18,7 +18,10 @@
 public:
   struct Faults {
     bool m_isDown = false;
+    /// Time until a request takes effect.
     Milliseconds m_latency{4};
+    /// Time after that until the reply to a read arrives.
+    Milliseconds m_replyLatency{0};
     /// Probability that an append is applied and its reply lost.
     double m_lostReplyRate = 0.0;
     /// Probability that an append is applied 3 s later and its reply lost.
@@ -52,14 +55,17 @@
     std::size_t m_bytesRead = 0;
 
   private:
-    /// Counts the records of a reply.
+    /// Counts the records of a reply, and delays it if that fault is set.
     template <class Reply>
     std::function<void(const Reply &)>
     counted(std::function<void(const Reply &)> Done) {
       return [this, Done = std::move(Done)](const Reply &Sent) {
         for (const StoredRecord &Each : Sent.m_records)
           m_bytesRead += appendBytes(Each.m_record);
-        Done(Sent);
+        const Milliseconds Delay = m_log.m_faults.m_replyLatency;
+        if (Delay == Milliseconds::zero())
+          return Done(Sent);
+        m_log.m_host.schedule(Delay, [Done, Sent] { Done(Sent); });
       };
     }
 
--- a/catkinseam/ownership/testing/simulated_cluster.cc
+++ b/catkinseam/ownership/testing/simulated_cluster.cc
@@ -143,13 +143,15 @@
 }
 
 void FakeNode::start(Owner::WorkerLinkFactory MakeLink,
-                     Owner::WorkerRegistrationParser ParseRegistration) {
+                     Owner::WorkerRegistrationParser ParseRegistration,
+                     Milliseconds JobRetention) {
   kill();
   m_pausableLog = std::make_unique<PausableLog>(*this);
   m_jobs = std::make_unique<Ledger>();
   Candidate::Options Values;
   Values.m_node = m_name;
   Values.m_bootId = m_name + "-" + std::to_string(m_incarnation);
+  Values.m_owner.m_scheduler.m_jobRetention = JobRetention;
   m_candidate = std::make_unique<Candidate>(
       *this, *m_pausableLog, *m_jobs,
       [this,
@@ -158,11 +160,22 @@
         return std::make_unique<PausableLink>(*this, MakeLink(Registration));
       },
       std::move(ParseRegistration), Values);
+  m_jobService = std::make_unique<JobService>(*this, *m_pausableLog, *m_jobs,
+                                              JobService::Options{});
+  m_jobLookup = std::make_unique<JobLookup>(
+      *m_jobService, JobLookup::Updates{[this](std::function<void()> Done) {
+                                          m_candidate->refresh(std::move(Done));
+                                        },
+                                        [this](std::function<void(bool)> Done) {
+                                          m_candidate->cover(std::move(Done));
+                                        }});
   m_candidate->start();
 }
 
 void FakeNode::kill() {
   m_candidate.reset();
+  m_jobLookup.reset();
+  m_jobService.reset();
   m_jobs.reset();
   m_pausableLog.reset();
   m_deferred.clear();
@@ -200,7 +213,8 @@
       [this](const std::string &, const std::string &Value) {
         return Result<WorkerRegistration>(
             m_workers[std::stoul(Value)]->registration());
-      });
+      },
+      m_options.m_jobRetention);
 }
 
 void SimulatedCluster::crashWorker(std::size_t Index) {
--- a/catkinseam/ownership/testing/simulated_cluster.h
+++ b/catkinseam/ownership/testing/simulated_cluster.h
@@ -7,6 +7,8 @@
 #ifndef CATKINSEAM_OWNERSHIP_TESTING_SIMULATED_CLUSTER_H
 #define CATKINSEAM_OWNERSHIP_TESTING_SIMULATED_CLUSTER_H
 
+#include "catkinseam/front/job_lookup.h"
+#include "catkinseam/front/job_service.h"
 #include "catkinseam/ownership/candidate.h"
 #include "catkinseam/ownership/testing/fake_log.h"
 #include "catkinseam/ownership/testing/fake_worker.h"
@@ -32,7 +34,8 @@
 
   /// Starts a new incarnation of the process.
   void start(Owner::WorkerLinkFactory MakeLink,
-             Owner::WorkerRegistrationParser ParseRegistration);
+             Owner::WorkerRegistrationParser ParseRegistration,
+             Milliseconds JobRetention);
   void kill();
   void pause() { m_isPaused = true; }
   void resume();
@@ -40,7 +43,11 @@
   bool isRunning() const { return m_candidate != nullptr; }
   bool isOwner() const { return m_candidate && m_candidate->owner(); }
   bool isPaused() const { return m_isPaused; }
+  const std::string &name() const { return m_name; }
+  int incarnation() const { return m_incarnation; }
   const Ledger &jobs() const { return *m_jobs; }
+  JobService &jobService() { return *m_jobService; }
+  JobLookup &jobLookup() { return *m_jobLookup; }
 
   /// The process's connection to the log.
   FakeLog::View m_log;
@@ -63,6 +70,8 @@
   std::unique_ptr<PausableLog> m_pausableLog;
   std::unique_ptr<Ledger> m_jobs;
   std::unique_ptr<Candidate> m_candidate;
+  std::unique_ptr<JobService> m_jobService;
+  std::unique_ptr<JobLookup> m_jobLookup;
 };
 
 class SimulatedCluster {
@@ -72,6 +81,7 @@
     std::size_t m_nodes = 3;
     std::size_t m_workers = 6;
     Resources m_capacity{4000, 8000, 0};
+    Milliseconds m_jobRetention = Scheduler::Options{}.m_jobRetention;
   };
 
   explicit SimulatedCluster(const Options &Values);
