Resolve starts that may have reached a worker's next incarnation

Callers could see a task run on two workers at once (TWICE): a worker restarts under its id while a start is on its way to it or unconfirmed; the owner learns of the new incarnation and starts the task elsewhere, and the next incarnation carries the start out. Orders carry the id only, so nothing rejects it.

Cause: a new incarnation was taken for the end of all runs on the worker, and by a successor for the end of all recorded ones. That is so only for runs which the earlier incarnation had listed.

Change: a run that was sent and not listed becomes a start in doubt at the new incarnation, which the next status polls and a stop resolve; an acknowledged stop does not carry over; its lease end allows for the longest lease. A successor keeps recorded runs of earlier incarnations until the worker has answered with its token. After a missed poll the earlier incarnation's number of ends is not acknowledged, as the next one counts anew.

--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -13,8 +13,8 @@
 //   a task may be running.
 // - A task runs again only after its earlier run is known to be over: the
 //   worker reported its end, or did not list it after acknowledging a stop or a
-//   new fencing token, or started a new incarnation, or the lease has certainly
-//   expired.
+//   new fencing token, or started a new incarnation after it had listed the
+//   run, or the lease has certainly expired.
 // - An end is stored before the worker may discard it.
 #ifndef CATKINSEAM_SCHEDULER_SCHEDULER_H
 #define CATKINSEAM_SCHEDULER_SCHEDULER_H
@@ -223,15 +223,21 @@
   WorkerInfo &workerRow(const std::string &Id);
   void beginIncarnation(WorkerInfo &Worker, std::int64_t StartedMs);
   enum class Loss {
-    Crash,   ///< The incarnation is certainly over.
-    Unknown, ///< The worker does not answer.
+    Restart,     ///< The worker has started again under its id.
+    Replacement, ///< Another worker has its address.
+    Unknown,     ///< The worker does not answer.
   };
   void recordLoss(WorkerInfo &Worker);
   /// Whether many other workers were lost at the same time.
   bool isMassLoss(TimePoint LostAt) const;
-  /// Blames the runs that may have caused the loss, and discards all.
+  /// Blames the runs that may have caused the loss, and discards those that are
+  /// over.
   void loseRunsOf(WorkerInfo &Worker, Loss Cause, const char *Reason);
-  void blame(const std::vector<RunRef> &Runs, Loss Cause);
+  void blame(const WorkerInfo &Worker, Loss Cause);
+  /// Whether the next incarnation under the same id may carry out the run.
+  static bool mayReachNextIncarnation(const RunInfo &Run);
+  /// Treats the run as one whose start got no reply from this incarnation.
+  void doubtStart(RunInfo &Run);
   static bool hasStartInDoubt(const WorkerInfo &Worker);
   void updateClock(WorkerInfo &Worker, Milliseconds Clock);
   void extendLeaseEnd(WorkerInfo &Worker, Milliseconds Expires);
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -221,12 +221,11 @@
   }
   for (const RunRecord &Each : Recorded.m_runs) {
     WorkerInfo &Worker = workerRow(Each.m_worker);
-    // The worker has restarted since, so the run is over.
-    if (Worker.m_registration.m_startedMs > Each.m_workerStartedMs) {
+    // The worker may have restarted since, and carry out the start even so.
+    if (Worker.m_registration.m_startedMs > Each.m_workerStartedMs)
       ++Task.m_lostWorkers;
-      continue;
-    }
-    Worker.m_registration.m_startedMs = Each.m_workerStartedMs;
+    else
+      Worker.m_registration.m_startedMs = Each.m_workerStartedMs;
     addRun(Task, Each.m_run, Worker, RunPhase::Adopted);
   }
   if (Task.m_runs.empty())
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -80,11 +80,12 @@
   if (Worker.m_registration.m_startedMs != 0) {
     logInfo("worker.new_life", {{"worker", Worker.m_registration.m_id},
                                 {"born", std::to_string(StartedMs)}});
-    // A worker that drains may leave at any time.
-    loseRunsOf(Worker,
-               Worker.m_registration.m_isDraining ? Loss::Unknown : Loss::Crash,
-               "new_life");
+    loseRunsOf(Worker, Loss::Restart, "new_life");
     Worker.m_leaseEnd = m_clock.now();
+    // The earlier incarnation's clock was ahead, so a late start may be given
+    // the longest lease.
+    if (!Worker.m_runs.empty())
+      Worker.m_leaseEnd += m_options.m_previousOwnerLease;
   }
   Worker.m_registration.m_startedMs = StartedMs;
   Worker.m_hasAcceptedToken = false;
@@ -101,11 +102,16 @@
   if (Worker.m_isReachable)
     recordLoss(Worker);
   if (!isMassLoss(Worker.m_lostAt))
-    blame(blamedRuns(Worker), Cause);
+    blame(Worker, Cause);
   const std::vector<RunRef> Runs = Worker.m_runs;
   for (const RunRef &Each : Runs) {
-    if (!findRun(*Each.m_task, Each.m_run))
+    RunInfo *Run = findRun(*Each.m_task, Each.m_run);
+    if (!Run)
+      continue;
+    if (Cause == Loss::Restart && mayReachNextIncarnation(*Run)) {
+      doubtStart(*Run);
       continue;
+    }
     logInfo(
         "run.over",
         {{"task", toString(keyOf(*Each.m_task))},
@@ -136,11 +142,33 @@
   return Losses > std::max(MinMassLoss, m_workers.size() / MassLossDivisor);
 }
 
-void Scheduler::blame(const std::vector<RunRef> &Runs, Loss Cause) {
-  for (const RunRef &Each : Runs) {
+bool Scheduler::mayReachNextIncarnation(const RunInfo &Run) {
+  return Run.m_phase != RunPhase::Recording && !Run.m_isListed;
+}
+
+void Scheduler::doubtStart(RunInfo &Run) {
+  if (Run.m_phase == RunPhase::Stopping) {
+    Run.m_isStopAnswered = false;
+    Run.m_stopSentAt = TimePoint();
+    return;
+  }
+  // The next status poll carries this owner's token, which resolves it.
+  if (Run.m_phase == RunPhase::Adopted)
+    return;
+  Run.m_phase = RunPhase::Starting;
+  Run.m_confirmedAt = TimePoint();
+  Run.m_isStartInDoubt = true;
+  Run.m_startDoubtedAt = m_clock.now();
+}
+
+void Scheduler::blame(const WorkerInfo &Worker, Loss Cause) {
+  // A worker that drains may leave at any time.
+  const bool IsCrash =
+      Cause != Loss::Unknown && !Worker.m_registration.m_isDraining;
+  for (const RunRef &Each : blamedRuns(Worker)) {
     TaskInfo &Task = *Each.m_task;
     ++Task.m_lostWorkers;
-    if (Cause == Loss::Crash)
+    if (IsCrash)
       ++Task.m_crashedWorkers;
     if (isGivenUp(Task))
       logWarn("task.given_up",
@@ -178,7 +206,9 @@
     return std::nullopt;
   PollOrder Order;
   Order.m_worker = Id;
-  Order.m_acknowledgedEnd = Worker.m_lastStoredEnd;
+  // After a missed poll the worker may have restarted, and its numbers of ends
+  // begin anew.
+  Order.m_acknowledgedEnd = Worker.m_isReachable ? Worker.m_lastStoredEnd : 0;
   // Runs of an unreachable worker are discarded once its leases have expired,
   // so no lease is granted until it answers.
   if (!Worker.m_isClockKnown || !Worker.m_hasAcceptedToken ||
@@ -231,7 +261,7 @@
     // Another incarnation at an address where this one has answered before.
     if (Reply.m_outcome == OrderOutcome::OtherIncarnation &&
         Worker.m_hasAcceptedToken) {
-      loseRunsOf(Worker, Loss::Crash, "replaced");
+      loseRunsOf(Worker, Loss::Replacement, "replaced");
       Worker.m_leaseEnd = m_clock.now();
     }
     return;
@@ -298,6 +328,7 @@
       Run->m_confirmedAt = m_clock.now();
     }
     Run->m_isStartInDoubt = false;
+    Run->m_isListed = true;
     if (Task->m_lostWorkers > 0 && hasSurvivedTrial(*Run))
       clearSuspicion(*Task);
     if (!Each.m_checkpoint.empty())
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -41,6 +41,8 @@
   TimePoint m_since;
   /// When the worker first listed the run or confirmed its start.
   TimePoint m_confirmedAt;
+  /// The worker's current incarnation has listed the run.
+  bool m_isListed = false;
   /// While starting: no reply to the start arrived, as of m_startDoubtedAt.
   bool m_isStartInDoubt = false;
   TimePoint m_startDoubtedAt;
