Let simulated workers be addressed by their id only

As on the users' platform: an order to an id reaches the incarnation that has it now, unless the worker itself had delayed it, and forgot it when it crashed; and a crash may change the id, after which the address rejects orders for the earlier one.

--- a/catkinseam/ownership/testing/fake_worker.cc
+++ b/catkinseam/ownership/testing/fake_worker.cc
@@ -20,9 +20,9 @@
 /// One process's connection to the worker.
 class FakeWorker::Link final : public WorkerLink {
 public:
-  explicit Link(FakeWorker &Worker)
+  Link(FakeWorker &Worker, std::string Id)
       : m_worker(Worker), m_isWorkerAlive(Worker.m_isAlive),
-        m_startedMs(Worker.m_startedMs) {}
+        m_id(std::move(Id)) {}
   ~Link() override { *m_isOpen = false; }
 
   void start(const StartOrder &Order, std::uint64_t Token,
@@ -77,11 +77,11 @@
         m_worker.m_host.now() >= Deadline)
       return Done(Reply);
     m_worker.m_host.schedule(
-        TickInterval, [this, Order, Deadline, Done, IsOpen = m_isOpen] {
+        TickInterval, [this, Order, Deadline, Reply, Done, IsOpen = m_isOpen] {
           if (!*IsOpen)
             return;
           if (m_worker.m_network.m_isPartitioned ||
-              m_worker.m_startedMs != m_startedMs)
+              m_worker.m_startedMs != Reply.m_snapshot.m_startedMs)
             return Done(PollReply{});
           waitForEnd(Order, Deadline, {OrderOutcome::Done, m_worker.snapshot()},
                      Done);
@@ -109,12 +109,17 @@
     const Milliseconds Delay(
         std::uniform_int_distribution<int>(2000, 8000)(m_worker.m_random));
     Host.schedule(IsDelayed ? Delay : m_worker.m_network.m_delay,
-                  [Execute, Respond, IsReplyLost, Worker = &m_worker,
-                   IsWorkerAlive = m_isWorkerAlive, StartedMs = m_startedMs] {
+                  [Execute, Respond, IsReplyLost, IsDelayed, Worker = &m_worker,
+                   IsWorkerAlive = m_isWorkerAlive, Id = m_id,
+                   SentTo = m_worker.m_startedMs] {
                     if (!*IsWorkerAlive)
                       return;
+                    // The worker itself delays orders, and forgets them when it
+                    // crashes.
+                    if (IsDelayed && Worker->m_startedMs != SentTo)
+                      return;
                     Reply Sent{};
-                    if (Worker->m_startedMs == StartedMs)
+                    if (Worker->id() == Id)
                       Sent = Execute(*Worker);
                     else
                       Sent.m_outcome = OrderOutcome::OtherIncarnation;
@@ -127,7 +132,7 @@
 
   FakeWorker &m_worker;
   const std::shared_ptr<bool> m_isWorkerAlive;
-  const std::int64_t m_startedMs;
+  const std::string m_id;
   std::shared_ptr<bool> m_isOpen = std::make_shared<bool>(true);
 };
 
@@ -141,13 +146,17 @@
 
 FakeWorker::~FakeWorker() { *m_isAlive = false; }
 
-std::unique_ptr<WorkerLink> FakeWorker::connect() {
-  return std::make_unique<Link>(*this);
+std::unique_ptr<WorkerLink> FakeWorker::connect(const std::string &Id) {
+  return std::make_unique<Link>(*this, Id);
+}
+
+std::string FakeWorker::id() const {
+  return m_earlierIds == 0 ? m_id : m_id + "." + std::to_string(m_earlierIds);
 }
 
 WorkerRegistration FakeWorker::registration() const {
   WorkerRegistration Registration;
-  Registration.m_id = m_id;
+  Registration.m_id = id();
   Registration.m_startedMs = m_startedMs;
   Registration.m_address = {"127.0.0.1", 1};
   Registration.m_service = "tally";
@@ -276,6 +285,8 @@
   m_fence = 0;
   m_leaseEnd = Milliseconds(0);
   ++m_startedMs;
+  if (m_changesId)
+    ++m_earlierIds;
   m_startedAt = m_host.now();
 }
 
--- a/catkinseam/ownership/testing/fake_worker.h
+++ b/catkinseam/ownership/testing/fake_worker.h
@@ -32,17 +32,26 @@
              const std::string &Id, const Resources &Capacity);
   ~FakeWorker();
 
-  std::unique_ptr<WorkerLink> connect();
+  /// Connects to the incarnation that has this id; as the platform's orders
+  /// name the id only, they may reach a later one that keeps it.
+  std::unique_ptr<WorkerLink> connect(const std::string &Id);
+  std::unique_ptr<WorkerLink> connect() { return connect(id()); }
 
   /// Ends all runs without a report and starts a new incarnation immediately.
   void crash();
 
+  /// The id of this incarnation.
+  std::string id() const;
+
   WorkerRegistration registration() const;
 
   /// Duration of subsequent runs, and the probability that each fails.
   Milliseconds m_runTime{300};
   double m_failureRate = 0.0;
   Network m_network;
+  /// A crash ends the life of the id; the next incarnation has another one at
+  /// the same address.
+  bool m_changesId = false;
   /// Called when a run starts; null for none.
   std::function<void(const TaskKey &)> m_onStart;
 
@@ -73,6 +82,8 @@
   const std::string m_id;
   const Resources m_capacity;
   std::int64_t m_startedMs = 1;
+  /// Number of ids that the worker has had before.
+  std::uint32_t m_earlierIds = 0;
   TimePoint m_startedAt;
   std::uint64_t m_fence = 0;
   Milliseconds m_leaseEnd{0};
--- a/catkinseam/ownership/testing/simulated_cluster.cc
+++ b/catkinseam/ownership/testing/simulated_cluster.cc
@@ -201,25 +201,33 @@
 SimulatedCluster::~SimulatedCluster() = default;
 
 void SimulatedCluster::registerWorker(std::size_t Index) {
-  m_log.put(LogTopic::Workers, "w" + std::to_string(Index),
-            std::to_string(Index));
+  m_log.put(LogTopic::Workers, m_workers[Index]->id(), std::to_string(Index));
 }
 
 void SimulatedCluster::startNode(std::size_t Index) {
   m_nodes[Index]->start(
       [this](const WorkerRegistration &Registration) {
-        return m_workers[std::stoul(Registration.m_id.substr(1))]->connect();
+        return m_workers[std::stoul(Registration.m_id.substr(1))]->connect(
+            Registration.m_id);
       },
-      [this](const std::string &, const std::string &Value) {
-        return Result<WorkerRegistration>(
-            m_workers[std::stoul(Value)]->registration());
+      [this](const std::string &Id,
+             const std::string &Value) -> Result<WorkerRegistration> {
+        WorkerRegistration Read = m_workers[std::stoul(Value)]->registration();
+        if (Read.m_id != Id)
+          return makeError(ErrorCode::Invalid, "the id is no longer in use");
+        return Read;
       },
       m_options.m_jobRetention);
 }
 
 void SimulatedCluster::crashWorker(std::size_t Index) {
+  const std::string EarlierId = m_workers[Index]->id();
   m_workers[Index]->crash();
-  m_host.schedule(RegistrationDelay, [this, Index] { registerWorker(Index); });
+  m_host.schedule(RegistrationDelay, [this, Index, EarlierId] {
+    if (m_workers[Index]->id() != EarlierId)
+      m_log.put(LogTopic::Workers, EarlierId, std::nullopt);
+    registerWorker(Index);
+  });
 }
 
 FakeNode *SimulatedCluster::owner() {
