Keep the connection to a worker that restarts at its address

Callers could wait for ever for a task (LOST: nothing runs while there is capacity): an owner that had learned of a worker's restart from the worker itself sent it a start; when the registry showed the restart too, the connection was replaced and the pending call dropped with it. If the start had not arrived, its run stayed in the start phase, neither in doubt nor over, until the owner changed. A pending throttle order was lost the same way, and its filler never throttled again.

Cause: the connection was replaced for each new start time, though it is one to an address.

Change: the connection is kept while the address is the same. If the address changes, the replies on the old connection are lost for certain: starts on it are in doubt, and throttle orders may be sent again.

--- a/catkinseam/ownership/owner.cc
+++ b/catkinseam/ownership/owner.cc
@@ -158,13 +158,13 @@
   WorkerConnection &Connection = m_connections[Registration.m_id];
   if (!Connection.m_timer)
     Connection.m_timer = std::make_unique<Timer>(m_host);
-  const bool IsSame = Connection.m_link &&
-                      Connection.m_startedMs == Registration.m_startedMs &&
-                      Connection.m_address == Registration.m_address;
-  if (IsSame)
+  // A link outlives a restart at the same address, so that the replies to the
+  // orders on it are not lost.
+  if (Connection.m_link && Connection.m_address == Registration.m_address)
     return;
+  if (Connection.m_link)
+    m_scheduler.onLinkReplaced(Registration.m_id);
   Connection.m_link = m_makeLink(Registration);
-  Connection.m_startedMs = Registration.m_startedMs;
   Connection.m_address = Registration.m_address;
   Connection.m_isPolling = false;
   Connection.m_hasUnstoredEnds = false;
--- a/catkinseam/ownership/owner.h
+++ b/catkinseam/ownership/owner.h
@@ -118,7 +118,6 @@
 private:
   struct WorkerConnection {
     std::unique_ptr<WorkerLink> m_link;
-    std::int64_t m_startedMs = 0;
     Endpoint m_address;
     std::unique_ptr<Timer> m_timer;
     bool m_isPolling = false;
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -121,6 +121,8 @@
   void onStop(const StopOrder &Order, const OrderReply &Reply);
   void onThrottle(const ThrottleOrder &Order, const OrderReply &Reply);
   void onPoll(const PollOrder &Order, TimePoint SentAt, const PollReply &Reply);
+  /// The replies to all orders that are pending at a worker are lost.
+  void onLinkReplaced(const std::string &Worker);
 
   // Decisions.
 
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -146,6 +146,15 @@
   return Run.m_phase != RunPhase::Recording && !Run.m_isListed;
 }
 
+void Scheduler::onLinkReplaced(const std::string &Id) {
+  for (const RunRef &Each : workerRow(Id).m_runs) {
+    RunInfo *Run = findRun(*Each.m_task, Each.m_run);
+    Run->m_isCpuRatePending = false;
+    if (Run->m_phase == RunPhase::Starting && !Run->m_isStartInDoubt)
+      doubtStart(*Run);
+  }
+}
+
 void Scheduler::doubtStart(RunInfo &Run) {
   if (Run.m_phase == RunPhase::Stopping) {
     Run.m_isStopAnswered = false;
