Withdraw planned starts that exceed a capacity that has shrunk

Operators would see a worker without admission control loaded beyond its capacity (LIMIT): tasks that were placed while it was larger start after it has shrunk.

Cause: a start is placed, stored, and sent once the record is durable; before it was sent only the worker's availability was checked again, not its capacity.

Change: before the starts of a decision are released, those that no longer fit beside everything else on the worker are withdrawn, the least urgent first. All withdrawals come before the first start, so that a gang of which one member is withdrawn sends none; before, members ahead of the withdrawn one were started and then stopped.

--- /dev/null
+++ b/catkinseam/scheduler/capacity_test.cc
@@ -0,0 +1,109 @@
+// Starts on workers whose capacity changes, and on workers that run more than
+// the scheduler started.
+#define BOOST_TEST_MODULE worker_capacity
+#include "catkinseam/scheduler/testing/scheduler_fixture.h"
+
+namespace catkinseam {
+
+namespace {
+
+const std::string Id = "00000000000000a1";
+const std::string OtherId = "00000000000000a2";
+
+struct Fixture : SchedulerFixture {
+  void changeCapacity(const std::string &Name, const Resources &Capacity) {
+    WorkerRegistration Changed = m_scheduler.findWorker(Name)->m_registration;
+    Changed.m_capacity = Capacity;
+    m_scheduler.updateWorker(Changed);
+  }
+
+  /// Starts that are sent if the worker's capacity changes while the decision
+  /// is being stored.
+  std::size_t releaseAfterChange(const std::string &Name,
+                                 const Resources &Capacity) {
+    const Decisions Planned = m_scheduler.decide();
+    changeCapacity(Name, Capacity);
+    const std::vector<StartOrder> Starts = m_scheduler.release(Planned, false);
+    for (const StartOrder &Each : Starts)
+      m_scheduler.onStart(Each, {OrderOutcome::Done, Milliseconds(1000)});
+    m_clock.advance(Milliseconds(50));
+    return Starts.size();
+  }
+
+  static Submission makeJobOf(const std::string &Name, std::uint32_t Tasks,
+                              const Resources &Request) {
+    Submission Job = makeJob(Name, Tasks);
+    Job.m_spec.m_steps[0].m_request = Request;
+    return Job;
+  }
+};
+
+} // namespace
+
+// Starts brought a worker over its capacity, which had shrunk while they were
+// being stored. Those that still fit must be sent.
+BOOST_FIXTURE_TEST_CASE(PlannedStartsBeyondShrunkCapacityAreWithdrawn,
+                        Fixture) {
+  for (const Resources &Shrunk :
+       {Resources{2000, 8000, 8}, Resources{8000, 2000, 8},
+        Resources{8000, 8000, 2}}) {
+    Fixture Each;
+    Each.addWorker("w1", {8000, 8000, 8});
+    Each.m_scheduler.addJob(makeJobOf(Id, 4, {1000, 1000, 1}), nullptr);
+    BOOST_TEST(Each.releaseAfterChange("w1", Shrunk) == 2U);
+    BOOST_TEST(Each.m_scheduler.summarize().m_waitingTasks == 2U);
+    BOOST_TEST(Each.scheduleOnce() == 0U);
+    Each.changeCapacity("w1", {8000, 8000, 8});
+    BOOST_TEST(Each.scheduleOnce() == 2U);
+  }
+}
+
+// The same beside runs that are being stopped, which still hold their
+// resources.
+BOOST_FIXTURE_TEST_CASE(RunsBeingStoppedCountAgainstShrunkCapacity, Fixture) {
+  addWorker("w1", {4000, 8000, 0});
+  m_scheduler.addJob(makeJob(OtherId, 2), nullptr);
+  BOOST_REQUIRE(scheduleOnce() == 2U);
+  m_scheduler.cancelJob(OtherId);
+  m_scheduler.addJob(makeJob(Id, 2), nullptr);
+  BOOST_TEST(releaseAfterChange("w1", {3000, 8000, 0}) == 1U);
+}
+
+// Of the starts on a worker that has shrunk, the most urgent one must be sent.
+BOOST_FIXTURE_TEST_CASE(MostUrgentPlannedStartsAreKept, Fixture) {
+  addWorker("w1", {2000, 8000, 0});
+  Submission Urgent = makeJob(OtherId, 1);
+  m_scheduler.addJob(makeJob(Id, 1), nullptr);
+  Urgent.m_policy.m_priority = -1;
+  m_scheduler.addJob(Urgent, nullptr);
+  const Decisions Planned = m_scheduler.decide();
+  changeCapacity("w1", {1000, 8000, 0});
+  const std::vector<StartOrder> Starts = m_scheduler.release(Planned, false);
+  BOOST_REQUIRE(Starts.size() == 1U);
+  BOOST_TEST(Starts[0].m_task.m_job == OtherId);
+}
+
+// Starts went beyond the memory of a worker that had shrunk: fillers hold
+// memory and accelerators.
+BOOST_FIXTURE_TEST_CASE(PlannedFillersBeyondShrunkMemoryAreWithdrawn, Fixture) {
+  addWorker("w1", {4000, 8000, 0});
+  Submission Job = makeJob(Id, 4);
+  Job.m_spec.m_steps[0].m_isFiller = true;
+  m_scheduler.addJob(Job, nullptr);
+  BOOST_TEST(releaseAfterChange("w1", {4000, 3000, 0}) == 3U);
+}
+
+// A gang is started with all members or not at all.
+BOOST_FIXTURE_TEST_CASE(GangBeyondShrunkCapacityIsWithdrawnAsAWhole, Fixture) {
+  addWorker("w1", {2000, 8000, 0});
+  addWorker("w2", {2000, 8000, 0});
+  Submission Job = makeJob(Id, 4);
+  Job.m_spec.m_steps[0].m_isGang = true;
+  m_scheduler.addJob(Job, nullptr);
+  BOOST_TEST(releaseAfterChange("w2", {1000, 8000, 0}) == 0U);
+  BOOST_TEST(m_scheduler.control().m_stops.empty());
+  changeCapacity("w2", {2000, 8000, 0});
+  BOOST_TEST(scheduleOnce() == 4U);
+}
+
+} // namespace catkinseam
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -268,6 +268,7 @@
     WorkerInfo &Worker = *Found->second;
     Worker.m_lastStoredEnd = std::max(Worker.m_lastStoredEnd, Each.m_sequence);
   }
+  withdrawInvalidStarts(Stored, AreStale);
   std::vector<StartOrder> Starts;
   for (const Decisions::PlannedStart &Each : Stored.m_starts) {
     TaskInfo *Task = findTask(Each.m_task);
@@ -275,11 +276,6 @@
     if (!Run || Run->m_phase != RunPhase::Recording)
       continue;
     WorkerInfo &Worker = *Run->m_worker;
-    if (AreStale || !isAvailable(Worker, m_clock.now())) {
-      withdrawRun(*Task, Each.m_run,
-                  AreStale ? "decision_stale" : "worker_unavailable");
-      continue;
-    }
     Run->m_phase = RunPhase::Starting;
     Run->m_since = m_clock.now();
     StartOrder Order{
@@ -296,6 +292,25 @@
   return Starts;
 }
 
+void Scheduler::withdrawInvalidStarts(const Decisions &Stored, bool AreStale) {
+  // Backwards, so that the most urgent starts get what is left of a worker
+  // whose capacity has shrunk.
+  for (auto Each = Stored.m_starts.rbegin(); Each != Stored.m_starts.rend();
+       ++Each) {
+    TaskInfo *Task = findTask(Each->m_task);
+    RunInfo *Run = Task ? findRun(*Task, Each->m_run) : nullptr;
+    if (!Run || Run->m_phase != RunPhase::Recording)
+      continue;
+    const WorkerInfo &Worker = *Run->m_worker;
+    if (AreStale)
+      withdrawRun(*Task, Each->m_run, "decision_stale");
+    else if (!isAvailable(Worker, m_clock.now()))
+      withdrawRun(*Task, Each->m_run, "worker_unavailable");
+    else if (!Worker.m_reserved.fitsIn(Worker.m_registration.m_capacity))
+      withdrawRun(*Task, Each->m_run, "capacity_reduced");
+  }
+}
+
 void Scheduler::requestStop(TaskInfo &Task, RunInfo &Run) {
   if (Run.m_phase == RunPhase::Stopping)
     return;
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -245,6 +245,8 @@
   bool placeGang(StepInfo &Step, Decisions &Next);
   /// Starts copies of speculative tasks whose only run is slow or unreachable.
   void placeCopies(Decisions &Next);
+  /// Withdraws the planned starts that must not be sent any more.
+  void withdrawInvalidStarts(const Decisions &Stored, bool AreStale);
   bool needsCopy(const TaskInfo &Task) const;
   void collectStop(const WorkerInfo &Worker, const RunRef &Ref, RunInfo &Run,
                    ImmediateOrders &Next) const;
