Count runs that a worker lists and the new owner does not know

Cause: the stored progress names no runs of completed tasks and of ended jobs, although they may still be stopping on their workers. The successor finds them in the workers' lists, stops them as unknown, and reserved nothing for them.

Preemption takes these runs for what they are, about to end. Recording the runs of completed tasks and ended jobs instead would have made the stored progress larger, and would not cover jobs whose progress cannot be read.

--- a/catkinseam/scheduler/capacity_test.cc
+++ b/catkinseam/scheduler/capacity_test.cc
@@ -30,6 +30,25 @@
     return Starts.size();
   }
 
+  /// Adds a job that has ended under an earlier owner.
+  void addEndedJob(const Submission &Job, JobState State) {
+    JobProgress Recorded;
+    Recorded.m_state = State;
+    m_scheduler.addJob(Job, &Recorded);
+  }
+
+  /// Lets the worker list first runs of the first `Count` tasks of a step.
+  void listRuns(const std::string &Name, const std::string &Job,
+                std::uint32_t Count) {
+    std::vector<ActiveRun> Active;
+    for (std::uint32_t Index = 0; Index < Count; ++Index)
+      Active.push_back({{Job, 0, 0, Index}, 1, "", 50, 0});
+    for (const StartOrder &Each : m_sentStarts[Name])
+      Active.push_back({Each.m_task, Each.m_run, "", 50, 0});
+    answerPoll(Name, Active, {});
+    m_clock.advance(Milliseconds(50));
+  }
+
   static Submission makeJobOf(const std::string &Name, std::uint32_t Tasks,
                               const Resources &Request) {
     Submission Job = makeJob(Name, Tasks);
@@ -106,4 +125,98 @@
   BOOST_TEST(scheduleOnce() == 4U);
 }
 
+// After a takeover, starts brought a worker over its capacity: runs of a job
+// that had ended under the earlier owner were still being stopped there.
+BOOST_FIXTURE_TEST_CASE(RunsOfEndedJobCountUntilTheyAreGone, Fixture) {
+  for (const JobState State :
+       {JobState::Completed, JobState::Failed, JobState::Cancelled}) {
+    Fixture Each;
+    Each.addEndedJob(makeJobOf(OtherId, 3, {1000, 1000, 1}), State);
+    Each.addWorker("w1", {4000, 8000, 4});
+    Each.listRuns("w1", OtherId, 3);
+    Each.m_scheduler.addJob(makeJobOf(Id, 4, {1000, 1000, 1}), nullptr);
+    BOOST_TEST(Each.m_scheduler.control().m_stops.size() == 3U);
+    BOOST_TEST(Each.scheduleOnce() == 1U);
+    Each.listRuns("w1", OtherId, 2);
+    BOOST_TEST(Each.scheduleOnce() == 1U);
+    Each.listRuns("w1", OtherId, 0);
+    BOOST_TEST(Each.scheduleOnce() == 2U);
+  }
+}
+
+// The same for the runs of a completed task, whose job is not over.
+BOOST_FIXTURE_TEST_CASE(RunsOfCompletedTaskCountUntilTheyAreGone, Fixture) {
+  JobProgress Recorded;
+  Recorded.m_state = JobState::InProgress;
+  TaskRecord Done;
+  Done.m_isDone = true;
+  Done.m_lastRun = 2;
+  Recorded.m_occurrences.push_back({0, {{{Done, TaskRecord{}}}}});
+  m_scheduler.addJob(makeJob(Id, 2), &Recorded);
+  addWorker("w1", {1000, 8000, 0});
+  listRuns("w1", Id, 1);
+  BOOST_TEST(scheduleOnce() == 0U);
+  listRuns("w1", Id, 0);
+  BOOST_TEST(scheduleOnce() == 1U);
+}
+
+// The same for fillers, which hold memory and no processors.
+BOOST_FIXTURE_TEST_CASE(FillersOfEndedJobCountWithTheirMemory, Fixture) {
+  Submission Ended = makeJobOf(OtherId, 2, {4000, 3000, 0});
+  Ended.m_spec.m_steps[0].m_isFiller = true;
+  addEndedJob(Ended, JobState::Completed);
+  addWorker("w1", {4000, 8000, 0});
+  listRuns("w1", OtherId, 2);
+  m_scheduler.addJob(makeJob(Id, 4), nullptr);
+  BOOST_TEST(scheduleOnce() == 2U);
+}
+
+// The same for runs of a job that is not known at all: what they hold is not
+// known either.
+BOOST_FIXTURE_TEST_CASE(NothingStartsBesideRunOfUnknownJob, Fixture) {
+  addWorker("w1", {4000, 8000, 0});
+  listRuns("w1", OtherId, 1);
+  m_scheduler.addJob(makeJob(Id, 4), nullptr);
+  BOOST_TEST(scheduleOnce() == 0U);
+  listRuns("w1", OtherId, 0);
+  BOOST_TEST(scheduleOnce() == 4U);
+}
+
+// A decision was stored when the worker listed a run of an ended job.
+BOOST_FIXTURE_TEST_CASE(PlannedStartsBesideRunOfEndedJobAreWithdrawn, Fixture) {
+  addEndedJob(makeJob(OtherId, 1), JobState::Completed);
+  addWorker("w1", {4000, 8000, 0});
+  m_scheduler.addJob(makeJob(Id, 4), nullptr);
+  const Decisions Planned = m_scheduler.decide();
+  listRuns("w1", OtherId, 1);
+  BOOST_TEST(m_scheduler.release(Planned, false).size() == 3U);
+}
+
+// Runs of an ended job must not occupy the next incarnation of their worker.
+BOOST_FIXTURE_TEST_CASE(RunsOfEndedJobAreGoneWithTheirIncarnation, Fixture) {
+  addEndedJob(makeJob(OtherId, 4), JobState::Completed);
+  addWorker("w1", {4000, 8000, 0});
+  listRuns("w1", OtherId, 4);
+  WorkerRegistration Next = m_scheduler.findWorker("w1")->m_registration;
+  Next.m_startedMs = 2;
+  m_scheduler.updateWorker(Next);
+  BOOST_TEST(m_scheduler.findWorker("w1")->m_reserved.isZero());
+}
+
+// Less urgent work must not be stopped for resources that runs of an ended job
+// are about to free.
+BOOST_FIXTURE_TEST_CASE(NothingIsPreemptedWhileRunsOfEndedJobStop, Fixture) {
+  addEndedJob(makeJob(OtherId, 2), JobState::Completed);
+  addWorker("w1", {4000, 8000, 0});
+  Submission Batch = makeJob(Id, 2);
+  Batch.m_policy.m_priority = 2;
+  m_scheduler.addJob(Batch, nullptr);
+  BOOST_REQUIRE(scheduleOnce() == 2U);
+  listRuns("w1", OtherId, 2);
+  m_scheduler.control();
+  m_scheduler.addJob(makeJob("00000000000000a3", 1), nullptr);
+  BOOST_TEST(scheduleOnce() == 0U);
+  BOOST_TEST(m_scheduler.control().m_stops.empty());
+}
+
 } // namespace catkinseam
--- a/catkinseam/scheduler/model.h
+++ b/catkinseam/scheduler/model.h
@@ -56,6 +56,13 @@
   /// Target tail latency of a service; zero for none.
   Milliseconds m_targetTailLatency{0};
 
+  /// What a run of one task reserves on its worker. Fillers reserve no
+  /// processors.
+  Resources reservation() const {
+    return {m_isFiller ? 0 : m_request.m_milliProcessors, m_request.m_memoryMb,
+            m_request.m_accelerators};
+  }
+
   template <class Archive> void serialize(Archive &Target) {
     Target(m_count, m_request, m_estimate, m_after, m_savesCheckpoints,
            m_isGang, m_isRackLocal, m_isSpeculative, m_isService, m_isFiller,
--- a/catkinseam/scheduler/preemption.cc
+++ b/catkinseam/scheduler/preemption.cc
@@ -21,14 +21,6 @@
   return Task.m_step->m_occurrence->m_job->policy().m_priority;
 }
 
-/// Resources reserved by a run; fillers reserve no processors.
-Resources heldResources(const StepSpec &Spec) {
-  Resources Held = Spec.m_request;
-  if (Spec.m_isFiller)
-    Held.m_milliProcessors = 0;
-  return Held;
-}
-
 /// Work to be repeated after a stop: percent done times requested processors,
 /// in thousandths; only a small part of it with checkpoints.
 double lostWork(const StepSpec &Spec, const RunInfo &Run) {
@@ -50,15 +42,17 @@
 /// nullopt if stopping all preemptible runs would not free enough resources.
 std::optional<std::vector<Victim>> findVictims(const TaskInfo &Task,
                                                const WorkerInfo &Worker) {
-  const Resources Needed = heldResources(*Task.m_step->m_spec);
-  Resources Reserved = Worker.m_reserved + Needed;
+  const Resources Needed = Task.m_step->m_spec->reservation();
+  // Unknown runs are being stopped.
+  Resources Reserved =
+      Worker.m_reserved - Worker.m_reservedByUnknownRuns + Needed;
   std::vector<Victim> Preemptible;
   for (const RunRef &Each : Worker.m_runs) {
     const StepSpec &Spec = *Each.m_task->m_step->m_spec;
     const RunInfo *Run = findReferencedRun(Each);
     if (!Run)
       continue;
-    const Resources Held = heldResources(Spec);
+    const Resources Held = Spec.reservation();
     if (Run->m_phase == RunPhase::Stopping)
       Reserved -= Held;
     else if (!Spec.m_isService && Run->m_phase == RunPhase::Running &&
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -226,6 +226,9 @@
   void applyActiveRuns(WorkerInfo &Worker, TimePoint SentAt,
                        const WorkerSnapshot &Status);
   void stopUnknownRun(WorkerInfo &Worker, const ActiveRun &Active);
+  /// Reserves what an unknown run holds until the worker no longer lists it.
+  void reserveForUnknownRun(WorkerInfo &Worker, const TaskKey &Task) const;
+  static void releaseUnknownRuns(WorkerInfo &Worker);
   void expireUnreachableWorkers();
   void evacuateDrainingWorkers();
   void updateSuspendedShare();
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -74,6 +74,7 @@
     discardRunsOf(Worker, "new_life");
     Worker.m_leaseEnd = m_clock.now();
   }
+  releaseUnknownRuns(Worker);
   Worker.m_registration.m_startedMs = StartedMs;
   Worker.m_hasAcceptedToken = false;
   Worker.m_isClockKnown = false;
@@ -215,10 +216,12 @@
 void Scheduler::applyActiveRuns(WorkerInfo &Worker, TimePoint SentAt,
                                 const WorkerSnapshot &Status) {
   std::set<RunRef> Listed;
+  releaseUnknownRuns(Worker);
   for (const ActiveRun &Each : Status.m_active) {
     TaskInfo *Task = findTask(Each.m_task);
     RunInfo *Run = Task ? findRun(*Task, Each.m_run) : nullptr;
     if (!Run || Run->m_worker != &Worker) {
+      reserveForUnknownRun(Worker, Each.m_task);
       stopUnknownRun(Worker, Each);
       continue;
     }
@@ -285,6 +288,26 @@
       {Worker.m_registration.m_id, Active.m_task, Active.m_run});
 }
 
+void Scheduler::reserveForUnknownRun(WorkerInfo &Worker,
+                                     const TaskKey &Task) const {
+  const auto Job = m_jobs.find(Task.m_job);
+  if (Job == m_jobs.end() ||
+      Task.m_step >= Job->second->m_submission.m_spec.m_steps.size()) {
+    Worker.m_hasRunOfUnknownSize = true;
+    return;
+  }
+  const Resources Held =
+      Job->second->m_submission.m_spec.m_steps[Task.m_step].reservation();
+  Worker.m_reservedByUnknownRuns += Held;
+  Worker.m_reserved += Held;
+}
+
+void Scheduler::releaseUnknownRuns(WorkerInfo &Worker) {
+  Worker.m_reserved -= Worker.m_reservedByUnknownRuns;
+  Worker.m_reservedByUnknownRuns = {};
+  Worker.m_hasRunOfUnknownSize = false;
+}
+
 void Scheduler::expireUnreachableWorkers() {
   const TimePoint Now = m_clock.now();
   std::vector<std::string> Gone;
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -170,12 +170,18 @@
   std::vector<RunRef> m_runs;
 
   /// Sums over m_runs. The processors of fillers are counted separately, in
-  /// thousandths.
+  /// thousandths. m_reserved includes m_reservedByUnknownRuns.
   Resources m_reserved;
   std::int64_t m_fillerProcessors = 0;
   std::uint32_t m_services = 0;
   std::uint32_t m_fillers = 0;
 
+  /// Runs that the worker lists and that are not in m_runs, such as those of a
+  /// job that ended under an earlier owner. They are being stopped.
+  Resources m_reservedByUnknownRuns;
+  /// One of them belongs to a job whose specification is unknown.
+  bool m_hasRunOfUnknownSize = false;
+
   /// The worker's clock, and the local time at which it was received.
   Milliseconds m_clock{0};
   TimePoint m_clockReadAt;
