Use a new incarnation of a worker only after it has registered

Cause: a status poll may report a new incarnation before its registration is read from the registry. The scheduler then took it as available, with the capacity, labels and service that the previous incarnation had registered. A successor did the same when the recorded runs named a newer incarnation than the registry.

Change: the registration of an incarnation ends with it; without a service the worker is offered to no task until it registers again.

--- a/catkinseam/scheduler/capacity_test.cc
+++ b/catkinseam/scheduler/capacity_test.cc
@@ -49,6 +49,27 @@
     m_clock.advance(Milliseconds(50));
   }
 
+  void registerIncarnation(const std::string &Name, std::int64_t StartedMs,
+                           const Resources &Capacity) {
+    WorkerRegistration Next;
+    Next.m_id = Name;
+    Next.m_startedMs = StartedMs;
+    Next.m_service = "tally";
+    Next.m_capacity = Capacity;
+    m_scheduler.updateWorker(Next);
+  }
+
+  void answerPollOfIncarnation(const std::string &Name,
+                               std::int64_t StartedMs) {
+    const auto Order = m_scheduler.nextPoll(Name);
+    BOOST_REQUIRE(Order.has_value());
+    PollReply Reply;
+    Reply.m_outcome = OrderOutcome::Done;
+    Reply.m_snapshot.m_startedMs = StartedMs;
+    Reply.m_snapshot.m_clock = Milliseconds(1000);
+    m_scheduler.onPoll(*Order, m_clock.now(), Reply);
+  }
+
   static Submission makeJobOf(const std::string &Name, std::uint32_t Tasks,
                               const Resources &Request) {
     Submission Job = makeJob(Name, Tasks);
@@ -197,9 +218,7 @@
   addEndedJob(makeJob(OtherId, 4), JobState::Completed);
   addWorker("w1", {4000, 8000, 0});
   listRuns("w1", OtherId, 4);
-  WorkerRegistration Next = m_scheduler.findWorker("w1")->m_registration;
-  Next.m_startedMs = 2;
-  m_scheduler.updateWorker(Next);
+  registerIncarnation("w1", 2, {4000, 8000, 0});
   BOOST_TEST(m_scheduler.findWorker("w1")->m_reserved.isZero());
 }
 
@@ -219,4 +238,37 @@
   BOOST_TEST(m_scheduler.control().m_stops.empty());
 }
 
+// Starts exceeded the capacity of a worker that had come back as one of another
+// kind: its status poll was answered before its new registration was read.
+BOOST_FIXTURE_TEST_CASE(NewIncarnationIsNotUsedBeforeItsRegistration, Fixture) {
+  addWorker("w1", {4000, 8000, 0});
+  answerPollOfIncarnation("w1", 2);
+  m_scheduler.addJob(makeJob(Id, 4), nullptr);
+  BOOST_TEST(scheduleOnce() == 0U);
+  // A delayed registration of the earlier incarnation.
+  registerIncarnation("w1", 1, {4000, 8000, 0});
+  BOOST_TEST(scheduleOnce() == 0U);
+  registerIncarnation("w1", 2, {1000, 8000, 0});
+  BOOST_TEST(scheduleOnce() == 1U);
+}
+
+// The same for a successor that knows the new incarnation from the recorded
+// runs.
+BOOST_FIXTURE_TEST_CASE(RecordedIncarnationIsNotUsedBeforeItsRegistration,
+                        Fixture) {
+  registerIncarnation("w1", 1, {4000, 8000, 0});
+  JobProgress Recorded;
+  Recorded.m_state = JobState::InProgress;
+  TaskRecord Task;
+  Task.m_lastRun = 1;
+  Task.m_runs.push_back({1, "w1", 2});
+  Recorded.m_occurrences.push_back({0, {{{Task}}}});
+  m_scheduler.addJob(makeJob(OtherId, 1), &Recorded);
+  m_scheduler.addJob(makeJob(Id, 4), nullptr);
+  answerPollOfIncarnation("w1", 2);
+  BOOST_TEST(scheduleOnce() == 0U);
+  registerIncarnation("w1", 2, {1000, 8000, 0});
+  BOOST_TEST(scheduleOnce() == 1U);
+}
+
 } // namespace catkinseam
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -216,6 +216,9 @@
   // Workers.
   WorkerInfo &workerRow(const std::string &Id);
   void beginIncarnation(WorkerInfo &Worker, std::int64_t StartedMs);
+  /// Discards the registration of a previous incarnation, from which the new
+  /// one may differ in capacity, labels and service.
+  static void expectRegistration(WorkerInfo &Worker, std::int64_t StartedMs);
   void discardRunsOf(WorkerInfo &Worker, const char *Reason);
   static bool hasStartInDoubt(const WorkerInfo &Worker);
   void updateClock(WorkerInfo &Worker, Milliseconds Clock);
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -221,7 +221,8 @@
     // The worker has restarted since, so the run is over.
     if (Worker.m_registration.m_startedMs > Each.m_workerStartedMs)
       continue;
-    Worker.m_registration.m_startedMs = Each.m_workerStartedMs;
+    if (Worker.m_registration.m_startedMs < Each.m_workerStartedMs)
+      expectRegistration(Worker, Each.m_workerStartedMs);
     addRun(Task, Each.m_run, Worker, RunPhase::Adopted);
   }
   if (Task.m_runs.empty())
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -75,7 +75,7 @@
     Worker.m_leaseEnd = m_clock.now();
   }
   releaseUnknownRuns(Worker);
-  Worker.m_registration.m_startedMs = StartedMs;
+  expectRegistration(Worker, StartedMs);
   Worker.m_hasAcceptedToken = false;
   Worker.m_isClockKnown = false;
   Worker.m_lastObservedEnd = 0;
@@ -86,6 +86,14 @@
   Worker.m_quarantinedUntil = TimePoint();
 }
 
+void Scheduler::expectRegistration(WorkerInfo &Worker, std::int64_t StartedMs) {
+  WorkerRegistration Expected;
+  Expected.m_id = Worker.m_registration.m_id;
+  Expected.m_startedMs = StartedMs;
+  // Without a service the worker is offered to no task.
+  Worker.m_registration = std::move(Expected);
+}
+
 void Scheduler::discardRunsOf(WorkerInfo &Worker, const char *Reason) {
   const std::vector<RunRef> Runs = Worker.m_runs;
   for (const RunRef &Each : Runs) {
