Start nothing while the registry of workers cannot be read

Cause: the owner stops placing tasks when its ledger of jobs is out of date, but not when its registry of workers is, which it reads from another topic.

Change: no task is placed or started once the registry was last read to its end more than 3 s ago; ends of runs are still stored.

--- a/catkinseam/ownership/owner.cc
+++ b/catkinseam/ownership/owner.cc
@@ -178,6 +178,11 @@
          m_host.now() - m_lastDurableAppend < m_options.m_authorityTimeout;
 }
 
+bool Owner::isRegistryCurrent() const {
+  return m_host.now() - m_workerReader.caughtUpAt() <
+         m_options.m_maxRegistryAge;
+}
+
 void Owner::requestCycle() {
   if (!m_cycleTimer.isRunning())
     m_cycleTimer.start(m_options.m_batchingWindow, [this] { runCycle(); });
@@ -191,6 +196,7 @@
     m_scheduler.setStoreReachable(m_host.now() -
                                       m_progressAppender.startedAt() <
                                   m_options.m_slowAppendThreshold);
+  m_scheduler.setRegistryCurrent(isRegistryCurrent());
   sendControls();
   if (!IsStoring && !m_isLeaving && m_isCurrent()) {
     Decisions Next = m_scheduler.decide();
@@ -335,8 +341,8 @@
     return announce();
   const bool IsStale =
       m_host.now() - m_progressAppender.startedAt() > m_options.m_maxStartAge;
-  sendStarts(
-      m_scheduler.release(m_pendingDecisions, IsStale || !m_isCurrent()));
+  sendStarts(m_scheduler.release(
+      m_pendingDecisions, IsStale || !m_isCurrent() || !isRegistryCurrent()));
   for (auto &[Id, Connection] : m_connections)
     if (Connection.m_hasUnstoredEnds)
       schedulePoll(Id, Duration::zero());
--- a/catkinseam/ownership/owner.h
+++ b/catkinseam/ownership/owner.h
@@ -59,6 +59,9 @@
     /// Start decisions that took longer than this to store are discarded and
     /// made again.
     Milliseconds m_maxStartAge{1500};
+    /// No run is started once the registry of workers was last read to its end
+    /// longer ago than this.
+    Milliseconds m_maxRegistryAge{3000};
     /// Interval of the `owner.summary` log event.
     Milliseconds m_summaryInterval{1000};
     /// Limits of the log.
@@ -159,6 +162,7 @@
                    const PollReply &Reply);
   WorkerConnection *findConnection(const std::string &Id);
   bool hasAuthority() const;
+  bool isRegistryCurrent() const;
   void onFenced(const std::string &Worker);
   void stepDown(const char *Reason);
 
--- a/catkinseam/ownership/owner_test.cc
+++ b/catkinseam/ownership/owner_test.cc
@@ -309,6 +309,32 @@
   }
 }
 
+// Starts exceeded the capacity of workers that had shrunk while the owner could
+// not read the registry, but could store its decisions.
+BOOST_AUTO_TEST_CASE(NothingStartsWhileRegistryCannotBeRead) {
+  SimulatedCluster Cluster({.m_seed = 5});
+  Cluster.run(2 * Second);
+  Cluster.m_log.m_faults.m_unreadableTopic = LogTopic::Workers;
+  Cluster.run(4 * Second);
+  Cluster.submit(batchJob(jobId(1), 6));
+  Cluster.run(5 * Second);
+  BOOST_TEST(Cluster.m_history.m_runs.empty());
+  Cluster.heal();
+  Cluster.run(5 * Second);
+  BOOST_TEST((Cluster.stateOf(jobId(1)) == JobState::Completed));
+}
+
+// A short gap in reading the registry must not hold up starts.
+BOOST_AUTO_TEST_CASE(StartsGoOnDuringShortGapOfRegistry) {
+  SimulatedCluster Cluster({.m_seed = 5});
+  Cluster.run(2 * Second);
+  Cluster.m_log.m_faults.m_unreadableTopic = LogTopic::Workers;
+  Cluster.run(Milliseconds(1500));
+  Cluster.submit(batchJob(jobId(1), 6));
+  Cluster.run(Milliseconds(500));
+  BOOST_TEST(Cluster.m_history.m_runs.size() == 6U);
+}
+
 BOOST_AUTO_TEST_CASE(RandomFaultsKeepEveryPromise) {
   const std::uint64_t First = readEnvironment("CATKINSEAM_FIRST_SEED", 1);
   const std::uint64_t Seeds = readEnvironment("CATKINSEAM_SEEDS", 200);
--- a/catkinseam/ownership/testing/fake_log.cc
+++ b/catkinseam/ownership/testing/fake_log.cc
@@ -155,7 +155,7 @@
                          Milliseconds Timeout,
                          std::function<void(const ReadReply &)> Done) {
   Runtime &Host = m_log.m_host;
-  if (m_isPartitioned || m_log.m_faults.m_isDown) {
+  if (!isReadable(Topic)) {
     Host.schedule(Timeout, [Done] { Done(ReadReply{}); });
     return;
   }
@@ -170,7 +170,7 @@
                            Milliseconds Timeout,
                            std::function<void(const NewestReply &)> Done) {
   Runtime &Host = m_log.m_host;
-  if (m_isPartitioned || m_log.m_faults.m_isDown) {
+  if (!isReadable(Topic)) {
     Host.schedule(Timeout, [Done] { Done(NewestReply{}); });
     return;
   }
--- a/catkinseam/ownership/testing/fake_log.h
+++ b/catkinseam/ownership/testing/fake_log.h
@@ -30,6 +30,8 @@
     Milliseconds m_appendTime{0};
     /// Appends to this topic are rejected as invalid.
     std::optional<LogTopic> m_rejectedTopic;
+    /// Reads of this topic get no reply.
+    std::optional<LogTopic> m_unreadableTopic;
   };
 
   /// One process's connection to the log, which may be partitioned from it.
@@ -47,6 +49,11 @@
                 Milliseconds Timeout,
                 std::function<void(const NewestReply &)> Done) override;
 
+    bool isReadable(LogTopic Topic) const {
+      return !m_isPartitioned && !m_log.m_faults.m_isDown &&
+             m_log.m_faults.m_unreadableTopic != Topic;
+    }
+
     bool m_isPartitioned = false;
     /// Bytes of the records that the process has read.
     std::size_t m_bytesRead = 0;
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -101,6 +101,8 @@
 
 void Scheduler::listAvailableWorkers() {
   m_availableByService.clear();
+  if (!m_isRegistryCurrent)
+    return;
   for (const auto &[Id, Row] : m_workers)
     if (isAvailable(*Row, m_clock.now()))
       m_availableByService[Row->m_registration.m_service].push_back(Row.get());
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -115,6 +115,9 @@
     return m_interference.encodedState(MaxBytes);
   }
   void setStoreReachable(bool IsReachable) { m_isStoreReachable = IsReachable; }
+  /// Whether the registrations of workers are up to date; no run is placed
+  /// while they are not, since capacities may have shrunk.
+  void setRegistryCurrent(bool IsCurrent) { m_isRegistryCurrent = IsCurrent; }
 
   void onStart(const StartOrder &Order, const OrderReply &Reply);
   void onStop(const StopOrder &Order, const OrderReply &Reply);
@@ -264,6 +267,7 @@
   FillerThrottle m_throttle;
   InterferenceModel m_interference;
   bool m_isStoreReachable = true;
+  bool m_isRegistryCurrent = true;
   std::unordered_map<std::string, std::unique_ptr<JobInfo>> m_jobs;
   std::unordered_map<std::string, std::unique_ptr<WorkerInfo>> m_workers;
   struct StepKey {
