Report no negative free processors of workers that have shrunk

Operators would see too few free processors in owner.summary: what a worker runs beyond a capacity that has shrunk was subtracted from the free processors of the others.

Change: such a worker counts with none. New tests of what was right before: a worker that runs more than its capacity gets starts again once there is room, and no work is stopped for a task that would not fit afterwards; entries of the registry with a capacity of another type are rejected, and omitted or negative amounts are no room.

--- a/catkinseam/platform/adapters_test.cc
+++ b/catkinseam/platform/adapters_test.cc
@@ -87,6 +87,29 @@
   BOOST_TEST(!ErrorOf(R"({"service":"s","address":"here"})").empty());
 }
 
+// An entry of another writer must not change what is known of a worker, and an
+// amount that it omits is none.
+BOOST_AUTO_TEST_CASE(RejectsAnInvalidCapacity) {
+  const auto Parse = [](const std::string &Capacity) {
+    return attempt([&] {
+      return parseWorkerRegistration(
+          "w1", R"({"service":"s","address":"10.1.0.9:80","zone":"a",)"
+                R"("state":"ready","labels":["a"],"born":17,"capacity":)" +
+                    Capacity + "}");
+    });
+  };
+  BOOST_REQUIRE(static_cast<bool>(Parse(R"({"cpu":16000,"memMb":64})")));
+  BOOST_TEST(
+      Parse(R"({"cpu":16000,"memMb":64})").value().m_capacity.m_accelerators ==
+      0);
+  for (const char *Each :
+       {"null", "16000", "[]", R"("x")", R"({"cpu":"16000","memMb":64})",
+        R"({"cpu":16000,"memMb":true})", R"({"cpu":16000,"memMb":[64]})",
+        R"({"cpu":1e30,"memMb":64})", R"({"cpu":0.5,"memMb":64})",
+        R"({"cpu":99999999999999999999,"memMb":64})"})
+    BOOST_TEST(!Parse(Each), Each);
+}
+
 BOOST_AUTO_TEST_CASE(ParsesAnOperatorConfiguration) {
   auto Parsed = attempt([] {
     return parseOperatorConfig(
--- a/catkinseam/scheduler/capacity_test.cc
+++ b/catkinseam/scheduler/capacity_test.cc
@@ -49,6 +49,12 @@
     m_clock.advance(Milliseconds(50));
   }
 
+  /// Adds a job that preempts others: jobs past their objective do not.
+  void addUrgentJob(Submission Job) {
+    Job.m_acceptedMs = m_clock.wallNow().time_since_epoch().count();
+    m_scheduler.addJob(Job, nullptr);
+  }
+
   void registerIncarnation(const std::string &Name, std::int64_t StartedMs,
                            const Resources &Capacity) {
     WorkerRegistration Next;
@@ -141,7 +147,7 @@
   Job.m_spec.m_steps[0].m_isGang = true;
   m_scheduler.addJob(Job, nullptr);
   BOOST_TEST(releaseAfterChange("w2", {1000, 8000, 0}) == 0U);
-  BOOST_TEST(m_scheduler.control().m_stops.empty());
+  BOOST_TEST(m_scheduler.summarize().m_stopping == 0U);
   changeCapacity("w2", {2000, 8000, 0});
   BOOST_TEST(scheduleOnce() == 4U);
 }
@@ -233,9 +239,9 @@
   BOOST_REQUIRE(scheduleOnce() == 2U);
   listRuns("w1", OtherId, 2);
   m_scheduler.control();
-  m_scheduler.addJob(makeJob("00000000000000a3", 1), nullptr);
+  addUrgentJob(makeJob("00000000000000a3", 1));
   BOOST_TEST(scheduleOnce() == 0U);
-  BOOST_TEST(m_scheduler.control().m_stops.empty());
+  BOOST_TEST(m_scheduler.summarize().m_stopping == 0U);
 }
 
 // Starts exceeded the capacity of a worker that had come back as one of another
@@ -271,4 +277,68 @@
   BOOST_TEST(scheduleOnce() == 1U);
 }
 
+// The free processors in the summary were understated by what workers run
+// beyond a capacity that has shrunk.
+BOOST_FIXTURE_TEST_CASE(OverloadedWorkerHasNoNegativeFreeProcessors, Fixture) {
+  addWorker("w1", {4000, 8000, 0});
+  m_scheduler.addJob(makeJob(Id, 4), nullptr);
+  BOOST_REQUIRE(scheduleOnce() == 4U);
+  addWorker("w2", {3000, 8000, 0});
+  changeCapacity("w1", {1000, 8000, 0});
+  BOOST_TEST(m_scheduler.summarize().m_freeProcessors == 3000);
+}
+
+// A worker that runs more than its capacity gets no start until its runs fit
+// and there is room for one more, or its capacity has grown.
+BOOST_FIXTURE_TEST_CASE(OverloadedWorkerGetsStartsAfterItHasGrown, Fixture) {
+  addWorker("w1", {4000, 8000, 0});
+  m_scheduler.addJob(makeJob(Id, 8), nullptr);
+  BOOST_REQUIRE(scheduleOnce() == 4U);
+  changeCapacity("w1", {2000, 8000, 0});
+  for (int Ended = 0; Ended < 2; ++Ended) {
+    endRun("w1", m_sentStarts["w1"].front(), RunEnd::Done);
+    BOOST_TEST(scheduleOnce() == 0U);
+  }
+  endRun("w1", m_sentStarts["w1"].front(), RunEnd::Done);
+  BOOST_TEST(scheduleOnce() == 1U);
+  changeCapacity("w1", {4000, 8000, 0});
+  BOOST_TEST(scheduleOnce() == 2U);
+}
+
+// Work must not be stopped for a task that would not fit afterwards: neither on
+// a worker that has shrunk below the task, nor beside a service that fills it.
+BOOST_FIXTURE_TEST_CASE(NothingIsPreemptedOnWorkerThatIsTooSmall, Fixture) {
+  addWorker("w1", {4000, 8000, 0});
+  addWorker("w2", {4000, 8000, 0});
+  Submission Service = makeJobOf("00000000000000a3", 1, {3000, 1000, 0});
+  Service.m_spec.m_steps[0].m_isService = true;
+  m_scheduler.addJob(Service, nullptr);
+  BOOST_REQUIRE(scheduleOnce() == 1U);
+  Submission Batch = makeJob(OtherId, 5);
+  Batch.m_policy.m_priority = 2;
+  m_scheduler.addJob(Batch, nullptr);
+  BOOST_REQUIRE(scheduleOnce() == 5U);
+  const std::string Serving = m_sentStarts["w1"].size() == 2U ? "w1" : "w2";
+  changeCapacity(Serving, {3000, 8000, 0});
+  changeCapacity(Serving == "w1" ? "w2" : "w1", {1000, 8000, 0});
+  addUrgentJob(makeJobOf(Id, 1, {2000, 1000, 0}));
+  BOOST_TEST(scheduleOnce() == 0U);
+  BOOST_TEST(m_scheduler.summarize().m_stopping == 0U);
+  changeCapacity(Serving, {5000, 8000, 0});
+  BOOST_TEST(scheduleOnce() == 0U);
+  BOOST_TEST(m_scheduler.summarize().m_stopping == 1U);
+}
+
+// A registration may state a capacity that makes no sense.
+BOOST_FIXTURE_TEST_CASE(NothingStartsOnNegativeCapacity, Fixture) {
+  for (const Resources &Capacity :
+       {Resources{-4000, 8000, 0}, Resources{4000, -8000, 0},
+        Resources{4000, 8000, -1}}) {
+    Fixture Each;
+    Each.addWorker("w1", Capacity);
+    Each.m_scheduler.addJob(makeJobOf(Id, 4, {1000, 0, 0}), nullptr);
+    BOOST_TEST(Each.scheduleOnce() == 0U);
+  }
+}
+
 } // namespace catkinseam
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -526,9 +526,9 @@
   for (const auto &[Id, Worker] : m_workers) {
     if (isAvailable(*Worker, m_clock.now())) {
       ++Stats.m_availableWorkers;
-      const std::int64_t Free =
-          Worker->m_registration.m_capacity.m_milliProcessors -
-          Worker->m_reserved.m_milliProcessors;
+      const std::int64_t Free = std::max<std::int64_t>(
+          0, Worker->m_registration.m_capacity.m_milliProcessors -
+                 Worker->m_reserved.m_milliProcessors);
       Stats.m_freeProcessors += Free;
       Stats.m_mostFreeProcessors = std::max(Stats.m_mostFreeProcessors, Free);
     }
