Change capacities and delay stops in the simulated cluster

Change: two more faults: all workers get other capacities, from none to the full one, and runs go on for 1.5 s after their stop was acknowledged. The check of the history counts a reduced capacity from 4.5 s (contactMs and a beat) after its registration, 8 s later for starts that the worker executed late, and the larger one before.

--- a/catkinseam/ownership/owner_test.cc
+++ b/catkinseam/ownership/owner_test.cc
@@ -41,6 +41,15 @@
 public:
   explicit FaultInjector(SimulatedCluster &Cluster) : m_cluster(Cluster) {}
 
+  void clearFaults() {
+    for (std::size_t Index = 0; Index < m_cluster.workers(); ++Index) {
+      m_cluster.worker(Index).m_failureRate = 0.0;
+      m_cluster.worker(Index).m_stopTime = Milliseconds(0);
+    }
+    m_cluster.restoreCapacities();
+    m_cluster.heal();
+  }
+
   void inject() {
     using Fault = void (FaultInjector::*)();
     static const std::vector<Fault> Faults = {
@@ -58,6 +67,9 @@
         &FaultInjector::loseWorkerReplies,
         &FaultInjector::delayWorkerOrders,
         &FaultInjector::failWorkerRuns,
+        &FaultInjector::changeCapacities,
+        &FaultInjector::changeCapacities,
+        &FaultInjector::delayStops,
         &FaultInjector::restartNodes,
         &FaultInjector::clearFaults};
     (this->*Faults[randomIndex(Faults.size())])();
@@ -106,16 +118,21 @@
   void loseWorkerReplies() { anyWorker().m_network.m_lostReplyRate = 0.3; }
   void delayWorkerOrders() { anyWorker().m_network.m_delayedRate = 0.3; }
   void failWorkerRuns() { anyWorker().m_failureRate = 0.7; }
+  void changeCapacities() {
+    for (std::size_t Index = 0; Index < m_cluster.workers(); ++Index)
+      m_cluster.changeCapacity(
+          Index, {static_cast<std::int64_t>(randomIndex(5)) * 1000,
+                  static_cast<std::int64_t>(randomIndex(5)) * 500, 0});
+  }
+  void delayStops() {
+    for (std::size_t Index = 0; Index < m_cluster.workers(); ++Index)
+      m_cluster.worker(Index).m_stopTime = Milliseconds(1500);
+  }
   void restartNodes() {
     for (std::size_t Index = 0; Index < 3; ++Index)
       if (!m_cluster.node(Index).isRunning())
         m_cluster.startNode(Index);
   }
-  void clearFaults() {
-    for (std::size_t Index = 0; Index < m_cluster.workers(); ++Index)
-      m_cluster.worker(Index).m_failureRate = 0.0;
-    m_cluster.heal();
-  }
 
   SimulatedCluster &m_cluster;
 };
@@ -142,9 +159,7 @@
       Injector.inject();
     Cluster.run(Milliseconds(500));
   }
-  for (std::size_t Index = 0; Index < Cluster.workers(); ++Index)
-    Cluster.worker(Index).m_failureRate = 0.0;
-  Cluster.heal();
+  Injector.clearFaults();
   // Long enough for leases granted by an earlier owner to expire.
   Cluster.run(30 * Second);
   std::vector<std::string> Violations = Cluster.violations();
--- a/catkinseam/ownership/testing/fake_worker.cc
+++ b/catkinseam/ownership/testing/fake_worker.cc
@@ -155,6 +155,11 @@
   return Registration;
 }
 
+void FakeWorker::setCapacity(const Resources &Capacity) {
+  m_capacity = Capacity;
+  m_history.capacityChanged(m_id, Capacity, m_host.now());
+}
+
 bool FakeWorker::chance(double Probability) {
   return std::uniform_real_distribution<double>(0, 1)(m_random) < Probability;
 }
@@ -204,8 +209,15 @@
     return OrderOutcome::Fenced;
   RunNumber &HighestClosed = m_highestClosedRun[Order.m_task];
   HighestClosed = std::max(HighestClosed, Order.m_run);
-  if (m_runs.contains({Order.m_task, Order.m_run}))
+  const auto Found = m_runs.find({Order.m_task, Order.m_run});
+  if (Found == m_runs.end() || Found->second.m_isStopping)
+    return OrderOutcome::Done;
+  if (m_stopTime == Milliseconds::zero()) {
     endRun({Order.m_task, Order.m_run}, RunEnd::Stopped);
+  } else {
+    Found->second.m_isStopping = true;
+    Found->second.m_endsAt = m_host.now() + m_stopTime;
+  }
   return OrderOutcome::Done;
 }
 
@@ -255,6 +267,8 @@
   for (const auto &[Which, Run] : Runs) {
     if (!HasLease)
       endRun(Which, RunEnd::Lapsed);
+    else if (m_host.now() >= Run.m_endsAt && Run.m_isStopping)
+      endRun(Which, RunEnd::Stopped);
     else if (m_host.now() >= Run.m_endsAt)
       endRun(Which, Run.m_willFail ? RunEnd::Failed : RunEnd::Done);
   }
--- a/catkinseam/ownership/testing/fake_worker.h
+++ b/catkinseam/ownership/testing/fake_worker.h
@@ -38,9 +38,14 @@
 
   WorkerRegistration registration() const;
 
+  /// Does not affect the runs that the worker has.
+  void setCapacity(const Resources &Capacity);
+
   /// Duration of subsequent runs, and the probability that each fails.
   Milliseconds m_runTime{300};
   double m_failureRate = 0.0;
+  /// How long a run goes on after its stop was acknowledged.
+  Milliseconds m_stopTime{0};
   Network m_network;
 
 private:
@@ -49,6 +54,7 @@
     std::string m_checkpoint;
     TimePoint m_endsAt;
     bool m_willFail = false;
+    bool m_isStopping = false;
   };
   using RunKey = std::pair<TaskKey, RunNumber>;
 
@@ -68,7 +74,7 @@
   std::mt19937_64 &m_random;
   RunHistory &m_history;
   const std::string m_id;
-  const Resources m_capacity;
+  Resources m_capacity;
   std::int64_t m_startedMs = 1;
   TimePoint m_startedAt;
   std::uint64_t m_fence = 0;
--- a/catkinseam/ownership/testing/run_history.cc
+++ b/catkinseam/ownership/testing/run_history.cc
@@ -140,6 +140,28 @@
   }
 }
 
+/// Returns the largest capacity that counts for a start: a reduction does not
+/// count at once.
+Resources capacityFor(const RecordedRun &Start, const RunHistory &History,
+                      const HistoryBounds &Bounds, const Resources &Initial) {
+  Resources Current = Initial;
+  Resources Largest = Initial;
+  const auto Found = History.m_capacityChanges.find(Start.m_worker);
+  if (Found == History.m_capacityChanges.end())
+    return Initial;
+  const TimePoint CountsSince =
+      Start.m_startedAt - Bounds.m_capacityNotice -
+      (Start.m_wasDelayed ? Bounds.m_maxStartDelay : Milliseconds(0));
+  for (const RunHistory::CapacityChange &Each : Found->second) {
+    if (Each.m_at > Start.m_startedAt)
+      break;
+    Current = Each.m_capacity;
+    Largest =
+        Each.m_at <= CountsSince ? Current : elementwiseMax(Largest, Current);
+  }
+  return Largest;
+}
+
 void checkCapacity(const RunHistory &History,
                    const std::vector<SubmittedJob> &Jobs,
                    const HistoryBounds &Bounds, Violations &Found) {
@@ -162,7 +184,8 @@
         ++OfStep;
     }
     const auto Capacity = Bounds.m_capacities.find(Started.m_worker);
-    if (Capacity != Bounds.m_capacities.end() && !Used.fitsIn(Capacity->second))
+    if (Capacity != Bounds.m_capacities.end() &&
+        !Used.fitsIn(capacityFor(Started, History, Bounds, Capacity->second)))
       Found.push_back("worker capacity exceeded: " + describe(Started));
     const SubmittedJob *Job = jobOf(Jobs, Started.m_task);
     const std::uint32_t Limit =
@@ -220,6 +243,11 @@
   m_leaseExpiries[Worker].push_back(Now);
 }
 
+void RunHistory::capacityChanged(const std::string &Worker,
+                                 const Resources &Capacity, TimePoint Now) {
+  m_capacityChanges[Worker].push_back({Now, Capacity});
+}
+
 std::vector<std::string> checkHistory(const RunHistory &History,
                                       const std::vector<SubmittedJob> &Jobs,
                                       const HistoryBounds &Bounds) {
--- a/catkinseam/ownership/testing/run_history.h
+++ b/catkinseam/ownership/testing/run_history.h
@@ -46,8 +46,17 @@
   /// acknowledged by then do not count.
   void leaseExpired(const std::string &Worker, TimePoint Now);
 
+  /// Records a change of a worker's registered capacity.
+  void capacityChanged(const std::string &Worker, const Resources &Capacity,
+                       TimePoint Now);
+
   std::vector<RecordedRun> m_runs;
   std::map<std::string, std::vector<TimePoint>> m_leaseExpiries;
+  struct CapacityChange {
+    TimePoint m_at;
+    Resources m_capacity;
+  };
+  std::map<std::string, std::vector<CapacityChange>> m_capacityChanges;
 
 private:
   RecordedRun *find(const std::string &Worker, const TaskKey &Task,
@@ -63,7 +72,12 @@
 };
 
 struct HistoryBounds {
+  /// Capacities before the first change.
   std::map<std::string, Resources> m_capacities;
+  /// A reduced capacity counts after this time, and this much later for starts
+  /// that a worker executed late.
+  Milliseconds m_capacityNotice{4500};
+  Milliseconds m_maxStartDelay{8000};
   /// A task may start up to this long after its job's cancellation was stored.
   Milliseconds m_maxStartAfterCancel{3000};
 };
--- a/catkinseam/ownership/testing/run_history_test.cc
+++ b/catkinseam/ownership/testing/run_history_test.cc
@@ -95,6 +95,19 @@
   BOOST_TEST(violations() >= 1U);
 }
 
+// A reduced capacity counts contactMs and a beat after it was registered.
+BOOST_FIXTURE_TEST_CASE(RejectsStartBeyondReducedCapacity, Fixture) {
+  m_history.capacityChanged("w1", {1000, 8000, 0}, at(1000));
+  run("w1", task(0, 0), 1, 900, 9000, RunEnd::Done);
+  run("w1", task(0, 1), 1, 5400, 5450, RunEnd::Failed);
+  BOOST_TEST(violations() == 0U);
+  run("w1", task(0, 1), 2, 5600, 5700, RunEnd::Failed);
+  BOOST_TEST(violations() == 1U);
+  m_history.capacityChanged("w1", {2000, 8000, 0}, at(6000));
+  run("w1", task(0, 1), 3, 6100, 6200, RunEnd::Done);
+  BOOST_TEST(violations() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(RejectsTooManyTasksOfStepOnOneWorker, Fixture) {
   m_jobs[0].m_job.m_spec.m_steps[0].m_maxPerWorker = 1;
   run("w1", task(0, 0), 1, 0, 100, RunEnd::Done);
--- a/catkinseam/ownership/testing/simulated_cluster.cc
+++ b/catkinseam/ownership/testing/simulated_cluster.cc
@@ -208,6 +208,17 @@
   m_host.schedule(RegistrationDelay, [this, Index] { registerWorker(Index); });
 }
 
+void SimulatedCluster::changeCapacity(std::size_t Index,
+                                      const Resources &Capacity) {
+  m_workers[Index]->setCapacity(Capacity);
+  registerWorker(Index);
+}
+
+void SimulatedCluster::restoreCapacities() {
+  for (std::size_t Index = 0; Index < m_workers.size(); ++Index)
+    changeCapacity(Index, m_options.m_capacity);
+}
+
 FakeNode *SimulatedCluster::owner() {
   for (const auto &Each : m_nodes)
     if (Each->isOwner() && !Each->isPaused() && !Each->m_log.m_isPartitioned)
--- a/catkinseam/ownership/testing/simulated_cluster.h
+++ b/catkinseam/ownership/testing/simulated_cluster.h
@@ -97,6 +97,10 @@
   std::size_t workers() const { return m_workers.size(); }
   /// Crashes the worker; its next incarnation is registered after a delay.
   void crashWorker(std::size_t Index);
+  /// Changes the worker's capacity and its registration.
+  void changeCapacity(std::size_t Index, const Resources &Capacity);
+  /// Gives all workers the capacity that they began with.
+  void restoreCapacities();
 
   /// Returns a line for each invariant violated so far.
   std::vector<std::string> violations() const;
