--- a/catkinseam/ownership/testing/fake_worker.h
+++ b/catkinseam/ownership/testing/fake_worker.h
@@ -45,9 +45,14 @@
 
   WorkerRegistration registration() const;
 
+  /// Does not affect the runs that the worker has.
+  void setCapacity(const Resources &Capacity);
+
   /// Duration of subsequent runs, and the probability that each fails.
   Milliseconds m_runTime{300};
   double m_failureRate = 0.0;
+  /// How long a run goes on after its stop was acknowledged.
+  Milliseconds m_stopTime{0};
   Network m_network;
   /// A crash ends the life of the id; the next incarnation has another one at
   /// the same address.
@@ -61,6 +66,7 @@
     std::string m_checkpoint;
     TimePoint m_endsAt;
     bool m_willFail = false;
+    bool m_isStopping = false;
   };
   using RunKey = std::pair<TaskKey, RunNumber>;
 
@@ -80,7 +86,7 @@
   std::mt19937_64 &m_random;
   RunHistory &m_history;
   const std::string m_id;
-  const Resources m_capacity;
+  Resources m_capacity;
   std::int64_t m_startedMs = 1;
   /// Number of ids that the worker has had before.
   std::uint32_t m_earlierIds = 0;
--- a/catkinseam/ownership/testing/simulated_cluster.h
+++ b/catkinseam/ownership/testing/simulated_cluster.h
@@ -109,6 +109,10 @@
   void crashWorker(std::size_t Index);
   /// Writes the worker's current registration.
   void registerWorker(std::size_t Index);
+  /// Changes the worker's capacity and its registration.
+  void changeCapacity(std::size_t Index, const Resources &Capacity);
+  /// Gives all workers the capacity that they began with.
+  void restoreCapacities();
 
   /// Returns a line for each invariant violated so far.
   std::vector<std::string> violations() const;
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -116,6 +116,9 @@
     return m_interference.encodedState(MaxBytes);
   }
   void setStoreReachable(bool IsReachable) { m_isStoreReachable = IsReachable; }
+  /// Whether the registrations of workers are up to date; no run is placed
+  /// while they are not, since capacities may have shrunk.
+  void setRegistryCurrent(bool IsCurrent) { m_isRegistryCurrent = IsCurrent; }
 
   void onStart(const StartOrder &Order, const OrderReply &Reply);
   void onStop(const StopOrder &Order, const OrderReply &Reply);
@@ -240,6 +243,9 @@
   static bool mayReachNextIncarnation(const RunInfo &Run);
   /// Treats the run as one whose start got no reply from this incarnation.
   void doubtStart(RunInfo &Run);
+  /// Discards the registration of a previous incarnation, from which the new
+  /// one may differ in capacity, labels and service.
+  static void expectRegistration(WorkerInfo &Worker, std::int64_t StartedMs);
   static bool hasStartInDoubt(const WorkerInfo &Worker);
   void updateClock(WorkerInfo &Worker, Milliseconds Clock);
   void extendLeaseEnd(WorkerInfo &Worker, Milliseconds Expires);
@@ -249,6 +255,9 @@
   void applyActiveRuns(WorkerInfo &Worker, TimePoint SentAt,
                        const WorkerSnapshot &Status);
   void stopUnknownRun(WorkerInfo &Worker, const ActiveRun &Active);
+  /// Reserves what an unknown run holds until the worker no longer lists it.
+  void reserveForUnknownRun(WorkerInfo &Worker, const TaskKey &Task) const;
+  static void releaseUnknownRuns(WorkerInfo &Worker);
   void expireUnreachableWorkers();
   void evacuateDrainingWorkers();
   void updateSuspendedShare();
@@ -268,6 +277,8 @@
   bool placeGang(StepInfo &Step, Decisions &Next);
   /// Starts copies of speculative tasks whose only run is slow or unreachable.
   void placeCopies(Decisions &Next);
+  /// Withdraws the planned starts that must not be sent any more.
+  void withdrawInvalidStarts(const Decisions &Stored, bool AreStale);
   bool needsCopy(const TaskInfo &Task) const;
   void collectStop(const WorkerInfo &Worker, const RunRef &Ref, RunInfo &Run,
                    ImmediateOrders &Next) const;
@@ -279,6 +290,7 @@
   FillerThrottle m_throttle;
   InterferenceModel m_interference;
   bool m_isStoreReachable = true;
+  bool m_isRegistryCurrent = true;
   std::unordered_map<std::string, std::unique_ptr<JobInfo>> m_jobs;
   std::unordered_map<std::string, std::unique_ptr<WorkerInfo>> m_workers;
   struct StepKey {
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -224,8 +224,8 @@
     // The worker may have restarted since, and carry out the start even so.
     if (Worker.m_registration.m_startedMs > Each.m_workerStartedMs)
       ++Task.m_lostWorkers;
-    else
-      Worker.m_registration.m_startedMs = Each.m_workerStartedMs;
+    if (Worker.m_registration.m_startedMs < Each.m_workerStartedMs)
+      expectRegistration(Worker, Each.m_workerStartedMs);
     addRun(Task, Each.m_run, Worker, RunPhase::Adopted);
   }
   if (Task.m_runs.empty())
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -58,7 +58,9 @@
         {{"worker", Registration.m_id},
          {"remaining_ms", std::to_string(Registration.m_remaining.count())}});
   // Whatever answers at another address has not answered as this incarnation.
-  if (Registration.m_address != Worker.m_registration.m_address)
+  const bool IsAddressKnown = Worker.m_registration.m_address.m_port != 0;
+  if (IsAddressKnown &&
+      Registration.m_address != Worker.m_registration.m_address)
     Worker.m_hasAcceptedToken = false;
   Worker.m_registration = Registration;
   if (!Worker.m_isListed)
@@ -87,7 +89,8 @@
     if (!Worker.m_runs.empty())
       Worker.m_leaseEnd += m_options.m_previousOwnerLease;
   }
-  Worker.m_registration.m_startedMs = StartedMs;
+  releaseUnknownRuns(Worker);
+  expectRegistration(Worker, StartedMs);
   Worker.m_hasAcceptedToken = false;
   Worker.m_isClockKnown = false;
   Worker.m_lastObservedEnd = 0;
@@ -98,6 +101,14 @@
   Worker.m_quarantinedUntil = TimePoint();
 }
 
+void Scheduler::expectRegistration(WorkerInfo &Worker, std::int64_t StartedMs) {
+  WorkerRegistration Expected;
+  Expected.m_id = Worker.m_registration.m_id;
+  Expected.m_startedMs = StartedMs;
+  // Without a service the worker is offered to no task.
+  Worker.m_registration = std::move(Expected);
+}
+
 void Scheduler::loseRunsOf(WorkerInfo &Worker, Loss Cause, const char *Reason) {
   if (Worker.m_isReachable)
     recordLoss(Worker);
@@ -318,10 +329,12 @@
 void Scheduler::applyActiveRuns(WorkerInfo &Worker, TimePoint SentAt,
                                 const WorkerSnapshot &Status) {
   std::set<RunRef> Listed;
+  releaseUnknownRuns(Worker);
   for (const ActiveRun &Each : Status.m_active) {
     TaskInfo *Task = findTask(Each.m_task);
     RunInfo *Run = Task ? findRun(*Task, Each.m_run) : nullptr;
     if (!Run || Run->m_worker != &Worker) {
+      reserveForUnknownRun(Worker, Each.m_task);
       stopUnknownRun(Worker, Each);
       continue;
     }
@@ -393,6 +406,26 @@
       {Worker.m_registration.m_id, Active.m_task, Active.m_run});
 }
 
+void Scheduler::reserveForUnknownRun(WorkerInfo &Worker,
+                                     const TaskKey &Task) const {
+  const auto Job = m_jobs.find(Task.m_job);
+  if (Job == m_jobs.end() ||
+      Task.m_step >= Job->second->m_submission.m_spec.m_steps.size()) {
+    Worker.m_hasRunOfUnknownSize = true;
+    return;
+  }
+  const Resources Held =
+      Job->second->m_submission.m_spec.m_steps[Task.m_step].reservation();
+  Worker.m_reservedByUnknownRuns += Held;
+  Worker.m_reserved += Held;
+}
+
+void Scheduler::releaseUnknownRuns(WorkerInfo &Worker) {
+  Worker.m_reserved -= Worker.m_reservedByUnknownRuns;
+  Worker.m_reservedByUnknownRuns = {};
+  Worker.m_hasRunOfUnknownSize = false;
+}
+
 void Scheduler::expireUnreachableWorkers() {
   const TimePoint Now = m_clock.now();
   std::vector<std::string> Gone;
