Answer lookups at once while the newest records are reloaded

Cause: KeyedLogReader::refresh() queues its callback unless reads fail, but a reload begins no read, and neither the outcome HistoryDeleted nor the pages ended the queue.

Change: refresh() returns at once while the newest records are loaded, and start() finishes what waits for a read. A failed page needs nothing more: nothing can be queued while pages are read. During a reload the state of a known job is answered from the ledger, and an unknown id gets 503.

--- a/catkinseam/ledger/keyed_log_reader.cc
+++ b/catkinseam/ledger/keyed_log_reader.cc
@@ -21,6 +21,7 @@
   m_loadedKeys.clear();
   m_isFirstPage = true;
   loadPage("");
+  finishUncovered();
 }
 
 TimePoint KeyedLogReader::replyTime() const {
@@ -66,7 +67,7 @@
 }
 
 void KeyedLogReader::refresh(std::function<void()> Done) {
-  if (m_isWaitingAtLog || m_isFailing || !m_isLoaded)
+  if (m_isWaitingAtLog || m_isFailing || m_isLoading || !m_isLoaded)
     return Done();
   m_refreshes.push_back(std::move(Done));
   if (!m_isBatching)
@@ -105,6 +106,13 @@
     Each();
 }
 
+void KeyedLogReader::finishUncovered() {
+  const std::shared_ptr<bool> IsAlive = m_isAlive;
+  finishRefreshes();
+  if (*IsAlive)
+    finishCoverages(false);
+}
+
 void KeyedLogReader::readNext() {
   m_isBatching = false;
   read(m_wait);
@@ -127,17 +135,12 @@
   if (Read.m_outcome == LogOutcome::HistoryDeleted) {
     logInfo("log.history_gone", {{"topic", logTopicName(m_options.m_topic)},
                                  {"offset", std::to_string(m_nextOffset)}});
-    start();
-    return finishCoverages(false);
+    return start();
   }
   if (Read.m_outcome != LogOutcome::Done) {
     reportFailure("read", Read.m_outcome);
     scheduleRetry([this] { readNext(); });
-    const std::shared_ptr<bool> IsAlive = m_isAlive;
-    finishRefreshes();
-    if (*IsAlive)
-      finishCoverages(false);
-    return;
+    return finishUncovered();
   }
   if (m_isFailing) {
     m_isFailing = false;
--- a/catkinseam/ledger/keyed_log_reader.h
+++ b/catkinseam/ledger/keyed_log_reader.h
@@ -58,7 +58,8 @@
   /// Calls `Done` when all records that were appended before this call have
   /// been delivered, or the read for them has failed. Ends the batching window.
   /// Calls `Done` immediately while a read waits at the log, which then
-  /// delivers records at once, and while reads fail.
+  /// delivers records at once, while reads fail, and while the newest records
+  /// are being loaded.
   void refresh(std::function<void()> Done);
 
   /// Calls `Done(true)` when a read that began after this call has reached the
@@ -98,6 +99,8 @@
   void read(Milliseconds Wait);
   void finishRefreshes();
   void finishCoverages(bool IsCovered);
+  /// Finishes all calls that wait for a read, because it cannot be done.
+  void finishUncovered();
   void onRead(const ReadReply &Read);
   void scheduleRetry(std::function<void()> Call);
   void reportFailure(const char *Call, LogOutcome Outcome);
--- a/catkinseam/node/job_lookup_test.cc
+++ b/catkinseam/node/job_lookup_test.cc
@@ -82,15 +82,29 @@
     m_log.put(LogTopic::Jobs, submissionKey(Job), encode(batchJob(Job, 1)));
   }
 
-  void call(const char *Method) {
+  void call(const char *Method, const std::string &Job = Id) {
     HttpRequest Request;
     Request.m_method = Method;
-    Request.m_path = Prefix + Id;
+    Request.m_path = Prefix + Job;
     Request.m_headers = {{"Host", "tally.example"}};
     m_ingress.onCall(Request, [this](const HttpResponse &Response) {
       m_statuses.push_back(Response.m_status);
     });
   }
+
+  /// Other nodes accept enough jobs for several pages of newest records.
+  void acceptManyElsewhere() {
+    constexpr std::uint64_t Count = 200;
+    for (std::uint64_t Number = 0; Number < Count; ++Number)
+      acceptElsewhere(jobId(0xb000 + Number));
+  }
+
+  /// Lets time pass until a read has delivered records.
+  void runUntilRead() {
+    const std::size_t Before = m_view.m_bytesRead;
+    while (m_view.m_bytesRead == Before)
+      run(Milliseconds(10));
+  }
 };
 
 } // namespace
@@ -132,17 +146,14 @@
 // A reload. The record of the job is on neither the pages of the newest records
 // nor, yet, in the reads that follow them.
 BOOST_FIXTURE_TEST_CASE(JobAcceptedDuringReloadIsNotDenied, Fixture) {
-  for (int Number = 0; Number < 200; ++Number)
-    acceptElsewhere(jobId(0xb000 + static_cast<std::uint64_t>(Number)));
+  acceptManyElsewhere();
   m_view.m_isPartitioned = true;
   run(Milliseconds(3000));
   m_log.compact();
   m_log.m_faults.m_latency = Milliseconds(80);
   m_view.m_isPartitioned = false;
   // The job's key precedes all others, so its page is read first.
-  const std::size_t BytesBefore = m_view.m_bytesRead;
-  while (m_view.m_bytesRead == BytesBefore)
-    run(Milliseconds(10));
+  runUntilRead();
   acceptElsewhere();
   for (int At = 0; At < 300; ++At) {
     call("GET");
@@ -154,4 +165,60 @@
   BOOST_TEST(std::count(m_statuses.begin(), m_statuses.end(), 200) > 0);
 }
 
+// Guards against lookups that hang during a reload: the history was deleted
+// although no read had failed. The state of a known job is answered from the
+// ledger, and an unknown id is refused.
+BOOST_FIXTURE_TEST_CASE(LookupsAreAnsweredAtOnceDuringReload, Fixture) {
+  acceptElsewhere();
+  run(Milliseconds(500));
+  acceptManyElsewhere();
+  m_log.compact();
+  m_log.m_faults.m_latency = Milliseconds(80);
+  run(Milliseconds(200));
+  for (int At = 0; At < 50; ++At) {
+    m_statuses.clear();
+    call("GET");
+    call("GET", jobId(0xa2));
+    BOOST_TEST(m_statuses == std::vector<int>({200, 503}),
+               boost::test_tools::per_element());
+    run(Milliseconds(10));
+  }
+}
+
+// Guards against lookups that hang because the read that they wait for finds
+// the history deleted.
+BOOST_FIXTURE_TEST_CASE(WaitingLookupsAreAnsweredWhenReloadBegins, Fixture) {
+  acceptElsewhere();
+  run(Milliseconds(500));
+  runUntilRead();
+  call("GET");
+  call("GET", jobId(0xa2));
+  BOOST_TEST(m_statuses.empty());
+  acceptManyElsewhere();
+  m_log.compact();
+  m_log.m_faults.m_latency = Milliseconds(80);
+  m_host.advance(Milliseconds(10));
+  BOOST_TEST(m_statuses == std::vector<int>({200, 503}),
+             boost::test_tools::per_element());
+}
+
+// Guards against lookups that hang while the pages of a reload fail.
+BOOST_FIXTURE_TEST_CASE(LookupsAreAnsweredAtOnceWhenReloadFails, Fixture) {
+  acceptElsewhere();
+  run(Milliseconds(500));
+  acceptManyElsewhere();
+  m_log.compact();
+  m_log.m_faults.m_latency = Milliseconds(80);
+  run(Milliseconds(200));
+  m_view.m_isPartitioned = true;
+  for (int At = 0; At < 30; ++At) {
+    m_statuses.clear();
+    call("GET");
+    call("GET", jobId(0xa2));
+    BOOST_TEST(m_statuses == std::vector<int>({200, 503}),
+               boost::test_tools::per_element());
+    run(Milliseconds(100));
+  }
+}
+
 } // namespace catkinseam
