Show no state before the first load is complete

Cause: lookups answered from a ledger of which only some pages had been read. The submission of a job, its cancellation and its state are on different pages, so even a final state could be wrong. After the last page, what had been appended since the first one was still missing.

Change: until a read that follows the first load has reached the end of the topic, a lookup is answered with 503 (KeyedLogReader::hasCaughtUp()).

--- a/catkinseam/front/job_lookup.cc
+++ b/catkinseam/front/job_lookup.cc
@@ -19,6 +19,10 @@
 
 void JobLookup::find(const std::string &Id,
                      std::function<void(const Reply &)> Done) {
+  // While the newest records are loaded for the first time, even a final state
+  // may be wrong: a cancelled job may have completed before.
+  if (!m_updates.m_hasCaughtUp())
+    return Done({Outcome::NotCurrent, JobState::Queued});
   const std::optional<JobState> Known = m_jobs.stateOf(Id);
   if (Known && isFinal(*Known))
     return Done({Outcome::Found, *Known});
--- a/catkinseam/front/job_lookup.h
+++ b/catkinseam/front/job_lookup.h
@@ -1,6 +1,6 @@
 // Looks up jobs for customers, on any node.
 //
-//   JobLookup Jobs(Service, {Refresh, Cover});
+//   JobLookup Jobs(Service, {HasCaughtUp, Refresh, Cover});
 //   Jobs.find(Id, [](const JobLookup::Reply &Found) { ... });
 #ifndef CATKINSEAM_FRONT_JOB_LOOKUP_H
 #define CATKINSEAM_FRONT_JOB_LOOKUP_H
@@ -29,6 +29,8 @@
 
   /// How the ledger is brought up to date.
   struct Updates {
+    /// Returns whether the ledger has been up to date with the log at any time.
+    std::function<bool()> m_hasCaughtUp;
     /// Calls back when the records that are ready at the log have been applied,
     /// or could not be read.
     std::function<void(std::function<void()>)> m_refresh;
@@ -39,7 +41,8 @@
 
   JobLookup(const JobService &Jobs, Updates Source);
 
-  /// A job is denied only by a ledger that covers the time of the call.
+  /// A job is denied only by a ledger that covers the time of the call, and no
+  /// state is shown before the ledger was up to date for the first time.
   void find(const std::string &Id, std::function<void(const Reply &)> Done);
 
 private:
--- a/catkinseam/ledger/keyed_log_reader.cc
+++ b/catkinseam/ledger/keyed_log_reader.cc
@@ -175,8 +175,10 @@
     if (!*IsAlive)
       return;
   }
-  if (!IsBehind)
+  if (!IsBehind) {
     m_coveredUntil = StartedAt;
+    m_hasCaughtUp = true;
+  }
   if (m_callbacks.m_onRead)
     m_callbacks.m_onRead();
   if (!*IsAlive)
--- a/catkinseam/ledger/keyed_log_reader.h
+++ b/catkinseam/ledger/keyed_log_reader.h
@@ -71,6 +71,10 @@
   /// Whether the newest record of each key has been delivered since start().
   bool isLoaded() const { return m_isLoaded; }
 
+  /// Whether a read has reached the end of the topic after the first load.
+  /// Until then, records of some keys may be missing or outdated.
+  bool hasCaughtUp() const { return m_hasCaughtUp; }
+
   /// When a read last reached the end of the topic; the clock's epoch before
   /// the first.
   TimePoint caughtUpAt() const { return m_caughtUpAt; }
@@ -133,6 +137,7 @@
   bool m_isFailing = false;
   /// The last read ended before the end of the topic.
   bool m_isBehind = false;
+  bool m_hasCaughtUp = false;
   std::int64_t m_nextOffset = 0;
   TimePoint m_caughtUpAt;
   /// Reply time of the first page of newest records.
--- a/catkinseam/node/job_lookup_test.cc
+++ b/catkinseam/node/job_lookup_test.cc
@@ -21,8 +21,8 @@
   return Values;
 }
 
-/// One node that follows the log while another node is the owner.
-struct Fixture {
+/// One node that has not been started, while another node is the owner.
+struct IdleFixture {
   ManualRuntime m_host;
   std::mt19937_64 m_random{1};
   FakeLog m_log{m_host, m_random};
@@ -40,7 +40,8 @@
   Metrics m_metrics;
   OperatorConfig m_config;
   JobLookup m_jobLookup{m_jobService,
-                        {[this](std::function<void()> Done) {
+                        {[this] { return m_candidate.hasCaughtUp(); },
+                         [this](std::function<void()> Done) {
                            m_candidate.refresh(std::move(Done));
                          },
                          [this](std::function<void(bool)> Done) {
@@ -54,15 +55,14 @@
       {[this] { return &m_config; }, [this] { return m_candidate.isCurrent(); },
        [this] { return m_candidate.ledgerAge(); }, [] { return true; }}};
   std::vector<int> m_statuses;
+  std::vector<std::string> m_bodies;
 
-  Fixture() {
+  IdleFixture() {
     QueueRoute Route;
     Route.m_host = "tally.example";
     Route.m_pathPrefix = Prefix;
     Route.m_policy = batchJob(Id, 1).m_policy;
     m_config.m_routes.push_back(Route);
-    m_candidate.start();
-    run(Milliseconds(1000));
   }
 
   /// Lets time pass while the owner sends its heartbeats.
@@ -89,6 +89,7 @@
     Request.m_headers = {{"Host", "tally.example"}};
     m_ingress.onCall(Request, [this](const HttpResponse &Response) {
       m_statuses.push_back(Response.m_status);
+      m_bodies.push_back(Response.m_body);
     });
   }
 
@@ -99,6 +100,13 @@
       acceptElsewhere(jobId(0xb000 + Number));
   }
 
+  /// The owner records the state of a job.
+  void recordState(const std::string &Job, JobState State) {
+    JobProgress Progress;
+    Progress.m_state = State;
+    m_log.put(LogTopic::Jobs, progressKey(Job), encodeProgress(Progress));
+  }
+
   /// Lets time pass until a read has delivered records.
   void runUntilRead() {
     const std::size_t Before = m_view.m_bytesRead;
@@ -107,6 +115,14 @@
   }
 };
 
+/// One node that follows the log.
+struct Fixture : IdleFixture {
+  Fixture() {
+    m_candidate.start();
+    run(Milliseconds(1000));
+  }
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_CASE(UnknownJobIsDenied, Fixture) {
@@ -221,4 +237,55 @@
   }
 }
 
+// Guards against states from a partly read ledger: a node that loaded for the
+// first time showed a completed job as queued, and as cancelled one that had
+// completed before its cancellation took effect.
+BOOST_FIXTURE_TEST_CASE(FirstLoadShowsNoStates, IdleFixture) {
+  const std::string Cancelled = jobId(0xa2);
+  acceptManyElsewhere();
+  for (const std::string &Job : {Id, Cancelled}) {
+    acceptElsewhere(Job);
+    recordState(Job, JobState::Completed);
+  }
+  m_log.put(LogTopic::Jobs, cancelKey(Cancelled), "1");
+  m_log.m_faults.m_latency = Milliseconds(80);
+  m_candidate.start();
+  for (int At = 0; At < 300; ++At) {
+    call("GET");
+    call("GET", Cancelled);
+    run(Milliseconds(10));
+  }
+  BOOST_TEST(m_statuses.size() == 600U);
+  for (std::size_t At = 0; At < m_statuses.size(); ++At)
+    BOOST_TEST((m_statuses[At] == 503 ||
+                m_bodies[At].find("completed") != std::string::npos));
+  BOOST_TEST(m_statuses.back() == 200);
+}
+
+// Guards against states that are out of date after the first load: a job that
+// completes while the node loads is only in the read that follows the pages.
+BOOST_FIXTURE_TEST_CASE(LoadedNodeShowsNoStatesBeforeItReadsOn, IdleFixture) {
+  acceptManyElsewhere();
+  acceptElsewhere();
+  recordState(Id, JobState::InProgress);
+  m_log.m_faults.m_latency = Milliseconds(80);
+  m_candidate.start();
+  const auto IsProgressRead = [&] {
+    const LedgerJob *Found = m_ledger.find(Id);
+    return Found && Found->state() == JobState::InProgress;
+  };
+  while (!IsProgressRead())
+    run(Milliseconds(10));
+  recordState(Id, JobState::Completed);
+  for (int At = 0; At < 100; ++At) {
+    call("GET");
+    run(Milliseconds(10));
+  }
+  BOOST_TEST(m_statuses.size() == 100U);
+  for (std::size_t At = 0; At < m_statuses.size(); ++At)
+    BOOST_TEST((m_statuses[At] == 503 ||
+                m_bodies[At].find("completed") != std::string::npos));
+  BOOST_TEST(m_statuses.back() == 200);
+}
+
 } // namespace catkinseam
--- a/catkinseam/node/node.cc
+++ b/catkinseam/node/node.cc
@@ -78,7 +78,8 @@
           {[this](const StoredRecord &Record) { onOperatorRecord(Record); },
            nullptr, nullptr}),
       m_jobService(Loop, m_relayedStore, m_ledger, jobServiceOptions(Values)),
-      m_jobLookup(m_jobService, {[this](std::function<void()> Done) {
+      m_jobLookup(m_jobService, {[this] { return m_candidate.hasCaughtUp(); },
+                                 [this](std::function<void()> Done) {
                                    m_candidate.refresh(std::move(Done));
                                  },
                                  [this](std::function<void(bool)> Done) {
--- a/catkinseam/ownership/candidate.h
+++ b/catkinseam/ownership/candidate.h
@@ -79,6 +79,9 @@
     m_reader.refresh(std::move(Done));
   }
 
+  /// See KeyedLogReader::hasCaughtUp().
+  bool hasCaughtUp() const { return m_reader.hasCaughtUp(); }
+
   /// See KeyedLogReader::cover().
   void cover(std::function<void(bool IsCovered)> Done) {
     m_reader.cover(std::move(Done));
--- a/catkinseam/ownership/testing/simulated_cluster.cc
+++ b/catkinseam/ownership/testing/simulated_cluster.cc
@@ -163,12 +163,14 @@
   m_jobService = std::make_unique<JobService>(*this, *m_pausableLog, *m_jobs,
                                               JobService::Options{});
   m_jobLookup = std::make_unique<JobLookup>(
-      *m_jobService, JobLookup::Updates{[this](std::function<void()> Done) {
-                                          m_candidate->refresh(std::move(Done));
-                                        },
-                                        [this](std::function<void(bool)> Done) {
-                                          m_candidate->cover(std::move(Done));
-                                        }});
+      *m_jobService,
+      JobLookup::Updates{[this] { return m_candidate->hasCaughtUp(); },
+                         [this](std::function<void()> Done) {
+                           m_candidate->refresh(std::move(Done));
+                         },
+                         [this](std::function<void(bool)> Done) {
+                           m_candidate->cover(std::move(Done));
+                         }});
   m_candidate->start();
 }
 
