Refuse a lookup before its caller gives up

Callers got no response to a GET or DELETE of an unknown id, or to a GET of a known one, from a node that stayed behind the log: they timed out and lost the time that another node would have had for the call.

Cause: a lookup waits for a read that reaches the end of the topic, without a limit.

Change: Ingress answers 503 with Retry-After 100 ms before the caller's timeout (half of a timeout below 200 ms), the margin that JobService reserves for a response. A reply of the lookup after that has no effect, nor has one after the ingress is gone.

Measured: job_lookup_test passes.

--- a/catkinseam/node/job_lookup_test.cc
+++ b/catkinseam/node/job_lookup_test.cc
@@ -47,15 +47,18 @@
                          [this](std::function<void(bool)> Done) {
                            m_candidate.cover(std::move(Done));
                          }}};
-  Ingress m_ingress{
-      m_jobService,
-      m_jobLookup,
-      m_metrics,
-      m_host,
-      {[this] { return &m_config; }, [this] { return m_candidate.isCurrent(); },
-       [this] { return m_candidate.ledgerAge(); }, [] { return true; }}};
+  std::unique_ptr<Ingress> m_ingress = std::make_unique<Ingress>(
+      m_jobService, m_jobLookup, m_metrics, m_host,
+      Ingress::Callbacks{[this] { return &m_config; },
+                         [this] { return m_candidate.isCurrent(); },
+                         [this] { return m_candidate.ledgerAge(); },
+                         [] { return true; }});
   std::vector<int> m_statuses;
   std::vector<std::string> m_bodies;
+  /// Responses with a Retry-After header.
+  int m_retryLater = 0;
+  /// When the last response arrived.
+  TimePoint m_respondedAt;
 
   IdleFixture() {
     QueueRoute Route;
@@ -82,14 +85,20 @@
     m_log.put(LogTopic::Jobs, submissionKey(Job), encode(batchJob(Job, 1)));
   }
 
-  void call(const char *Method, const std::string &Job = Id) {
+  void call(const char *Method, const std::string &Job = Id,
+            Milliseconds Timeout = Milliseconds(5000)) {
     HttpRequest Request;
     Request.m_method = Method;
     Request.m_path = Prefix + Job;
-    Request.m_headers = {{"Host", "tally.example"}};
-    m_ingress.onCall(Request, [this](const HttpResponse &Response) {
+    Request.m_headers = {
+        {"Host", "tally.example"},
+        {"X-Catkinseam-Deadline-Ms", std::to_string(Timeout.count())}};
+    m_ingress->onCall(Request, [this](const HttpResponse &Response) {
       m_statuses.push_back(Response.m_status);
       m_bodies.push_back(Response.m_body);
+      m_respondedAt = m_host.now();
+      for (const auto &[Name, Value] : Response.m_headers)
+        m_retryLater += Name == "Retry-After" ? 1 : 0;
     });
   }
 
@@ -288,4 +297,62 @@
   BOOST_TEST(m_statuses.back() == 200);
 }
 
+/// A node whose reads never reach the end of the log, so that no read covers
+/// the time of a call.
+struct LaggingFixture : Fixture {
+  LaggingFixture() {
+    m_log.m_faults.m_maxReadRecords = 1;
+    for (int Round = 0; Round < 10; ++Round)
+      acceptManyElsewhere();
+    run(Milliseconds(200));
+  }
+};
+
+// Guards against calls that outlive their callers: a reader that stays behind
+// must not keep a lookup for longer than its caller waits.
+BOOST_FIXTURE_TEST_CASE(LookupIsRefusedBeforeCallerGivesUp, LaggingFixture) {
+  for (const char *Method : {"GET", "DELETE"}) {
+    m_statuses.clear();
+    m_retryLater = 0;
+    const TimePoint Start = m_host.now();
+    call(Method, Id, Milliseconds(400));
+    run(Milliseconds(400));
+    BOOST_TEST(m_statuses == std::vector<int>({503}),
+               boost::test_tools::per_element());
+    BOOST_TEST(m_retryLater == 1);
+    BOOST_TEST((m_respondedAt - Start >= Milliseconds(250)));
+    BOOST_TEST((m_respondedAt - Start <= Milliseconds(350)));
+  }
+}
+
+// Guards against a second response, and a cancellation without a caller, when
+// the node catches up after the call has been refused.
+BOOST_FIXTURE_TEST_CASE(RefusedLookupHasNoLateEffect, LaggingFixture) {
+  acceptElsewhere();
+  call("GET", Id, Milliseconds(400));
+  call("DELETE", Id, Milliseconds(400));
+  run(Milliseconds(400));
+  BOOST_TEST(m_statuses == std::vector<int>({503, 503}),
+             boost::test_tools::per_element());
+  m_log.m_faults.m_maxReadRecords = FakeLog::Faults{}.m_maxReadRecords;
+  run(Milliseconds(1000));
+  BOOST_TEST(m_statuses.size() == 2U);
+  BOOST_TEST(!m_log.newestOf(LogTopic::Jobs, cancelKey(Id)).has_value());
+  call("GET");
+  run(Milliseconds(1000));
+  BOOST_TEST(m_statuses.back() == 200);
+}
+
+// Guards against callbacks of pending lookups that run after the ingress is
+// gone.
+BOOST_FIXTURE_TEST_CASE(PendingLookupEndsWithIngress, LaggingFixture) {
+  call("GET", Id, Milliseconds(400));
+  call("GET", Id, Milliseconds(5000));
+  m_ingress.reset();
+  run(Milliseconds(400));
+  m_log.m_faults.m_maxReadRecords = FakeLog::Faults{}.m_maxReadRecords;
+  run(Milliseconds(1000));
+  BOOST_TEST(m_statuses.empty());
+}
+
 } // namespace catkinseam
--- a/catkinseam/platform/ingress.cc
+++ b/catkinseam/platform/ingress.cc
@@ -19,6 +19,9 @@
 /// the store may be available again.
 const char *const RetryAfterSeconds = "1";
 
+/// Part of the caller's timeout reserved for delivering the response.
+constexpr Milliseconds ResponseMargin{100};
+
 Milliseconds timeoutOf(const HttpRequest &Request, const QueueRoute &Route) {
   const std::string *Text = Request.header(DeadlineHeader);
   std::int64_t RequestedMs = 0;
@@ -46,11 +49,23 @@
   TimePoint m_arrivalTime;
 };
 
+/// A lookup that has not been answered. Owned by its callback.
+struct Ingress::PendingLookup {
+  PendingLookup(const CallContext &Context, Runtime &Loop)
+      : m_context(Context), m_deadlineTimer(Loop) {}
+
+  const CallContext m_context;
+  Timer m_deadlineTimer;
+  bool m_isAnswered = false;
+};
+
 Ingress::Ingress(JobService &Jobs, JobLookup &Lookup, Metrics &Counters,
                  Runtime &Loop, Callbacks Handlers)
     : m_jobService(Jobs), m_jobLookup(Lookup), m_metrics(Counters),
       m_runtime(Loop), m_callbacks(std::move(Handlers)) {}
 
+Ingress::~Ingress() { *m_isAlive = false; }
+
 void Ingress::onReadiness(const HttpRequest &Request,
                           const HttpResponder &Respond) {
   if (Request.m_path != ReadinessPath)
@@ -80,8 +95,7 @@
   if (Context.m_jobId.empty() && Request.m_method == "GET") {
     Context.m_kind = "pending";
     if (!m_callbacks.m_isCurrent())
-      return reject(Context, 503, "not_current",
-                    "job state on this node is not up to date");
+      return rejectAsNotCurrent(Context);
     return answer(Context,
                   makeJsonResponse(200, pendingBody(m_jobService.pendingIn(
                                             Context.m_queue))),
@@ -104,18 +118,36 @@
 }
 
 void Ingress::lookUpThen(const CallContext &Context, JobHandler Handler) {
+  const auto Lookup = std::make_shared<PendingLookup>(Context, m_runtime);
   m_jobLookup.find(
-      Context.m_jobId, [this, Context, Handler](const JobLookup::Reply &Found) {
+      Context.m_jobId, [this, Lookup, Handler,
+                        IsAlive = m_isAlive](const JobLookup::Reply &Found) {
+        if (!*IsAlive || Lookup->m_isAnswered)
+          return;
+        Lookup->m_isAnswered = true;
+        Lookup->m_deadlineTimer.cancel();
         switch (Found.m_outcome) {
         case JobLookup::Outcome::Found:
-          return (this->*Handler)(Context, Found.m_state);
+          return (this->*Handler)(Lookup->m_context, Found.m_state);
         case JobLookup::Outcome::NoSuchJob:
-          return answer(Context, makeJsonResponse(410, "{}"), "no_such_job");
+          return answer(Lookup->m_context, makeJsonResponse(410, "{}"),
+                        "no_such_job");
         case JobLookup::Outcome::NotCurrent:
-          return reject(Context, 503, "not_current",
-                        "job state on this node is not up to date");
+          return rejectAsNotCurrent(Lookup->m_context);
         }
       });
+  if (Lookup->m_isAnswered)
+    return;
+  // A reader that stays behind the log may take longer than the caller waits.
+  const Milliseconds Margin = std::min(ResponseMargin, Context.m_timeout / 2);
+  Lookup->m_deadlineTimer.start(
+      Context.m_timeout - Margin,
+      [this, Expired = Lookup.get(), IsAlive = m_isAlive] {
+        if (!*IsAlive)
+          return;
+        Expired->m_isAnswered = true;
+        rejectAsNotCurrent(Expired->m_context);
+      });
 }
 
 void Ingress::submit(const CallContext &Context, const HttpRequest &Request) {
@@ -196,6 +228,11 @@
   Context.m_respond(std::move(Response));
 }
 
+void Ingress::rejectAsNotCurrent(const CallContext &Context) {
+  reject(Context, 503, "not_current",
+         "job state on this node is not up to date");
+}
+
 void Ingress::reject(const CallContext &Context, int Status,
                      const char *Outcome, const std::string &Reason) {
   std::string Body = "{\"error\":";
--- a/catkinseam/platform/ingress.h
+++ b/catkinseam/platform/ingress.h
@@ -11,6 +11,7 @@
 #include "catkinseam/telemetry/metrics.h"
 
 #include <functional>
+#include <memory>
 
 namespace catkinseam {
 
@@ -30,6 +31,7 @@
 
   Ingress(JobService &Jobs, JobLookup &Lookup, Metrics &Counters, Runtime &Loop,
           Callbacks Handlers);
+  ~Ingress();
 
   /// Handles a customer's call. May call `Respond` after returning.
   void onCall(const HttpRequest &Request, const HttpResponder &Respond);
@@ -39,16 +41,19 @@
 
 private:
   struct CallContext;
+  struct PendingLookup;
 
   using JobHandler = void (Ingress::*)(const CallContext &, JobState);
 
-  /// Runs `Handler` with the state of the job, or answers that there is none.
+  /// Runs `Handler` with the state of the job, or answers that there is none,
+  /// or that it is not known in time.
   void lookUpThen(const CallContext &Context, JobHandler Handler);
   void submit(const CallContext &Context, const HttpRequest &Request);
   void cancel(const CallContext &Context, JobState State);
   void answerState(const CallContext &Context, JobState State);
   void answer(const CallContext &Context, HttpResponse Response,
               const char *Outcome);
+  void rejectAsNotCurrent(const CallContext &Context);
   void reject(const CallContext &Context, int Status, const char *Outcome,
               const std::string &Reason);
 
@@ -57,6 +62,8 @@
   Metrics &m_metrics;
   Runtime &m_runtime;
   const Callbacks m_callbacks;
+  /// Set to false on destruction; late replies check it.
+  std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
 } // namespace catkinseam
