Wait for a read that has not reached the log, or is overdue

Callers saw a job as in progress at one node after another had shown it as completed (job_lookup_seeds_final_state).

Cause: a read in flight counted as one that waits at the log as soon as it was sent, and for as long as it was in flight, so that lookups were answered without it. It may still be on its way, or its reply overdue because the process was paused.

Evidence: 2 checks of job_lookup_test fail on the version before, ReadOnItsWayIsWaitedFor and OverdueReadIsWaitedFor.

Change: a read counts as waiting at the log once it has been in flight for longer than the log's reply latency, until its wait and that latency are over. Otherwise a lookup of a job that has not ended waits for it. While reads fail, the last known state is still the answer: while the log is out it is what a caller can use.

--- a/catkinseam/ledger/keyed_log_reader.cc
+++ b/catkinseam/ledger/keyed_log_reader.cc
@@ -66,8 +66,14 @@
   readNext();
 }
 
+bool KeyedLogReader::isWaitingAtLog() const {
+  const Duration InFlight = m_host.now() - m_readStartedAt;
+  return m_isWaitingRead && InFlight > replyLatency() &&
+         InFlight <= m_readWait + replyLatency();
+}
+
 void KeyedLogReader::refresh(std::function<void()> Done) {
-  if (m_isWaitingAtLog || m_isFailing || m_isLoading || !m_isLoaded)
+  if (isWaitingAtLog() || m_isFailing || m_isLoading || !m_isLoaded)
     return Done();
   m_refreshes.push_back(std::move(Done));
   if (!m_isBatching)
@@ -116,11 +122,12 @@
 void KeyedLogReader::readNext() {
   m_isBatching = false;
   read(m_wait);
-  m_isWaitingAtLog = m_wait > Milliseconds::zero();
+  m_isWaitingRead = m_wait > Milliseconds::zero();
 }
 
 void KeyedLogReader::read(Milliseconds Wait) {
   m_readStartedAt = m_host.now();
+  m_readWait = Wait;
   ++m_readCount;
   m_log.read(m_options.m_topic, m_nextOffset, Wait,
              Wait + m_options.m_timeoutMargin,
@@ -131,7 +138,7 @@
 }
 
 void KeyedLogReader::onRead(const ReadReply &Read) {
-  const bool WasWaiting = std::exchange(m_isWaitingAtLog, false);
+  const bool WasWaiting = std::exchange(m_isWaitingRead, false);
   if (Read.m_outcome == LogOutcome::HistoryDeleted) {
     logInfo("log.history_gone", {{"topic", logTopicName(m_options.m_topic)},
                                  {"offset", std::to_string(m_nextOffset)}});
--- a/catkinseam/ledger/keyed_log_reader.h
+++ b/catkinseam/ledger/keyed_log_reader.h
@@ -106,6 +106,9 @@
   /// Finishes all calls that wait for a read, because it cannot be done.
   void finishUncovered();
   void onRead(const ReadReply &Read);
+  /// Whether the read in flight waits at the log for a record: it has arrived
+  /// there, and its reply is not overdue.
+  bool isWaitingAtLog() const;
   void scheduleRetry(std::function<void()> Call);
   void reportFailure(const char *Call, LogOutcome Outcome);
 
@@ -118,8 +121,10 @@
   Timer m_timer;
   /// The timer runs because of the batching window.
   bool m_isBatching = false;
-  /// The read in flight waits at the log for a record.
-  bool m_isWaitingAtLog = false;
+  /// The read in flight is one that waits at the log if it finds no record.
+  bool m_isWaitingRead = false;
+  /// How long the log holds the read in flight.
+  Milliseconds m_readWait{0};
   std::vector<std::function<void()>> m_refreshes;
   struct Coverage {
     /// Number of the first read that began after the call.
--- a/catkinseam/node/job_lookup_test.cc
+++ b/catkinseam/node/job_lookup_test.cc
@@ -355,4 +355,43 @@
   BOOST_TEST(m_statuses.empty());
 }
 
+/// A node that knows a job as in progress, on a log where records are always
+/// ready. Its last read has just been delivered.
+struct BusyLogFixture : Fixture {
+  void prepare(Milliseconds Latency) {
+    acceptElsewhere();
+    recordState(Id, JobState::InProgress);
+    m_log.m_faults.m_latency = Latency;
+    for (int Reads = 0; Reads < 5; ++Reads)
+      runUntilRead();
+  }
+
+  /// Asks for the job's state, which must be the one in the log.
+  void expectCompleted() {
+    call("GET");
+    run(Milliseconds(1000));
+    BOOST_REQUIRE(m_bodies.size() == 1U);
+    BOOST_TEST(m_bodies.front().find("completed") != std::string::npos);
+  }
+};
+
+// Guards against a state that is taken back: the read in flight has not arrived
+// at the log, so it does not show that nothing was appended.
+BOOST_FIXTURE_TEST_CASE(ReadOnItsWayIsWaitedFor, BusyLogFixture) {
+  prepare(Milliseconds(80));
+  m_host.advance(Milliseconds(110));
+  recordState(Id, JobState::Completed);
+  expectCompleted();
+}
+
+// Guards against a state that is taken back: the reply of the read in flight is
+// overdue, as after a pause of the process.
+BOOST_FIXTURE_TEST_CASE(OverdueReadIsWaitedFor, BusyLogFixture) {
+  prepare(Milliseconds(4));
+  recordState(Id, JobState::Completed);
+  m_log.m_faults.m_replyLatency = Milliseconds(400);
+  m_host.advance(Milliseconds(300));
+  expectCompleted();
+}
+
 } // namespace catkinseam
