--- a/catkinseam/ledger/keyed_log_reader.cc
+++ b/catkinseam/ledger/keyed_log_reader.cc
@@ -21,6 +21,7 @@
   m_loadedKeys.clear();
   m_isFirstPage = true;
   loadPage("");
+  finishUncovered();
 }
 
 TimePoint KeyedLogReader::replyTime() const {
@@ -65,8 +66,14 @@
   readNext();
 }
 
+bool KeyedLogReader::isWaitingAtLog() const {
+  const Duration InFlight = m_host.now() - m_readStartedAt;
+  return m_isWaitingRead && InFlight > replyLatency() &&
+         InFlight <= m_readWait + replyLatency();
+}
+
 void KeyedLogReader::refresh(std::function<void()> Done) {
-  if (m_isWaitingAtLog || m_isFailing || !m_isLoaded)
+  if (isWaitingAtLog() || m_isFailing || m_isLoading || !m_isLoaded)
     return Done();
   m_refreshes.push_back(std::move(Done));
   if (!m_isBatching)
@@ -105,14 +112,22 @@
     Each();
 }
 
+void KeyedLogReader::finishUncovered() {
+  const std::shared_ptr<bool> IsAlive = m_isAlive;
+  finishRefreshes();
+  if (*IsAlive)
+    finishCoverages(false);
+}
+
 void KeyedLogReader::readNext() {
   m_isBatching = false;
   read(m_wait);
-  m_isWaitingAtLog = m_wait > Milliseconds::zero();
+  m_isWaitingRead = m_wait > Milliseconds::zero();
 }
 
 void KeyedLogReader::read(Milliseconds Wait) {
   m_readStartedAt = m_host.now();
+  m_readWait = Wait;
   ++m_readCount;
   m_log.read(m_options.m_topic, m_nextOffset, Wait,
              Wait + m_options.m_timeoutMargin,
@@ -123,21 +138,16 @@
 }
 
 void KeyedLogReader::onRead(const ReadReply &Read) {
-  const bool WasWaiting = std::exchange(m_isWaitingAtLog, false);
+  const bool WasWaiting = std::exchange(m_isWaitingRead, false);
   if (Read.m_outcome == LogOutcome::HistoryDeleted) {
     logInfo("log.history_gone", {{"topic", logTopicName(m_options.m_topic)},
                                  {"offset", std::to_string(m_nextOffset)}});
-    start();
-    return finishCoverages(false);
+    return start();
   }
   if (Read.m_outcome != LogOutcome::Done) {
     reportFailure("read", Read.m_outcome);
     scheduleRetry([this] { readNext(); });
-    const std::shared_ptr<bool> IsAlive = m_isAlive;
-    finishRefreshes();
-    if (*IsAlive)
-      finishCoverages(false);
-    return;
+    return finishUncovered();
   }
   if (m_isFailing) {
     m_isFailing = false;
@@ -172,8 +182,10 @@
     if (!*IsAlive)
       return;
   }
-  if (!IsBehind)
+  if (!IsBehind) {
     m_coveredUntil = StartedAt;
+    m_hasCaughtUp = true;
+  }
   if (m_callbacks.m_onRead)
     m_callbacks.m_onRead();
   if (!*IsAlive)
--- a/catkinseam/ledger/keyed_log_reader.h
+++ b/catkinseam/ledger/keyed_log_reader.h
@@ -58,7 +58,8 @@
   /// Calls `Done` when all records that were appended before this call have
   /// been delivered, or the read for them has failed. Ends the batching window.
   /// Calls `Done` immediately while a read waits at the log, which then
-  /// delivers records at once, and while reads fail.
+  /// delivers records at once, while reads fail, and while the newest records
+  /// are being loaded.
   void refresh(std::function<void()> Done);
 
   /// Calls `Done(true)` when a read that began after this call has reached the
@@ -70,6 +71,10 @@
   /// Whether the newest record of each key has been delivered since start().
   bool isLoaded() const { return m_isLoaded; }
 
+  /// Whether a read has reached the end of the topic after the first load.
+  /// Until then, records of some keys may be missing or outdated.
+  bool hasCaughtUp() const { return m_hasCaughtUp; }
+
   /// When a read last reached the end of the topic; the clock's epoch before
   /// the first.
   TimePoint caughtUpAt() const { return m_caughtUpAt; }
@@ -98,7 +103,12 @@
   void read(Milliseconds Wait);
   void finishRefreshes();
   void finishCoverages(bool IsCovered);
+  /// Finishes all calls that wait for a read, because it cannot be done.
+  void finishUncovered();
   void onRead(const ReadReply &Read);
+  /// Whether the read in flight waits at the log for a record: it has arrived
+  /// there, and its reply is not overdue.
+  bool isWaitingAtLog() const;
   void scheduleRetry(std::function<void()> Call);
   void reportFailure(const char *Call, LogOutcome Outcome);
 
@@ -111,8 +121,10 @@
   Timer m_timer;
   /// The timer runs because of the batching window.
   bool m_isBatching = false;
-  /// The read in flight waits at the log for a record.
-  bool m_isWaitingAtLog = false;
+  /// The read in flight is one that waits at the log if it finds no record.
+  bool m_isWaitingRead = false;
+  /// How long the log holds the read in flight.
+  Milliseconds m_readWait{0};
   std::vector<std::function<void()>> m_refreshes;
   struct Coverage {
     /// Number of the first read that began after the call.
@@ -130,6 +142,7 @@
   bool m_isFailing = false;
   /// The last read ended before the end of the topic.
   bool m_isBehind = false;
+  bool m_hasCaughtUp = false;
   std::int64_t m_nextOffset = 0;
   TimePoint m_caughtUpAt;
   /// Reply time of the first page of newest records.
