--- a/catkinseam/ownership/crashing_task_test.cc
+++ b/catkinseam/ownership/crashing_task_test.cc
@@ -104,6 +104,41 @@
       }
 }
 
+// A task crashed a worker for each change of owner: successors counted the
+// crashes that they learned of from stored progress, but never gave it up.
+BOOST_AUTO_TEST_CASE(CrashingTaskIsGivenUpByRepeatedSuccessors) {
+  for (const Milliseconds DownTime : {Milliseconds(1000), Milliseconds(3000)})
+    for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+      CrashingCluster Each(Seed, DownTime);
+      const TaskKey Task{jobId(1), 0, 0, 2};
+      Each.submitCrashing(fourTasks(1, false), 2);
+      std::size_t Kills = 0;
+      for (int Step = 0; Step < 12000; ++Step) {
+        Each.m_cluster.run(Milliseconds(10));
+        FakeNode *Owner = Each.m_cluster.owner();
+        if (!Owner || Each.startsOf(Task) <= Kills)
+          continue;
+        Each.m_cluster.run(Milliseconds(20 + 10 * Seed));
+        ++Kills;
+        for (std::size_t Index = 0; Index < 3; ++Index) {
+          FakeNode &Node = Each.m_cluster.node(Index);
+          if (&Node == Owner) {
+            Node.kill();
+            Each.m_cluster.m_host.schedule(
+                DownTime + Milliseconds(1500),
+                [&Each, Index] { Each.m_cluster.startNode(Index); });
+          }
+        }
+      }
+      BOOST_TEST_CONTEXT("seed " << Seed << ", down for " << DownTime.count()
+                                 << " ms") {
+        BOOST_TEST(Each.startsOf(Task) <= MaxStarts);
+        BOOST_TEST((Each.m_cluster.stateOf(jobId(1)) == JobState::Failed));
+        BOOST_TEST(Each.m_cluster.violations().empty());
+      }
+    }
+}
+
 // Workers that crash for another reason. A task that was there twice must not
 // be given up for it.
 BOOST_AUTO_TEST_CASE(TasksOutliveUnrelatedCrashes) {
