Blame a task that is in a second loss of many workers

Callers lost the work beside several tasks that crash their workers and are started at the same time: none of them was ever given up.

Cause: the loss of more than three workers within 250 ms blames nobody. The tasks crash their workers 10 ms after the start, all at once; the workers return at the same time, so all tasks start again together, and the next loss is another mass loss.

Evidence: SimultaneousCrashingTasksAreGivenUp runs six jobs with a crashing task each on 12 workers.

Change: a task whose young run was in a mass loss is marked, and another one counts as a lost worker. Surviving a trial removes the mark, which is stored with the counts. So a task is started once per loss that counts, and once more.

--- a/catkinseam/ownership/crashing_task_test.cc
+++ b/catkinseam/ownership/crashing_task_test.cc
@@ -104,6 +104,38 @@
       }
 }
 
+// Many tasks that crash their workers at the same time looked like an outage of
+// many workers, which blames nobody, each time that they were started again.
+BOOST_AUTO_TEST_CASE(SimultaneousCrashingTasksAreGivenUp) {
+  for (const bool IsService : {false, true})
+    for (const Milliseconds DownTime : {Milliseconds(3000), Milliseconds(8000)})
+      for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+        CrashingCluster Each(Seed, DownTime);
+        for (std::uint64_t Number = 1; Number <= 6; ++Number)
+          Each.submitCrashing(IsService ? serviceJob(jobId(Number), 2)
+                                        : batchJob(jobId(Number), 2),
+                              0);
+        for (std::uint64_t Number = 7; Number < 20; ++Number) {
+          Each.m_cluster.submit(fourTasks(Number, false));
+          Each.m_cluster.run(Milliseconds(50));
+        }
+        Each.m_cluster.run(Milliseconds(90000));
+        BOOST_TEST_CONTEXT("seed " << Seed << ", service " << IsService
+                                   << ", down for " << DownTime.count()
+                                   << " ms") {
+          for (std::uint64_t Number = 1; Number <= 6; ++Number) {
+            BOOST_TEST(Each.startsOf({jobId(Number), 0, 0, 0}) <= MaxStarts);
+            BOOST_TEST(
+                (Each.m_cluster.stateOf(jobId(Number)) == JobState::Failed));
+          }
+          for (std::uint64_t Number = 7; Number < 20; ++Number)
+            BOOST_TEST(
+                (Each.m_cluster.stateOf(jobId(Number)) == JobState::Completed));
+          BOOST_TEST(Each.m_cluster.violations().empty());
+        }
+      }
+}
+
 // A task crashed a worker for each change of owner: successors counted the
 // crashes that they learned of from stored progress, but never gave it up.
 BOOST_AUTO_TEST_CASE(CrashingTaskIsGivenUpByRepeatedSuccessors) {
--- a/catkinseam/scheduler/crash_suspects.h
+++ b/catkinseam/scheduler/crash_suspects.h
@@ -9,6 +9,9 @@
 // trial: on a worker that starts nothing else meanwhile, so that the loss of
 // this worker would point to the suspect alone. Surviving the trial clears the
 // suspect.
+//
+// The loss of many workers at once has another cause, unless the same tasks had
+// only just been started before an earlier one: only the first blames nobody.
 #ifndef CATKINSEAM_SCHEDULER_CRASH_SUSPECTS_H
 #define CATKINSEAM_SCHEDULER_CRASH_SUSPECTS_H
 
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -232,6 +232,8 @@
   /// Blames the runs that may have caused the loss, and discards all.
   void loseRunsOf(WorkerInfo &Worker, Loss Cause, const char *Reason);
   void blame(const std::vector<RunRef> &Runs, Loss Cause);
+  /// Blames runs whose tasks were in a mass loss before.
+  void blameForMassLoss(const WorkerInfo &Worker);
   static bool hasStartInDoubt(const WorkerInfo &Worker);
   void updateClock(WorkerInfo &Worker, Milliseconds Clock);
   void extendLeaseEnd(WorkerInfo &Worker, Milliseconds Expires);
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -100,7 +100,9 @@
 void Scheduler::loseRunsOf(WorkerInfo &Worker, Loss Cause, const char *Reason) {
   if (Worker.m_isReachable)
     recordLoss(Worker);
-  if (!isMassLoss(Worker.m_lostAt))
+  if (isMassLoss(Worker.m_lostAt))
+    blameForMassLoss(Worker);
+  else
     blame(blamedRuns(Worker), Cause);
   const std::vector<RunRef> Runs = Worker.m_runs;
   for (const RunRef &Each : Runs) {
@@ -150,6 +152,16 @@
   }
 }
 
+void Scheduler::blameForMassLoss(const WorkerInfo &Worker) {
+  for (const RunRef &Each : blamedRuns(Worker)) {
+    // Tasks that crash their workers may do so all at once, and again after
+    // each restart.
+    if (Each.m_task->m_wasInMassLoss)
+      blame({Each}, Loss::Unknown);
+    Each.m_task->m_wasInMassLoss = true;
+  }
+}
+
 void Scheduler::updateClock(WorkerInfo &Worker, Milliseconds Clock) {
   Worker.m_clock = Clock;
   Worker.m_clockReadAt = m_clock.now();
@@ -298,7 +310,7 @@
       Run->m_confirmedAt = m_clock.now();
     }
     Run->m_isStartInDoubt = false;
-    if (Task->m_lostWorkers > 0 && hasSurvivedTrial(*Run))
+    if (hasSurvivedTrial(*Run))
       clearSuspicion(*Task);
     if (!Each.m_checkpoint.empty())
       Task->m_checkpoint = Each.m_checkpoint;
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -89,6 +89,9 @@
   /// them that have certainly crashed; zero once a run has survived its trial.
   std::uint32_t m_lostWorkers = 0;
   std::uint32_t m_crashedWorkers = 0;
+  /// A worker that had just started the task was lost together with many
+  /// others, and no run has survived its trial since.
+  bool m_wasInMassLoss = false;
   RunNumber m_lastRun = 0;
   std::string m_checkpoint;
   std::vector<RunInfo> m_runs;
