Let members of a gang share a trial

Callers waited for a gang without end after an unrelated crash of a worker.

Cause: the crash makes suspects of all members that the worker had just started, and a suspect starts on a worker that starts nothing else. A gang starts completely or not at all, so it needed a worker for each of these members.

Change: a run on trial does not bar other members of its gang. A gang is given up as a whole, so the loss of the worker still points to what is given up.

--- a/catkinseam/scheduler/crash_suspects.cc
+++ b/catkinseam/scheduler/crash_suspects.cc
@@ -24,6 +24,10 @@
 
 bool wasSent(const RunInfo &Run) { return Run.m_phase != RunPhase::Recording; }
 
+bool isSameGang(const TaskInfo &One, const TaskInfo &Other) {
+  return One.m_step == Other.m_step && One.m_step->m_spec->m_isGang;
+}
+
 } // namespace
 
 bool hasSurvivedTrial(const RunInfo &Run) {
@@ -46,16 +50,28 @@
          Task.m_lostWorkers >= MaxLostWorkers;
 }
 
-bool allowsTrial(const WorkerInfo &Worker, TimePoint Now) {
+bool allowsTrial(const TaskInfo &Task, const WorkerInfo &Worker,
+                 TimePoint Now) {
   return std::all_of(Worker.m_runs.begin(), Worker.m_runs.end(),
-                     [Now](const RunRef &Each) {
+                     [&](const RunRef &Each) {
                        const RunInfo *Run = findReferencedRun(Each);
                        return !Run || Run->m_phase == RunPhase::Stopping ||
+                              isSameGang(Task, *Each.m_task) ||
                               (Run->m_confirmedAt != TimePoint() &&
                                Now - Run->m_confirmedAt >= SettlingTime);
                      });
 }
 
+bool isBarredByTrial(const TaskInfo &Task, const WorkerInfo &Worker) {
+  return Worker.m_trials > 0 &&
+         std::any_of(Worker.m_runs.begin(), Worker.m_runs.end(),
+                     [&](const RunRef &Each) {
+                       const RunInfo *Run = findReferencedRun(Each);
+                       return Run && Run->m_isOnTrial &&
+                              !isSameGang(Task, *Each.m_task);
+                     });
+}
+
 std::vector<RunRef> blamedRuns(const WorkerInfo &Worker) {
   std::vector<RunRef> Blamed;
   for (const RunRef &Each : Worker.m_runs) {
--- a/catkinseam/scheduler/crash_suspects.h
+++ b/catkinseam/scheduler/crash_suspects.h
@@ -35,8 +35,12 @@
 bool isGivenUp(const TaskInfo &Task);
 
 /// Whether a suspect may start on this worker: no other run there is so young
-/// that it could be the cause of a loss.
-bool allowsTrial(const WorkerInfo &Worker, TimePoint Now);
+/// that it could be the cause of a loss. Members of one gang share a trial, as
+/// they are given up together.
+bool allowsTrial(const TaskInfo &Task, const WorkerInfo &Worker, TimePoint Now);
+
+/// Whether the task may not start on this worker because of a run on trial.
+bool isBarredByTrial(const TaskInfo &Task, const WorkerInfo &Worker);
 
 /// The runs that may have caused the loss of their worker.
 std::vector<RunRef> blamedRuns(const WorkerInfo &Worker);
--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -156,7 +156,7 @@
   if (Spec.m_maxPerWorker > 0 &&
       countStepRuns(*Task.m_step, Worker) >= Spec.m_maxPerWorker)
     return false;
-  if (Worker.m_trials > 0)
+  if (isBarredByTrial(Task, Worker))
     return false;
   // Copies of a task are useful only on different workers.
   for (const RunInfo &Each : Task.m_runs)
@@ -199,7 +199,7 @@
   double BestCost = 0.0;
   for (WorkerInfo *Each : Candidates) {
     if (!isAvailable(*Each, Now) || !isFeasible(Task, *Each) ||
-        (NeedsTrial && !allowsTrial(*Each, Now)))
+        (NeedsTrial && !allowsTrial(Task, *Each, Now)))
       continue;
     InterferenceModel::FillerEstimate Estimate;
     if (Spec.m_isFiller) {
