Take no answer of another incarnation as a sign of life

Callers lost the work on further workers: a task that had crashed its worker was not blamed if the owner had sent no poll for half a second.

Cause: a poll that fails before the worker was due to answer counted as a sign that the worker had been alive until then, also when the order was not sent or another incarnation answered. The crashing run then seemed to have survived its trial.

Change: these two outcomes leave the time until which the worker was alive as it is.

--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -233,8 +233,11 @@
       Worker.m_isReachable = false;
       recordLoss(Worker);
       // A call that fails before the worker was due to reply has lost its
-      // connection; one that times out says nothing about the time before.
-      if (m_clock.now() - SentAt < Order.m_maxWait)
+      // connection; one that times out says nothing about the time before, nor
+      // does one that did not reach this incarnation.
+      if (Reply.m_outcome != OrderOutcome::NotSent &&
+          Reply.m_outcome != OrderOutcome::OtherIncarnation &&
+          m_clock.now() - SentAt < Order.m_maxWait)
         Worker.m_aliveUntil = m_clock.now();
       logWarn("worker.unreachable",
               {{"worker", Order.m_worker},
