--- /dev/null
+++ b/catkinseam/scheduler/crash_suspects_test.cc
@@ -0,0 +1,549 @@
+// Tasks that crash the workers which start them.
+#define BOOST_TEST_MODULE crash_suspects
+#include "catkinseam/ledger/records.h"
+#include "catkinseam/scheduler/testing/scheduler_fixture.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace catkinseam {
+
+namespace {
+
+const std::string One = "00000000000000a1";
+const std::string Two = "00000000000000a2";
+/// A task that could not be placed is tried again by then.
+constexpr Milliseconds PlacementRetry{50};
+constexpr Resources SmallWorker{1000, 8000, 0};
+
+struct Fixture : SchedulerFixture {
+  std::map<std::string, JobProgress> m_progress;
+  std::map<std::string, std::int64_t> m_incarnations;
+
+  // A time of zero means that something has not happened.
+  Fixture() { m_clock.advance(Milliseconds(1000)); }
+
+  void storeDecisions(const Decisions &Next) {
+    for (const auto &[Id, Progress] : Next.m_progress)
+      m_progress[Id] = decodeProgress(encodeProgress(Progress)).value();
+  }
+
+  /// Starts what can be started; returns the starts, which are confirmed at
+  /// once.
+  std::vector<StartOrder> start() {
+    m_scheduler.control();
+    const Decisions Next = m_scheduler.decide();
+    storeDecisions(Next);
+    std::vector<StartOrder> Starts = m_scheduler.release(Next, false);
+    for (const StartOrder &Each : Starts) {
+      m_sentStarts[Each.m_worker].push_back(Each);
+      m_scheduler.onStart(Each, {OrderOutcome::Done, Milliseconds(1000)});
+    }
+    return Starts;
+  }
+
+  void store() { storeDecisions(m_scheduler.decide()); }
+
+  /// Lets time pass in which nothing can be placed.
+  void wait(Milliseconds Time) { m_clock.advance(Time); }
+
+  /// The worker lists the runs that it has started.
+  void listRuns(const std::string &Name) {
+    std::vector<ActiveRun> Active;
+    for (const StartOrder &Each : m_sentStarts[Name])
+      Active.push_back({Each.m_task, Each.m_run, "", 50, 0});
+    answerPoll(Name, Active, {});
+  }
+
+  void answerPollWith(const std::string &Name, OrderOutcome Outcome) {
+    const auto Order = m_scheduler.nextPoll(Name);
+    BOOST_REQUIRE(Order.has_value());
+    PollReply Reply;
+    Reply.m_outcome = Outcome;
+    m_scheduler.onPoll(*Order, m_clock.now(), Reply);
+  }
+
+  /// Another incarnation answers at the worker's address.
+  void replaceWorker(const std::string &Name) {
+    answerPollWith(Name, OrderOutcome::OtherIncarnation);
+    m_sentStarts[Name].clear();
+  }
+
+  /// The worker does not answer until its leases have expired.
+  void loseWorker(const std::string &Name) {
+    answerPollWith(Name, OrderOutcome::Unknown);
+    m_clock.advance(Milliseconds(10000));
+    m_scheduler.control();
+    m_sentStarts[Name].clear();
+  }
+
+  WorkerRegistration registrationOf(const std::string &Name) {
+    return m_scheduler.findWorker(Name)->m_registration;
+  }
+
+  /// Crashes the only worker that runs something, and replaces it by another.
+  void crashWorkerOf(const StartOrder &Run) {
+    replaceWorker(Run.m_worker);
+    wait(Milliseconds(300));
+    addWorker(Run.m_worker + "+", registrationOf(Run.m_worker).m_capacity);
+  }
+
+  TaskRecord taskOf(const std::string &Job, std::size_t Index = 0) {
+    store();
+    return m_progress[Job].m_occurrences.at(0).m_steps.at(0).m_tasks.at(Index);
+  }
+
+  JobState stateOf(const std::string &Job) {
+    store();
+    return m_progress[Job].m_state;
+  }
+
+  /// Starts a job of one task on the only worker and crashes it, so that the
+  /// task is a suspect.
+  void makeSuspect(const Submission &Job) {
+    m_scheduler.addJob(Job, nullptr);
+    const std::vector<StartOrder> Starts = start();
+    BOOST_REQUIRE(Starts.size() == 1U);
+    replaceWorker(Starts.front().m_worker);
+    BOOST_REQUIRE(taskOf(Job.m_id).m_lostWorkers == 1U);
+    wait(PlacementRetry);
+  }
+};
+
+/// A task's record before workers that were lost under it were counted.
+struct PreviousTaskRecord {
+  bool m_isDone = false;
+
+  template <class Archive> void save(Archive &Target) const {
+    Target(m_isDone);
+    saveVarint(Target, std::uint64_t{2});
+    saveVarint(Target, std::uint64_t{300});
+    if (m_isDone)
+      return;
+    saveVarint(Target, std::string("checkpoint"));
+    saveVarint(Target, std::uint64_t{1});
+    Target(RunRecord{300, "w1", 7});
+  }
+};
+
+Submission serviceOf(Submission Job) {
+  Job.m_spec.m_steps.front().m_isService = true;
+  return Job;
+}
+
+Submission gangOf(Submission Job) {
+  Job.m_spec.m_steps.front().m_isGang = true;
+  return Job;
+}
+
+Submission speculativeOf(Submission Job) {
+  Job.m_spec.m_steps.front().m_isSpeculative = true;
+  return Job;
+}
+
+} // namespace
+
+// A task that had run for long was given up for a crash that a task which had
+// just been started beside it had caused.
+BOOST_FIXTURE_TEST_CASE(OnlyYoungRunsAreBlamed, Fixture) {
+  for (const Milliseconds Age : {Milliseconds(499), Milliseconds(500)}) {
+    Fixture Each;
+    Each.addWorker("w1");
+    Each.m_scheduler.addJob(makeJob(One, 1), nullptr);
+    BOOST_REQUIRE(Each.start().size() == 1U);
+    Each.wait(Age);
+    Each.listRuns("w1");
+    Each.m_scheduler.addJob(makeJob(Two, 1), nullptr);
+    BOOST_REQUIRE(Each.start().size() == 1U);
+    Each.replaceWorker("w1");
+    BOOST_TEST_CONTEXT(Age.count() << " ms") {
+      const std::uint32_t Blamed = Age < Milliseconds(500) ? 1 : 0;
+      BOOST_TEST(Each.taskOf(One).m_lostWorkers == Blamed);
+      BOOST_TEST(Each.taskOf(One).m_crashedWorkers == Blamed);
+      BOOST_TEST(Each.taskOf(Two).m_lostWorkers == 1U);
+      BOOST_TEST(Each.taskOf(Two).m_crashedWorkers == 1U);
+    }
+  }
+}
+
+// A task passed for harmless because its start was long ago, although nothing
+// had been heard of its worker since.
+BOOST_FIXTURE_TEST_CASE(RunOfSilentWorkerIsBlamed, Fixture) {
+  addWorker("w1");
+  m_scheduler.addJob(makeJob(One, 1), nullptr);
+  BOOST_REQUIRE(start().size() == 1U);
+  wait(Milliseconds(2000));
+  replaceWorker("w1");
+  BOOST_TEST(taskOf(One).m_lostWorkers == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(SuspectStartsAlone, Fixture) {
+  addWorker("w1");
+  Submission LessUrgent = makeJob(One, 2);
+  LessUrgent.m_policy.m_priority = 1;
+  m_scheduler.addJob(LessUrgent, nullptr);
+  BOOST_REQUIRE(start().size() == 2U);
+  replaceWorker("w1");
+  addWorker("w2");
+  m_scheduler.addJob(makeJob(Two, 1), nullptr);
+  // The harmless task starts, and is too young to have a suspect beside it.
+  std::vector<StartOrder> Starts = start();
+  BOOST_REQUIRE(Starts.size() == 1U);
+  BOOST_TEST(Starts.front().m_task.m_job == Two);
+  wait(Milliseconds(199));
+  BOOST_TEST(start().empty());
+  wait(Milliseconds(50));
+  Starts = start();
+  BOOST_REQUIRE(Starts.size() == 1U);
+  BOOST_TEST(Starts.front().m_task.m_job == One);
+  // Neither the other suspect nor a new task starts beside it.
+  m_scheduler.addJob(makeJob("00000000000000a3", 1), nullptr);
+  for (int Step = 0; Step < 4; ++Step) {
+    wait(Milliseconds(100));
+    BOOST_TEST(start().empty());
+  }
+  wait(Milliseconds(100));
+  listRuns("w2");
+  BOOST_TEST(start().size() >= 1U);
+  wait(Milliseconds(250));
+  start();
+  wait(Milliseconds(600));
+  listRuns("w2");
+  start();
+  wait(Milliseconds(250));
+  start();
+  // The other suspect, too, in its turn.
+  BOOST_TEST(m_sentStarts["w2"].size() == 4U);
+}
+
+// Only the suspect is blamed for a crash in its trial.
+BOOST_FIXTURE_TEST_CASE(LossInTrialBlamesSuspectOnly, Fixture) {
+  addWorker("w1");
+  Submission LessUrgent = makeJob(One, 1);
+  LessUrgent.m_policy.m_priority = 1;
+  makeSuspect(LessUrgent);
+  addWorker("w2");
+  m_scheduler.addJob(makeJob(Two, 1), nullptr);
+  BOOST_REQUIRE(start().size() == 1U);
+  wait(Milliseconds(250));
+  BOOST_REQUIRE(start().size() == 1U);
+  replaceWorker("w2");
+  BOOST_TEST((stateOf(One) == JobState::Failed));
+  BOOST_TEST(taskOf(Two).m_lostWorkers == 0U);
+}
+
+// A suspect crashed two workers in its trial, its own and that of its copy.
+BOOST_FIXTURE_TEST_CASE(SuspectIsNotCopied, Fixture) {
+  addWorker("w1");
+  makeSuspect(speculativeOf(makeJob(One, 1)));
+  addWorker("w2");
+  addWorker("w3");
+  BOOST_REQUIRE(start().size() == 1U);
+  const std::string Name = m_sentStarts["w2"].empty() ? "w3" : "w2";
+  answerPollWith(Name, OrderOutcome::Unknown);
+  for (int Step = 0; Step < 10; ++Step) {
+    wait(Milliseconds(50));
+    BOOST_TEST(start().empty());
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(TwoCrashesGiveUpTask, Fixture) {
+  const std::vector<std::pair<const char *, Submission>> Jobs = {
+      {"finite", makeJob(One, 1)},
+      {"service", serviceOf(makeJob(One, 1))},
+      {"gang", gangOf(makeJob(One, 1))},
+      {"speculative", speculativeOf(makeJob(One, 1))}};
+  for (const auto &[Name, Job] : Jobs) {
+    Fixture Each;
+    Each.addWorker("w");
+    Each.m_scheduler.addJob(Job, nullptr);
+    BOOST_TEST_CONTEXT(Name) {
+      for (int Crash = 0; Crash < 2; ++Crash) {
+        const std::vector<StartOrder> Starts = Each.start();
+        BOOST_REQUIRE(Starts.size() == 1U);
+        Each.crashWorkerOf(Starts.front());
+      }
+      BOOST_TEST((Each.stateOf(One) == JobState::Failed));
+      BOOST_TEST(Each.start().empty());
+      BOOST_TEST(Each.m_scheduler.summarize().m_runs == 0U);
+      BOOST_TEST(Each.m_scheduler.summarize().m_waitingTasks == 0U);
+    }
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(FourLossesGiveUpTask, Fixture) {
+  for (const bool IsService : {false, true}) {
+    Fixture Each;
+    const Submission Job = makeJob(One, 1);
+    Each.m_scheduler.addJob(IsService ? serviceOf(Job) : Job, nullptr);
+    BOOST_TEST_CONTEXT("service " << IsService) {
+      for (int Loss = 0; Loss < 4; ++Loss) {
+        BOOST_TEST((Each.stateOf(One) != JobState::Failed));
+        const std::string Name = "w" + std::to_string(Loss);
+        Each.addWorker(Name);
+        Each.wait(PlacementRetry);
+        BOOST_REQUIRE(Each.start().size() == 1U);
+        Each.loseWorker(Name);
+      }
+      BOOST_TEST((Each.stateOf(One) == JobState::Failed));
+    }
+  }
+}
+
+// The other members run on workers of their own and end with the job.
+BOOST_FIXTURE_TEST_CASE(CrashingMemberGivesUpGang, Fixture) {
+  addWorker("w1", SmallWorker);
+  addWorker("w2", SmallWorker);
+  m_scheduler.addJob(gangOf(makeJob(One, 2)), nullptr);
+  for (int Crash = 0; Crash < 2; ++Crash) {
+    std::vector<StartOrder> Starts = start();
+    BOOST_REQUIRE(Starts.size() == 2U);
+    if (Starts.front().m_task.m_index != 1)
+      std::swap(Starts.front(), Starts.back());
+    crashWorkerOf(Starts.front());
+    // The other member is stopped.
+    endRun(Starts.back().m_worker, Starts.back(), RunEnd::Stopped);
+  }
+  BOOST_TEST((stateOf(One) == JobState::Failed));
+  BOOST_TEST(start().empty());
+}
+
+// A gang was never started again if the lost worker had run more members than
+// there are workers for trials.
+BOOST_FIXTURE_TEST_CASE(SuspectMembersOfGangStartTogether, Fixture) {
+  addWorker("w1");
+  m_scheduler.addJob(gangOf(makeJob(One, 3)), nullptr);
+  BOOST_REQUIRE(start().size() == 3U);
+  replaceWorker("w1");
+  addWorker("w2");
+  BOOST_TEST(start().size() == 3U);
+  // Nothing else starts beside them.
+  m_scheduler.addJob(makeJob(Two, 1), nullptr);
+  BOOST_TEST(start().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(CrashesOfRunAndCopyGiveUpTask, Fixture) {
+  addWorker("w1", SmallWorker);
+  m_scheduler.addJob(speculativeOf(makeJob(One, 1)), nullptr);
+  BOOST_REQUIRE(start().size() == 1U);
+  addWorker("w2", SmallWorker);
+  addWorker("w3", SmallWorker);
+  answerPollWith("w1", OrderOutcome::Unknown);
+  wait(Milliseconds(300));
+  const std::vector<StartOrder> Copies = start();
+  BOOST_REQUIRE(Copies.size() == 1U);
+  answerPollWith(Copies.front().m_worker, OrderOutcome::Unknown);
+  wait(Milliseconds(300));
+  BOOST_TEST(start().empty());
+  replaceWorker("w1");
+  // The copy may still complete.
+  BOOST_TEST((stateOf(One) == JobState::InProgress));
+  replaceWorker(Copies.front().m_worker);
+  BOOST_TEST((stateOf(One) == JobState::Failed));
+}
+
+BOOST_FIXTURE_TEST_CASE(OtherIncarnationEndsRunsAtOnce, Fixture) {
+  addWorker("w1");
+  m_scheduler.addJob(makeJob(One, 2), nullptr);
+  BOOST_REQUIRE(start().size() == 2U);
+  answerPollWith("w1", OrderOutcome::OtherIncarnation);
+  BOOST_TEST(m_scheduler.summarize().m_runs == 0U);
+  BOOST_TEST(m_scheduler.summarize().m_waitingTasks == 2U);
+}
+
+// A run went on twice: its worker had moved to an address at which another
+// worker still answered.
+BOOST_FIXTURE_TEST_CASE(OtherIncarnationAtNewAddressIsNotBelieved, Fixture) {
+  addWorker("w1");
+  m_scheduler.addJob(makeJob(One, 1), nullptr);
+  BOOST_REQUIRE(start().size() == 1U);
+  WorkerRegistration Moved = registrationOf("w1");
+  Moved.m_address = {"127.0.0.1", 2};
+  m_scheduler.updateWorker(Moved);
+  answerPollWith("w1", OrderOutcome::OtherIncarnation);
+  BOOST_TEST(m_scheduler.summarize().m_runs == 1U);
+  BOOST_TEST(taskOf(One).m_lostWorkers == 0U);
+}
+
+// A worker that drains may leave at any time.
+BOOST_FIXTURE_TEST_CASE(DrainingWorkersNewLifeIsNoCertainCrash, Fixture) {
+  for (const bool IsDraining : {false, true}) {
+    Fixture Each;
+    Each.addWorker("w1");
+    Each.m_scheduler.addJob(makeJob(One, 1), nullptr);
+    BOOST_REQUIRE(Each.start().size() == 1U);
+    WorkerRegistration Next = Each.registrationOf("w1");
+    Next.m_isDraining = IsDraining;
+    Each.m_scheduler.updateWorker(Next);
+    Next.m_isDraining = false;
+    Next.m_startedMs = 2;
+    Each.m_scheduler.updateWorker(Next);
+    BOOST_TEST_CONTEXT("draining " << IsDraining) {
+      BOOST_TEST(Each.taskOf(One).m_lostWorkers == 1U);
+      BOOST_TEST(Each.taskOf(One).m_crashedWorkers == (IsDraining ? 0U : 1U));
+    }
+  }
+}
+
+// Tasks were given up when many workers lost their power.
+BOOST_FIXTURE_TEST_CASE(FirstMassLossBlamesNobody, Fixture) {
+  const auto LoseAll = [this](const std::string &Prefix) {
+    for (int Index = 0; Index < 4; ++Index)
+      addWorker(Prefix + std::to_string(Index), SmallWorker);
+    wait(PlacementRetry);
+    BOOST_REQUIRE(start().size() == 4U);
+    for (int Index = 0; Index < 4; ++Index)
+      answerPollWith(Prefix + std::to_string(Index), OrderOutcome::Unknown);
+    wait(Milliseconds(3000));
+    for (int Index = 0; Index < 4; ++Index)
+      replaceWorker(Prefix + std::to_string(Index));
+  };
+  m_scheduler.addJob(makeJob(One, 4), nullptr);
+  LoseAll("a");
+  for (std::size_t Index = 0; Index < 4; ++Index) {
+    BOOST_TEST(taskOf(One, Index).m_lostWorkers == 0U);
+    BOOST_TEST(taskOf(One, Index).m_wasInMassLoss);
+  }
+  LoseAll("b");
+  for (std::size_t Index = 0; Index < 4; ++Index) {
+    BOOST_TEST(taskOf(One, Index).m_lostWorkers == 1U);
+    BOOST_TEST(taskOf(One, Index).m_crashedWorkers == 0U);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(SurvivalClearsMassLoss, Fixture) {
+  m_scheduler.addJob(makeJob(One, 4), nullptr);
+  for (const char *Name : {"w1", "w2", "w3", "w4"})
+    addWorker(Name, SmallWorker);
+  BOOST_REQUIRE(start().size() == 4U);
+  for (const char *Name : {"w1", "w2", "w3", "w4"})
+    answerPollWith(Name, OrderOutcome::Unknown);
+  for (const char *Name : {"w1", "w2", "w3", "w4"})
+    replaceWorker(Name);
+  addWorker("w5");
+  // No suspects, so they start together.
+  BOOST_REQUIRE(start().size() == 4U);
+  wait(Milliseconds(500));
+  listRuns("w5");
+  for (std::size_t Index = 0; Index < 4; ++Index)
+    BOOST_TEST(!taskOf(One, Index).m_wasInMassLoss);
+}
+
+BOOST_FIXTURE_TEST_CASE(CountsSurviveChangeOfOwner, Fixture) {
+  addWorker("w1");
+  makeSuspect(makeJob(One, 1));
+  Fixture Successor;
+  Successor.m_clock.advance(m_clock.now() - Successor.m_clock.now());
+  Successor.addWorker("w2");
+  Successor.m_scheduler.addJob(makeJob(One, 1), &m_progress[One]);
+  Successor.m_scheduler.addJob(makeJob(Two, 1), nullptr);
+  // On trial, so alone.
+  BOOST_REQUIRE(Successor.start().size() == 1U);
+  BOOST_TEST(Successor.taskOf(One).m_lostWorkers == 1U);
+  BOOST_TEST(Successor.taskOf(One).m_crashedWorkers == 1U);
+  Successor.replaceWorker("w2");
+  BOOST_TEST((Successor.stateOf(One) == JobState::Failed));
+}
+
+// A task was started again after its last permitted crash, which the successor
+// learned from the worker's registration.
+BOOST_FIXTURE_TEST_CASE(SuccessorGivesUpTaskOfRestartedWorker, Fixture) {
+  JobProgress Stored;
+  Stored.m_state = JobState::InProgress;
+  TaskRecord Task;
+  Task.m_lostWorkers = 3;
+  Task.m_lastRun = 4;
+  Task.m_runs.push_back({4, "w1", 1});
+  Stored.m_occurrences.push_back({0, {StepRecord{{Task}}}});
+  addWorker("w2");
+  WorkerRegistration Restarted = registrationOf("w2");
+  Restarted.m_id = "w1";
+  Restarted.m_startedMs = 2;
+  m_scheduler.updateWorker(Restarted);
+  m_scheduler.addJob(makeJob(One, 1), &Stored);
+  BOOST_TEST(start().empty());
+  BOOST_TEST((stateOf(One) == JobState::Failed));
+  BOOST_TEST(m_scheduler.liveJobs() == 0U);
+}
+
+// All runs look young to a successor: services were given up.
+BOOST_FIXTURE_TEST_CASE(RunThatOutlivedItsOwnerClearsTask, Fixture) {
+  JobProgress Stored;
+  Stored.m_state = JobState::InProgress;
+  TaskRecord Task;
+  Task.m_lostWorkers = 3;
+  Task.m_crashedWorkers = 1;
+  Task.m_lastRun = 4;
+  Task.m_runs.push_back({4, "w1", 1});
+  Stored.m_occurrences.push_back({0, {StepRecord{{Task}}}});
+  m_scheduler.addJob(serviceOf(makeJob(One, 1)), &Stored);
+  StartOrder &Sent = m_sentStarts["w1"].emplace_back();
+  Sent.m_task = {One, 0, 0, 0};
+  Sent.m_run = 4;
+  WorkerRegistration Registration;
+  Registration.m_id = "w1";
+  Registration.m_startedMs = 1;
+  Registration.m_service = "tally";
+  Registration.m_capacity = SmallWorker;
+  m_scheduler.updateWorker(Registration);
+  listRuns("w1");
+  BOOST_TEST(taskOf(One).m_lostWorkers == 0U);
+  BOOST_TEST(taskOf(One).m_crashedWorkers == 0U);
+  replaceWorker("w1");
+  BOOST_TEST(taskOf(One).m_lostWorkers == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(SurvivedTrialClearsTask, Fixture) {
+  addWorker("w1");
+  makeSuspect(makeJob(One, 1));
+  addWorker("w2");
+  BOOST_REQUIRE(start().size() == 1U);
+  wait(Milliseconds(499));
+  listRuns("w2");
+  BOOST_TEST(taskOf(One).m_lostWorkers == 1U);
+  wait(Milliseconds(1));
+  listRuns("w2");
+  BOOST_TEST(taskOf(One).m_lostWorkers == 0U);
+  BOOST_TEST(taskOf(One).m_crashedWorkers == 0U);
+}
+
+// A run that ends `failed` has not crashed its worker.
+BOOST_FIXTURE_TEST_CASE(FailedRunClearsTask, Fixture) {
+  addWorker("w1");
+  makeSuspect(makeJob(One, 1));
+  addWorker("w2");
+  const std::vector<StartOrder> Starts = start();
+  BOOST_REQUIRE(Starts.size() == 1U);
+  endRun("w2", Starts.front(), RunEnd::Failed);
+  BOOST_TEST(taskOf(One).m_lostWorkers == 0U);
+  BOOST_TEST(taskOf(One).m_failures == 1U);
+}
+
+// The first byte of a task's record was a bool before.
+BOOST_AUTO_TEST_CASE(PreviousRecordsAreDecoded) {
+  for (const bool IsDone : {false, true}) {
+    const TaskRecord Read =
+        decode<TaskRecord>(encode(PreviousTaskRecord{IsDone})).value();
+    BOOST_TEST(Read.m_isDone == IsDone);
+    BOOST_TEST(Read.m_failures == 2U);
+    BOOST_TEST(Read.m_lastRun == 300U);
+    BOOST_TEST(Read.m_lostWorkers == 0U);
+    BOOST_TEST(Read.m_crashedWorkers == 0U);
+    BOOST_TEST(!Read.m_wasInMassLoss);
+    BOOST_TEST(Read.m_checkpoint == (IsDone ? "" : "checkpoint"));
+    BOOST_TEST(Read.m_runs.size() == (IsDone ? 0U : 1U));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(CountsAreEncoded) {
+  TaskRecord Record;
+  Record.m_lostWorkers = 3;
+  Record.m_crashedWorkers = 1;
+  Record.m_wasInMassLoss = true;
+  const TaskRecord Read = decode<TaskRecord>(encode(Record)).value();
+  BOOST_TEST(Read.m_lostWorkers == 3U);
+  BOOST_TEST(Read.m_crashedWorkers == 1U);
+  BOOST_TEST(Read.m_wasInMassLoss);
+}
+
+} // namespace catkinseam
