Test steps and gangs of crashing tasks under changes of owner

Three jobs with five crashing tasks each, as steps and as gangs, while the owner is killed every two to four seconds; and a suspect among short tasks that keep a small cluster busy.

--- a/catkinseam/ownership/crashing_task_test.cc
+++ b/catkinseam/ownership/crashing_task_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <optional>
 #include <set>
 
 namespace catkinseam {
@@ -171,6 +172,85 @@
     }
 }
 
+// All tasks of a step crash their workers, as a step and as a gang, and owners
+// are killed every few seconds.
+BOOST_AUTO_TEST_CASE(CrashingStepsAreGivenUpUnderOwnerChanges) {
+  for (const bool IsGang : {false, true})
+    for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+      CrashingCluster Each(Seed, Milliseconds(3000));
+      for (std::uint64_t Number = 1; Number <= 3; ++Number) {
+        Submission Job = batchJob(jobId(Number), 5);
+        Job.m_spec.m_steps.front().m_isGang = IsGang;
+        for (std::uint32_t Index = 0; Index < 5; ++Index)
+          Each.m_crashing.insert({Job.m_id, 0, 0, Index});
+        Each.m_cluster.submit(Job);
+      }
+      for (std::uint64_t Number = 4; Number < 12; ++Number)
+        Each.m_cluster.submit(fourTasks(Number, false));
+      for (int Kill = 0; Kill < 8; ++Kill) {
+        Each.m_cluster.run(Milliseconds(1500 + 130 * Seed));
+        if (FakeNode *Owner = Each.m_cluster.owner())
+          Owner->kill();
+        Each.m_cluster.run(Milliseconds(300));
+        for (std::size_t Index = 0; Index < 3; ++Index)
+          if (!Each.m_cluster.node(Index).isRunning())
+            Each.m_cluster.startNode(Index);
+      }
+      Each.m_cluster.run(Milliseconds(60000));
+      BOOST_TEST_CONTEXT("seed " << Seed << ", gang " << IsGang) {
+        for (const TaskKey &Task : Each.m_crashing)
+          BOOST_TEST(Each.startsOf(Task) <= MaxStarts);
+        for (std::uint64_t Number = 1; Number <= 3; ++Number)
+          BOOST_TEST(
+              (Each.m_cluster.stateOf(jobId(Number)) == JobState::Failed));
+        for (std::uint64_t Number = 4; Number < 12; ++Number)
+          BOOST_TEST(
+              (Each.m_cluster.stateOf(jobId(Number)) == JobState::Completed));
+        BOOST_TEST(Each.m_cluster.violations().empty());
+      }
+    }
+}
+
+// A suspect waited for a worker that starts nothing for 200 ms, while short
+// tasks keep all workers busy.
+BOOST_AUTO_TEST_CASE(SuspectsStartBesideShortTasks) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    SimulatedCluster Cluster({.m_seed = Seed, .m_workers = 4});
+    Cluster.run(Milliseconds(2000));
+    std::uint64_t Number = 1;
+    const auto SubmitShort = [&](int Rounds) {
+      for (int Round = 0; Round < Rounds; ++Round) {
+        Cluster.submit(batchJob(jobId(++Number), 3));
+        Cluster.run(Milliseconds(60 + Cluster.m_random() % 20));
+      }
+    };
+    SubmitShort(40);
+    Cluster.submit(serviceJob(jobId(1), 1));
+    const auto ServiceWorker = [&]() -> std::optional<std::size_t> {
+      for (const RecordedRun &Each : Cluster.m_history.m_runs)
+        if (Each.m_task.m_job == jobId(1) && !Each.m_hasEnd)
+          return std::stoul(Each.m_worker.substr(1));
+      return std::nullopt;
+    };
+    while (!ServiceWorker())
+      SubmitShort(1);
+    Cluster.crashWorker(*ServiceWorker());
+    const TimePoint CrashedAt = Cluster.now();
+    std::size_t Starts = 0;
+    while (Starts < 2 && Cluster.now() - CrashedAt < Milliseconds(20000)) {
+      SubmitShort(1);
+      Starts = static_cast<std::size_t>(std::count_if(
+          Cluster.m_history.m_runs.begin(), Cluster.m_history.m_runs.end(),
+          [](const RecordedRun &Each) {
+            return Each.m_task.m_job == jobId(1);
+          }));
+    }
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      BOOST_TEST(toMilliseconds(Cluster.now() - CrashedAt).count() <= 3000);
+    }
+  }
+}
+
 // Workers that crash for another reason. A task that was there twice must not
 // be given up for it.
 BOOST_AUTO_TEST_CASE(TasksOutliveUnrelatedCrashes) {
