Start no suspect beside a run that may have crashed the worker

A harmless job could fail: its task was blamed for a crash that a task beside it had caused.

Cause: a run kept a trial off its worker for 200 ms after the start, even if nothing had been heard of the worker since. A worker that had crashed unnoticed then got the trial, and a loss during a trial blames only the suspect; the task that had caused it went free.

Evidence: SuspectJoinsNoRunOfSilentWorker failed before.

Change: the worker must be known to have been alive 200 ms after the run was confirmed.

Measured: the test passes.

--- a/catkinseam/scheduler/crash_suspects.cc
+++ b/catkinseam/scheduler/crash_suspects.cc
@@ -14,7 +14,7 @@
 constexpr std::uint32_t MaxCrashedWorkers = 2;
 /// The same for lost workers, which may also have been partitioned.
 constexpr std::uint32_t MaxLostWorkers = 4;
-/// Age from which a run does not keep a trial off its worker.
+/// A run that its worker has survived for this time does not keep a trial off.
 constexpr Milliseconds SettlingTime{200};
 
 /// The worker has answered this owner before and does not now.
@@ -50,16 +50,15 @@
          Task.m_lostWorkers >= MaxLostWorkers;
 }
 
-bool allowsTrial(const TaskInfo &Task, const WorkerInfo &Worker,
-                 TimePoint Now) {
-  return std::all_of(Worker.m_runs.begin(), Worker.m_runs.end(),
-                     [&](const RunRef &Each) {
-                       const RunInfo *Run = findReferencedRun(Each);
-                       return !Run || Run->m_phase == RunPhase::Stopping ||
-                              isSameGang(Task, *Each.m_task) ||
-                              (Run->m_confirmedAt != TimePoint() &&
-                               Now - Run->m_confirmedAt >= SettlingTime);
-                     });
+bool allowsTrial(const TaskInfo &Task, const WorkerInfo &Worker) {
+  return std::all_of(
+      Worker.m_runs.begin(), Worker.m_runs.end(), [&](const RunRef &Each) {
+        const RunInfo *Run = findReferencedRun(Each);
+        return !Run || Run->m_phase == RunPhase::Stopping ||
+               isSameGang(Task, *Each.m_task) ||
+               (Run->m_confirmedAt != TimePoint() &&
+                Worker.m_aliveUntil - Run->m_confirmedAt >= SettlingTime);
+      });
 }
 
 bool isBarredByTrial(const TaskInfo &Task, const WorkerInfo &Worker) {
--- a/catkinseam/scheduler/crash_suspects.h
+++ b/catkinseam/scheduler/crash_suspects.h
@@ -37,7 +37,7 @@
 /// Whether a suspect may start on this worker: no other run there is so young
 /// that it could be the cause of a loss. Members of one gang share a trial, as
 /// they are given up together.
-bool allowsTrial(const TaskInfo &Task, const WorkerInfo &Worker, TimePoint Now);
+bool allowsTrial(const TaskInfo &Task, const WorkerInfo &Worker);
 
 /// Whether the task may not start on this worker because of a run on trial.
 bool isBarredByTrial(const TaskInfo &Task, const WorkerInfo &Worker);
--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -199,7 +199,7 @@
   double BestCost = 0.0;
   for (WorkerInfo *Each : Candidates) {
     if (!isAvailable(*Each, Now) || !isFeasible(Task, *Each) ||
-        (NeedsTrial && !allowsTrial(Task, *Each, Now)))
+        (NeedsTrial && !allowsTrial(Task, *Each)))
       continue;
     InterferenceModel::FillerEstimate Estimate;
     if (Spec.m_isFiller) {
