Spare tasks once whose worker is lost while the owner changes

Callers waited seconds for harmless services after a loss of power: each of them was started on trial, one at a time on each worker.

Cause: a successor does not know the age of a run that it adopts, and blamed each task whose worker had restarted meanwhile. Losses that it did not see happen are no mass loss to it.

Change: such a loss is treated like a mass loss, which counts from the second time on until the task is cleared. A task is spared once for both reasons together, so the limit of starts stays one above that of losses.

--- a/catkinseam/ledger/records.h
+++ b/catkinseam/ledger/records.h
@@ -40,7 +40,7 @@
   /// See TaskInfo.
   std::uint32_t m_lostWorkers = 0;
   std::uint32_t m_crashedWorkers = 0;
-  bool m_wasInMassLoss = false;
+  bool m_wasSpared = false;
   RunNumber m_lastRun = 0;
   std::string m_checkpoint;
   std::vector<RunRecord> m_runs;
@@ -50,7 +50,7 @@
     const bool HasLosses = !m_isDone && m_lostWorkers > 0;
     const std::uint8_t Flags = (m_isDone ? DoneFlag : 0U) |
                                (HasLosses ? LossesFlag : 0U) |
-                               (m_wasInMassLoss ? MassLossFlag : 0U);
+                               (m_wasSpared ? SparedFlag : 0U);
     Target(Flags);
     saveVarint(Target, m_failures);
     saveVarint(Target, m_lastRun);
@@ -69,7 +69,7 @@
     std::uint8_t Flags = 0;
     Source(Flags);
     m_isDone = (Flags & DoneFlag) != 0;
-    m_wasInMassLoss = (Flags & MassLossFlag) != 0;
+    m_wasSpared = (Flags & SparedFlag) != 0;
     m_failures = static_cast<std::uint32_t>(loadVarint(Source));
     m_lastRun = static_cast<RunNumber>(loadVarint(Source));
     if (m_isDone)
@@ -87,7 +87,7 @@
   static constexpr std::uint8_t DoneFlag = 1;
   /// Workers were lost; without it, no numbers of lost workers follow.
   static constexpr std::uint8_t LossesFlag = 2;
-  static constexpr std::uint8_t MassLossFlag = 4;
+  static constexpr std::uint8_t SparedFlag = 4;
 };
 
 /// Progress of one step. A step without tasks has not started.
--- a/catkinseam/ownership/crashing_task_test.cc
+++ b/catkinseam/ownership/crashing_task_test.cc
@@ -251,6 +251,42 @@
   }
 }
 
+// Harmless services waited for one trial after another when all workers and
+// nodes had lost their power.
+BOOST_AUTO_TEST_CASE(ServicesRestartTogetherAfterPowerLoss) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    SimulatedCluster Cluster({.m_seed = Seed, .m_workers = Workers});
+    Cluster.run(Milliseconds(2000));
+    Cluster.submit(serviceJob(jobId(1), 40));
+    Cluster.run(Milliseconds(10000));
+    for (std::size_t Index = 0; Index < 3; ++Index)
+      Cluster.node(Index).kill();
+    for (std::size_t Index = 0; Index < Workers; ++Index)
+      Cluster.worker(Index).crash();
+    Cluster.run(Milliseconds(1000));
+    for (std::size_t Index = 0; Index < Workers; ++Index)
+      Cluster.registerWorker(Index);
+    for (std::size_t Index = 0; Index < 3; ++Index)
+      Cluster.startNode(Index);
+    const auto ActiveRuns = [&] {
+      return std::count_if(Cluster.m_history.m_runs.begin(),
+                           Cluster.m_history.m_runs.end(),
+                           [](const RecordedRun &Each) {
+                             return Each.m_endedAt == TimePoint::max();
+                           });
+    };
+    while (!Cluster.owner())
+      Cluster.run(Milliseconds(10));
+    const TimePoint OwnedSince = Cluster.now();
+    while (ActiveRuns() < 40 &&
+           Cluster.now() - OwnedSince < Milliseconds(20000))
+      Cluster.run(Milliseconds(10));
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      BOOST_TEST(toMilliseconds(Cluster.now() - OwnedSince).count() <= 1000);
+    }
+  }
+}
+
 // Workers that crash for another reason. A task that was there twice must not
 // be given up for it.
 BOOST_AUTO_TEST_CASE(TasksOutliveUnrelatedCrashes) {
--- a/catkinseam/scheduler/crash_suspects.h
+++ b/catkinseam/scheduler/crash_suspects.h
@@ -10,8 +10,9 @@
 // this worker would point to the suspect alone. Surviving the trial clears the
 // suspect.
 //
-// The loss of many workers at once has another cause, unless the same tasks had
-// only just been started before an earlier one: only the first blames nobody.
+// The loss of many workers at once has another cause, and so may the loss of a
+// worker while the owner changed. Each task is spared once for such a loss,
+// until it is cleared.
 #ifndef CATKINSEAM_SCHEDULER_CRASH_SUSPECTS_H
 #define CATKINSEAM_SCHEDULER_CRASH_SUSPECTS_H
 
--- a/catkinseam/scheduler/crash_suspects_test.cc
+++ b/catkinseam/scheduler/crash_suspects_test.cc
@@ -422,7 +422,7 @@
   LoseAll("a");
   for (std::size_t Index = 0; Index < 4; ++Index) {
     BOOST_TEST(taskOf(One, Index).m_lostWorkers == 0U);
-    BOOST_TEST(taskOf(One, Index).m_wasInMassLoss);
+    BOOST_TEST(taskOf(One, Index).m_wasSpared);
   }
   LoseAll("b");
   for (std::size_t Index = 0; Index < 4; ++Index) {
@@ -446,7 +446,7 @@
   wait(Milliseconds(500));
   listRuns("w5");
   for (std::size_t Index = 0; Index < 4; ++Index)
-    BOOST_TEST(!taskOf(One, Index).m_wasInMassLoss);
+    BOOST_TEST(!taskOf(One, Index).m_wasSpared);
 }
 
 BOOST_FIXTURE_TEST_CASE(CountsSurviveChangeOfOwner, Fixture) {
@@ -472,6 +472,7 @@
   Stored.m_state = JobState::InProgress;
   TaskRecord Task;
   Task.m_lostWorkers = 3;
+  Task.m_wasSpared = true;
   Task.m_lastRun = 4;
   Task.m_runs.push_back({4, "w1", 1});
   Stored.m_occurrences.push_back({0, {StepRecord{{Task}}}});
@@ -549,7 +550,7 @@
     BOOST_TEST(Read.m_lastRun == 300U);
     BOOST_TEST(Read.m_lostWorkers == 0U);
     BOOST_TEST(Read.m_crashedWorkers == 0U);
-    BOOST_TEST(!Read.m_wasInMassLoss);
+    BOOST_TEST(!Read.m_wasSpared);
     BOOST_TEST(Read.m_checkpoint == (IsDone ? "" : "checkpoint"));
     BOOST_TEST(Read.m_runs.size() == (IsDone ? 0U : 1U));
   }
@@ -559,11 +560,11 @@
   TaskRecord Record;
   Record.m_lostWorkers = 3;
   Record.m_crashedWorkers = 1;
-  Record.m_wasInMassLoss = true;
+  Record.m_wasSpared = true;
   const TaskRecord Read = decode<TaskRecord>(encode(Record)).value();
   BOOST_TEST(Read.m_lostWorkers == 3U);
   BOOST_TEST(Read.m_crashedWorkers == 1U);
-  BOOST_TEST(Read.m_wasInMassLoss);
+  BOOST_TEST(Read.m_wasSpared);
 }
 
 } // namespace catkinseam
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -225,6 +225,7 @@
   enum class Loss {
     Crash,   ///< The incarnation is certainly over.
     Unknown, ///< The worker does not answer.
+    Mass,    ///< Many other workers were lost at the same time.
   };
   void recordLoss(WorkerInfo &Worker);
   /// Whether many other workers were lost at the same time.
@@ -232,8 +233,6 @@
   /// Blames the runs that may have caused the loss, and discards all.
   void loseRunsOf(WorkerInfo &Worker, Loss Cause, const char *Reason);
   void blame(const std::vector<RunRef> &Runs, Loss Cause);
-  /// Blames runs whose tasks were in a mass loss before.
-  void blameForMassLoss(const WorkerInfo &Worker);
   static bool hasStartInDoubt(const WorkerInfo &Worker);
   void updateClock(WorkerInfo &Worker, Milliseconds Clock);
   void extendLeaseEnd(WorkerInfo &Worker, Milliseconds Expires);
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -224,7 +224,7 @@
   Task.m_failures = Recorded.m_failures;
   Task.m_lostWorkers = Recorded.m_lostWorkers;
   Task.m_crashedWorkers = Recorded.m_crashedWorkers;
-  Task.m_wasInMassLoss = Recorded.m_wasInMassLoss;
+  Task.m_wasSpared = Recorded.m_wasSpared;
   Task.m_lastRun = Recorded.m_lastRun;
   Task.m_checkpoint = Recorded.m_checkpoint;
   if (Task.m_isDone) {
@@ -235,7 +235,9 @@
     WorkerInfo &Worker = workerRow(Each.m_worker);
     // The worker has restarted since, so the run is over.
     if (Worker.m_registration.m_startedMs > Each.m_workerStartedMs) {
-      ++Task.m_lostWorkers;
+      if (Task.m_wasSpared)
+        ++Task.m_lostWorkers;
+      Task.m_wasSpared = true;
       continue;
     }
     Worker.m_registration.m_startedMs = Each.m_workerStartedMs;
@@ -389,7 +391,7 @@
 }
 
 void Scheduler::clearSuspicion(TaskInfo &Task) {
-  if (Task.m_lostWorkers == 0 && !Task.m_wasInMassLoss)
+  if (Task.m_lostWorkers == 0 && !Task.m_wasSpared)
     return;
   logInfo("task.cleared",
           {{"task", toString(keyOf(Task))},
@@ -397,7 +399,7 @@
            {"crashed_workers", std::to_string(Task.m_crashedWorkers)}});
   Task.m_lostWorkers = 0;
   Task.m_crashedWorkers = 0;
-  Task.m_wasInMassLoss = false;
+  Task.m_wasSpared = false;
   markDirty(*Task.m_step->m_occurrence->m_job);
 }
 
@@ -517,7 +519,7 @@
         To.m_failures = Task.m_failures;
         To.m_lostWorkers = Task.m_lostWorkers;
         To.m_crashedWorkers = Task.m_crashedWorkers;
-        To.m_wasInMassLoss = Task.m_wasInMassLoss;
+        To.m_wasSpared = Task.m_wasSpared;
         To.m_lastRun = Task.m_lastRun;
         if (Task.m_isDone)
           continue;
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -100,10 +100,7 @@
 void Scheduler::loseRunsOf(WorkerInfo &Worker, Loss Cause, const char *Reason) {
   if (Worker.m_isReachable)
     recordLoss(Worker);
-  if (isMassLoss(Worker.m_lostAt))
-    blameForMassLoss(Worker);
-  else
-    blame(blamedRuns(Worker), Cause);
+  blame(blamedRuns(Worker), isMassLoss(Worker.m_lostAt) ? Loss::Mass : Cause);
   const std::vector<RunRef> Runs = Worker.m_runs;
   for (const RunRef &Each : Runs) {
     if (!findRun(*Each.m_task, Each.m_run))
@@ -141,6 +138,15 @@
 void Scheduler::blame(const std::vector<RunRef> &Runs, Loss Cause) {
   for (const RunRef &Each : Runs) {
     TaskInfo &Task = *Each.m_task;
+    // The age of an adopted run is unknown. Tasks that crash their workers may
+    // do so all at once, and again after each restart.
+    const bool IsDoubtful =
+        Cause == Loss::Mass ||
+        findRun(Task, Each.m_run)->m_phase == RunPhase::Adopted;
+    if (IsDoubtful && !Task.m_wasSpared) {
+      Task.m_wasSpared = true;
+      continue;
+    }
     ++Task.m_lostWorkers;
     if (Cause == Loss::Crash)
       ++Task.m_crashedWorkers;
@@ -152,16 +158,6 @@
   }
 }
 
-void Scheduler::blameForMassLoss(const WorkerInfo &Worker) {
-  for (const RunRef &Each : blamedRuns(Worker)) {
-    // Tasks that crash their workers may do so all at once, and again after
-    // each restart.
-    if (Each.m_task->m_wasInMassLoss)
-      blame({Each}, Loss::Unknown);
-    Each.m_task->m_wasInMassLoss = true;
-  }
-}
-
 void Scheduler::updateClock(WorkerInfo &Worker, Milliseconds Clock) {
   Worker.m_clock = Clock;
   Worker.m_clockReadAt = m_clock.now();
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -89,9 +89,9 @@
   /// them that have certainly crashed; zero once a run has survived its trial.
   std::uint32_t m_lostWorkers = 0;
   std::uint32_t m_crashedWorkers = 0;
-  /// A worker that had just started the task was lost together with many
-  /// others, and no run has survived its trial since.
-  bool m_wasInMassLoss = false;
+  /// A loss of a worker was not counted because it may have had another cause,
+  /// and no run has survived its trial since. The next one counts.
+  bool m_wasSpared = false;
   RunNumber m_lastRun = 0;
   std::string m_checkpoint;
   std::vector<RunInfo> m_runs;
