--- a/catkinseam/scheduler/crash_suspects.h
+++ b/catkinseam/scheduler/crash_suspects.h
@@ -9,6 +9,10 @@
 // trial: on a worker that starts nothing else meanwhile, so that the loss of
 // this worker would point to the suspect alone. Surviving the trial clears the
 // suspect.
+//
+// The loss of many workers at once has another cause, and so may the loss of a
+// worker while the owner changed. Each task is spared once for such a loss,
+// until it is cleared.
 #ifndef CATKINSEAM_SCHEDULER_CRASH_SUSPECTS_H
 #define CATKINSEAM_SCHEDULER_CRASH_SUSPECTS_H
 
@@ -32,8 +36,12 @@
 bool isGivenUp(const TaskInfo &Task);
 
 /// Whether a suspect may start on this worker: no other run there is so young
-/// that it could be the cause of a loss.
-bool allowsTrial(const WorkerInfo &Worker, TimePoint Now);
+/// that it could be the cause of a loss. Members of one gang share a trial, as
+/// they are given up together.
+bool allowsTrial(const TaskInfo &Task, const WorkerInfo &Worker);
+
+/// Whether the task may not start on this worker because of a run on trial.
+bool isBarredByTrial(const TaskInfo &Task, const WorkerInfo &Worker);
 
 /// The runs that may have caused the loss of their worker.
 std::vector<RunRef> blamedRuns(const WorkerInfo &Worker);
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -231,6 +231,7 @@
     Restart,     ///< The worker has started again under its id.
     Replacement, ///< Another worker has its address.
     Unknown,     ///< The worker does not answer.
+    Mass,        ///< Many other workers were lost at the same time.
   };
   void recordLoss(WorkerInfo &Worker);
   /// Whether many other workers were lost at the same time.
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -30,6 +30,15 @@
   return Longest;
 }
 
+bool hasGivenUpTask(const JobInfo &Job) {
+  for (const OccurrenceInfo &Occurrence : Job.m_occurrences)
+    for (const StepInfo &Step : Occurrence.m_steps)
+      for (const TaskInfo &Task : Step.m_tasks)
+        if (!Task.m_isDone && Task.m_runs.empty() && isGivenUp(Task))
+          return true;
+  return false;
+}
+
 } // namespace
 
 TaskKey Scheduler::keyOf(const TaskInfo &Task) {
@@ -95,6 +104,8 @@
   if (Recorded) {
     restore(Row, *Recorded);
     logRestored(Row);
+    if (hasGivenUpTask(Row))
+      return endJob(Row, JobState::Failed);
   }
   if (Job.m_spec.m_occurrences == 0 && !Row.m_occurrences.empty())
     openOccurrence(Row.m_occurrences.front());
@@ -213,6 +224,7 @@
   Task.m_failures = Recorded.m_failures;
   Task.m_lostWorkers = Recorded.m_lostWorkers;
   Task.m_crashedWorkers = Recorded.m_crashedWorkers;
+  Task.m_wasSpared = Recorded.m_wasSpared;
   Task.m_lastRun = Recorded.m_lastRun;
   Task.m_checkpoint = Recorded.m_checkpoint;
   if (Task.m_isDone) {
@@ -222,8 +234,11 @@
   for (const RunRecord &Each : Recorded.m_runs) {
     WorkerInfo &Worker = workerRow(Each.m_worker);
     // The worker may have restarted since, and carry out the start even so.
-    if (Worker.m_registration.m_startedMs > Each.m_workerStartedMs)
-      ++Task.m_lostWorkers;
+    if (Worker.m_registration.m_startedMs > Each.m_workerStartedMs) {
+      if (Task.m_wasSpared)
+        ++Task.m_lostWorkers;
+      Task.m_wasSpared = true;
+    }
     if (Worker.m_registration.m_startedMs < Each.m_workerStartedMs)
       expectRegistration(Worker, Each.m_workerStartedMs);
     addRun(Task, Each.m_run, Worker, RunPhase::Adopted);
@@ -376,7 +391,7 @@
 }
 
 void Scheduler::clearSuspicion(TaskInfo &Task) {
-  if (Task.m_lostWorkers == 0)
+  if (Task.m_lostWorkers == 0 && !Task.m_wasSpared)
     return;
   logInfo("task.cleared",
           {{"task", toString(keyOf(Task))},
@@ -384,6 +399,7 @@
            {"crashed_workers", std::to_string(Task.m_crashedWorkers)}});
   Task.m_lostWorkers = 0;
   Task.m_crashedWorkers = 0;
+  Task.m_wasSpared = false;
   markDirty(*Task.m_step->m_occurrence->m_job);
 }
 
@@ -503,6 +519,7 @@
         To.m_failures = Task.m_failures;
         To.m_lostWorkers = Task.m_lostWorkers;
         To.m_crashedWorkers = Task.m_crashedWorkers;
+        To.m_wasSpared = Task.m_wasSpared;
         To.m_lastRun = Task.m_lastRun;
         if (Task.m_isDone)
           continue;
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -112,8 +112,7 @@
 void Scheduler::loseRunsOf(WorkerInfo &Worker, Loss Cause, const char *Reason) {
   if (Worker.m_isReachable)
     recordLoss(Worker);
-  if (!isMassLoss(Worker.m_lostAt))
-    blame(Worker, Cause);
+  blame(Worker, isMassLoss(Worker.m_lostAt) ? Loss::Mass : Cause);
   const std::vector<RunRef> Runs = Worker.m_runs;
   for (const RunRef &Each : Runs) {
     RunInfo *Run = findRun(*Each.m_task, Each.m_run);
@@ -183,10 +182,20 @@
 
 void Scheduler::blame(const WorkerInfo &Worker, Loss Cause) {
   // A worker that drains may leave at any time.
-  const bool IsCrash =
-      Cause != Loss::Unknown && !Worker.m_registration.m_isDraining;
+  const bool IsCrash = (Cause == Loss::Restart || Cause == Loss::Replacement) &&
+                       !Worker.m_registration.m_isDraining;
   for (const RunRef &Each : blamedRuns(Worker)) {
     TaskInfo &Task = *Each.m_task;
+    // The age of an adopted run is unknown. Tasks that crash their workers may
+    // do so all at once, and again after each restart.
+    const bool IsDoubtful =
+        Cause == Loss::Mass ||
+        findRun(Task, Each.m_run)->m_phase == RunPhase::Adopted;
+    markDirty(*Task.m_step->m_occurrence->m_job);
+    if (IsDoubtful && !Task.m_wasSpared) {
+      Task.m_wasSpared = true;
+      continue;
+    }
     ++Task.m_lostWorkers;
     if (IsCrash)
       ++Task.m_crashedWorkers;
@@ -271,8 +280,11 @@
       Worker.m_isReachable = false;
       recordLoss(Worker);
       // A call that fails before the worker was due to reply has lost its
-      // connection; one that times out says nothing about the time before.
-      if (m_clock.now() - SentAt < Order.m_maxWait)
+      // connection; one that times out says nothing about the time before, nor
+      // does one that did not reach this incarnation.
+      if (Reply.m_outcome != OrderOutcome::NotSent &&
+          Reply.m_outcome != OrderOutcome::OtherIncarnation &&
+          m_clock.now() - SentAt < Order.m_maxWait)
         Worker.m_aliveUntil = m_clock.now();
       logWarn("worker.unreachable",
               {{"worker", Order.m_worker},
@@ -351,7 +363,7 @@
     }
     Run->m_isStartInDoubt = false;
     Run->m_isListed = true;
-    if (Task->m_lostWorkers > 0 && hasSurvivedTrial(*Run))
+    if (hasSurvivedTrial(*Run))
       clearSuspicion(*Task);
     if (!Each.m_checkpoint.empty())
       Task->m_checkpoint = Each.m_checkpoint;
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -91,6 +91,9 @@
   /// them that have certainly crashed; zero once a run has survived its trial.
   std::uint32_t m_lostWorkers = 0;
   std::uint32_t m_crashedWorkers = 0;
+  /// A loss of a worker was not counted because it may have had another cause,
+  /// and no run has survived its trial since. The next one counts.
+  bool m_wasSpared = false;
   RunNumber m_lastRun = 0;
   std::string m_checkpoint;
   std::vector<RunInfo> m_runs;
--- a/catkinseam/scheduler/testing/scheduler_fixture.h
+++ b/catkinseam/scheduler/testing/scheduler_fixture.h
@@ -30,6 +30,7 @@
     WorkerRegistration Registration;
     Registration.m_id = Name;
     Registration.m_startedMs = 1;
+    Registration.m_address = {"127.0.0.1", 1};
     Registration.m_service = "tally";
     Registration.m_capacity = Capacity;
     Registration.m_labels = {"a", Rack};
