--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -390,19 +390,6 @@
     enqueueTask(Task, Delay);
 }
 
-void Scheduler::clearSuspicion(TaskInfo &Task) {
-  if (Task.m_lostWorkers == 0 && !Task.m_wasSpared)
-    return;
-  logInfo("task.cleared",
-          {{"task", toString(keyOf(Task))},
-           {"lost_workers", std::to_string(Task.m_lostWorkers)},
-           {"crashed_workers", std::to_string(Task.m_crashedWorkers)}});
-  Task.m_lostWorkers = 0;
-  Task.m_crashedWorkers = 0;
-  Task.m_wasSpared = false;
-  markDirty(*Task.m_step->m_occurrence->m_job);
-}
-
 bool Scheduler::hasExhaustedAttempts(const TaskInfo &Task) {
   return !Task.m_step->m_spec->m_isService &&
          Task.m_failures >=
--- /dev/null
+++ b/catkinseam/scheduler/scheduler_losses.cc
@@ -0,0 +1,161 @@
+// Lost workers: what becomes of their runs, and which tasks are blamed.
+#include "catkinseam/scheduler/scheduler.h"
+
+#include "catkinseam/scheduler/crash_suspects.h"
+#include "catkinseam/telemetry/log.h"
+
+#include <algorithm>
+
+namespace catkinseam {
+
+namespace {
+
+/// The loss of more workers than this and than one in MassLossDivisor, all
+/// within MassLossWindow before or after, has another cause than one task.
+constexpr std::size_t MinMassLoss = 3;
+constexpr std::size_t MassLossDivisor = 10;
+constexpr Milliseconds MassLossWindow{250};
+
+} // namespace
+
+void Scheduler::expireUnreachableWorkers() {
+  const TimePoint Now = m_clock.now();
+  std::vector<std::string> Gone;
+  for (const auto &[Id, Worker] : m_workers) {
+    if (!Worker->m_runs.empty() && !Worker->m_isReachable &&
+        Worker->m_leaseEnd <= Now)
+      loseRunsOf(*Worker, Loss::Unknown, "lease_over");
+    if (!Worker->m_isListed && Worker->m_runs.empty())
+      Gone.push_back(Id);
+  }
+  for (const std::string &Each : Gone)
+    m_workers.erase(Each);
+}
+
+void Scheduler::loseRunsOf(WorkerInfo &Worker, Loss Cause, const char *Reason) {
+  if (Worker.m_isReachable)
+    recordLoss(Worker);
+  blame(Worker, isMassLoss(Worker.m_lostAt) ? Loss::Mass : Cause);
+  const std::vector<RunRef> Runs = Worker.m_runs;
+  for (const RunRef &Each : Runs) {
+    RunInfo *Run = findRun(*Each.m_task, Each.m_run);
+    if (!Run)
+      continue;
+    if (Cause == Loss::Restart && mayReachNextIncarnation(*Run)) {
+      doubtStart(*Run);
+      continue;
+    }
+    logInfo(
+        "run.over",
+        {{"task", toString(keyOf(*Each.m_task))},
+         {"run", std::to_string(Each.m_run)},
+         {"worker", Worker.m_registration.m_id},
+         {"reason", Reason},
+         {"lost_workers", std::to_string(Each.m_task->m_lostWorkers)},
+         {"crashed_workers", std::to_string(Each.m_task->m_crashedWorkers)}});
+    discardRun(*Each.m_task, Each.m_run, Duration::zero());
+  }
+}
+
+bool Scheduler::mayReachNextIncarnation(const RunInfo &Run) {
+  return Run.m_phase != RunPhase::Recording && !Run.m_isListed;
+}
+
+void Scheduler::doubtStart(RunInfo &Run) {
+  if (Run.m_phase == RunPhase::Stopping) {
+    Run.m_isStopAnswered = false;
+    Run.m_stopSentAt = TimePoint();
+    return;
+  }
+  // The next status poll carries this owner's token, which resolves it.
+  if (Run.m_phase == RunPhase::Adopted)
+    return;
+  Run.m_phase = RunPhase::Starting;
+  Run.m_confirmedAt = TimePoint();
+  Run.m_isStartInDoubt = true;
+  Run.m_startDoubtedAt = m_clock.now();
+}
+
+void Scheduler::onLinkReplaced(const std::string &Id) {
+  for (const RunRef &Each : workerRow(Id).m_runs) {
+    RunInfo *Run = findRun(*Each.m_task, Each.m_run);
+    Run->m_isCpuRatePending = false;
+    if (Run->m_phase == RunPhase::Starting && !Run->m_isStartInDoubt)
+      doubtStart(*Run);
+  }
+}
+
+void Scheduler::recordLoss(WorkerInfo &Worker) {
+  // Leases of all earlier losses have expired by then.
+  constexpr Milliseconds Remembered{30000};
+  Worker.m_lostAt = m_clock.now();
+  while (!m_lossTimes.empty() &&
+         m_clock.now() - m_lossTimes.front() > Remembered)
+    m_lossTimes.pop_front();
+  m_lossTimes.push_back(m_clock.now());
+}
+
+bool Scheduler::isMassLoss(TimePoint LostAt) const {
+  const auto Losses = static_cast<std::size_t>(std::count_if(
+      m_lossTimes.begin(), m_lossTimes.end(), [LostAt](TimePoint Each) {
+        return std::chrono::abs(Each - LostAt) <= MassLossWindow;
+      }));
+  return Losses > std::max(MinMassLoss, m_workers.size() / MassLossDivisor);
+}
+
+void Scheduler::blame(const WorkerInfo &Worker, Loss Cause) {
+  // A worker that drains may leave at any time.
+  const bool IsCrash = (Cause == Loss::Restart || Cause == Loss::Replacement) &&
+                       !Worker.m_registration.m_isDraining;
+  for (const RunRef &Each : blamedRuns(Worker)) {
+    TaskInfo &Task = *Each.m_task;
+    // The age of an adopted run is unknown. Tasks that crash their workers may
+    // do so all at once, and again after each restart.
+    const bool IsDoubtful =
+        Cause == Loss::Mass ||
+        findRun(Task, Each.m_run)->m_phase == RunPhase::Adopted;
+    markDirty(*Task.m_step->m_occurrence->m_job);
+    if (IsDoubtful && !Task.m_wasSpared) {
+      Task.m_wasSpared = true;
+      continue;
+    }
+    ++Task.m_lostWorkers;
+    if (IsCrash)
+      ++Task.m_crashedWorkers;
+    if (isGivenUp(Task))
+      logWarn("task.given_up",
+              {{"task", toString(keyOf(Task))},
+               {"lost_workers", std::to_string(Task.m_lostWorkers)},
+               {"crashed_workers", std::to_string(Task.m_crashedWorkers)}});
+  }
+}
+
+void Scheduler::clearSuspicion(TaskInfo &Task) {
+  if (Task.m_lostWorkers == 0 && !Task.m_wasSpared)
+    return;
+  logInfo("task.cleared",
+          {{"task", toString(keyOf(Task))},
+           {"lost_workers", std::to_string(Task.m_lostWorkers)},
+           {"crashed_workers", std::to_string(Task.m_crashedWorkers)}});
+  Task.m_lostWorkers = 0;
+  Task.m_crashedWorkers = 0;
+  Task.m_wasSpared = false;
+  markDirty(*Task.m_step->m_occurrence->m_job);
+}
+
+void Scheduler::endTrials() {
+  for (const auto &[Id, Worker] : m_workers) {
+    if (Worker->m_trials == 0 || !Worker->m_isReachable)
+      continue;
+    for (const RunRef &Each : Worker->m_runs) {
+      RunInfo *Run = findRun(*Each.m_task, Each.m_run);
+      if (!Run->m_isOnTrial || Run->m_confirmedAt == TimePoint() ||
+          m_clock.now() - Run->m_confirmedAt < TrialTime)
+        continue;
+      Run->m_isOnTrial = false;
+      --Worker->m_trials;
+    }
+  }
+}
+
+} // namespace catkinseam
