--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -30,15 +30,6 @@
   return Longest;
 }
 
-bool hasGivenUpTask(const JobInfo &Job) {
-  for (const OccurrenceInfo &Occurrence : Job.m_occurrences)
-    for (const StepInfo &Step : Occurrence.m_steps)
-      for (const TaskInfo &Task : Step.m_tasks)
-        if (!Task.m_isDone && Task.m_runs.empty() && isGivenUp(Task))
-          return true;
-  return false;
-}
-
 } // namespace
 
 TaskKey Scheduler::keyOf(const TaskInfo &Task) {
@@ -104,8 +95,6 @@
   if (Recorded) {
     restore(Row, *Recorded);
     logRestored(Row);
-    if (hasGivenUpTask(Row))
-      return endJob(Row, JobState::Failed);
   }
   if (Job.m_spec.m_occurrences == 0 && !Row.m_occurrences.empty())
     openOccurrence(Row.m_occurrences.front());
