Report a node as ready only once it answers lookups

Cause: since a node answers no lookup before a read has reached the end after its first load, while readiness asked for the load alone.

Change: a ledger counts as current under the same condition.

Measured: ReadyNodeAnswersLookups fails on the version before (two 503), passes now; ledger_test, process_node_takeover, job_service_test, relayed_log_test, owner_test, ownership_test, append_limits_test, crashing_task_test and worker_link_test passed with this change.

--- a/catkinseam/node/job_lookup_test.cc
+++ b/catkinseam/node/job_lookup_test.cc
@@ -297,6 +297,21 @@
   BOOST_TEST(m_statuses.back() == 200);
 }
 
+// Guards against a node that reports itself ready and refuses lookups: it had
+// loaded, and its first read after that waited at the log.
+BOOST_FIXTURE_TEST_CASE(ReadyNodeAnswersLookups, IdleFixture) {
+  acceptElsewhere();
+  m_host.advance(Milliseconds(10));
+  m_candidate.start();
+  while (!m_candidate.isCurrent())
+    m_host.advance(Milliseconds(1));
+  call("GET");
+  call("DELETE");
+  run(Milliseconds(1000));
+  BOOST_TEST(m_statuses == std::vector<int>({200, 200}),
+             boost::test_tools::per_element());
+}
+
 /// A node whose reads never reach the end of the log, so that no read covers
 /// the time of a call.
 struct LaggingFixture : Fixture {
--- a/catkinseam/ownership/candidate.cc
+++ b/catkinseam/ownership/candidate.cc
@@ -31,7 +31,7 @@
 }
 
 bool Candidate::isCurrent() const {
-  return m_reader.isLoaded() &&
+  return m_reader.hasCaughtUp() &&
          m_host.now() - m_reader.caughtUpAt() < m_options.m_maxReadAge;
 }
 
