--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -309,17 +309,15 @@
   Task.m_runs.push_back(Run);
   Worker.m_runs.push_back({&Task, Number});
   const StepSpec &Spec = *Task.m_step->m_spec;
-  Resources Held = Spec.m_request;
   if (Spec.m_isFiller) {
-    Worker.m_fillerProcessors += Held.m_milliProcessors;
+    Worker.m_fillerProcessors += Spec.m_request.m_milliProcessors;
     ++Worker.m_fillers;
-    Held.m_milliProcessors = 0;
   }
   if (Spec.m_isService) {
     ++Worker.m_services;
-    Worker.m_serviceProcessors += Held.m_milliProcessors;
+    Worker.m_serviceProcessors += Spec.reservation().m_milliProcessors;
   }
-  Worker.m_reserved += Held;
+  Worker.m_reserved += Spec.reservation();
   Worker.m_areLoadHeadroomsStale = true;
   ++Task.m_step->m_occurrence->m_job->m_activeRunCount;
   return Task.m_runs.back();
@@ -329,20 +327,18 @@
   RunInfo *Run = findRun(Task, Number);
   WorkerInfo &Worker = *Run->m_worker;
   const StepSpec &Spec = *Task.m_step->m_spec;
-  Resources Held = Spec.m_request;
   if (Spec.m_isFiller) {
-    Worker.m_fillerProcessors -= Held.m_milliProcessors;
+    Worker.m_fillerProcessors -= Spec.m_request.m_milliProcessors;
     --Worker.m_fillers;
     if (Run->m_measurement > 0)
       Worker.m_endedFillers.push_back(
           {Task.m_step->m_image, Run->m_measurement, m_clock.now()});
-    Held.m_milliProcessors = 0;
   }
   if (Spec.m_isService) {
     --Worker.m_services;
-    Worker.m_serviceProcessors -= Held.m_milliProcessors;
+    Worker.m_serviceProcessors -= Spec.reservation().m_milliProcessors;
   }
-  Worker.m_reserved -= Held;
+  Worker.m_reserved -= Spec.reservation();
   Worker.m_trials -= Run->m_isOnTrial ? 1 : 0;
   Worker.m_areLoadHeadroomsStale = true;
   std::erase(Worker.m_runs, RunRef{&Task, Number});
--- a/catkinseam/scheduler/testing/scheduler_fixture.h
+++ b/catkinseam/scheduler/testing/scheduler_fixture.h
@@ -25,8 +25,9 @@
   std::map<std::string, std::vector<StartOrder>> m_sentStarts;
   std::map<std::string, std::uint64_t> m_endCounts;
 
-  void addWorker(const std::string &Name, Resources Capacity = {4000, 8000, 0},
-                 const std::string &Rack = "r1") {
+  static WorkerRegistration registration(const std::string &Name,
+                                         const Resources &Capacity,
+                                         const std::string &Rack = "r1") {
     WorkerRegistration Registration;
     Registration.m_id = Name;
     Registration.m_startedMs = 1;
@@ -34,7 +35,12 @@
     Registration.m_service = "tally";
     Registration.m_capacity = Capacity;
     Registration.m_labels = {"a", Rack};
-    m_scheduler.updateWorker(Registration);
+    return Registration;
+  }
+
+  void addWorker(const std::string &Name, Resources Capacity = {4000, 8000, 0},
+                 const std::string &Rack = "r1") {
+    m_scheduler.updateWorker(registration(Name, Capacity, Rack));
     answerPoll(Name, {}, {});
   }
 
--- a/catkinseam/scheduler/worker_restart_test.cc
+++ b/catkinseam/scheduler/worker_restart_test.cc
@@ -12,12 +12,9 @@
 struct Fixture : SchedulerFixture {
   /// Lets the registry show the worker's next incarnation.
   void registerRestart(const std::string &Name) {
-    WorkerRegistration Registration;
-    Registration.m_id = Name;
-    Registration.m_startedMs = 2;
-    Registration.m_service = "tally";
-    Registration.m_capacity = {1000, 8000, 0};
-    m_scheduler.updateWorker(Registration);
+    WorkerRegistration Next = registration(Name, {1000, 8000, 0});
+    Next.m_startedMs = 2;
+    m_scheduler.updateWorker(Next);
   }
 
   /// Lets the next incarnation answer a status poll.
