Start nothing in a data centre that the operator has asked to evacuate

Cause: no line of the program read the operator's requests to evacuate a data centre.

Change: every node follows the requests with the operator topic it reads anyway. The scheduler treats the workers of these data centres as unavailable, also for starts that are planned and not yet sent. Where the settings give a bound (scheduling.evacuation_s) the owner starts nothing while its view of the requests is older. What runs there ends there. Cold workers fill last.

--- a/catkinseam/node/node.cc
+++ b/catkinseam/node/node.cc
@@ -39,6 +39,11 @@
     Opts.m_peer = toString(Values.m_peerEndpoint);
   Opts.m_ownership.m_processorShare = Values.m_processorShare;
   Opts.m_owner.m_appendLimits = appendLimits(Values);
+  // Time for a start to reach its worker.
+  constexpr Milliseconds StartMargin{500};
+  if (Values.m_evacuationBound > FractionalSeconds::zero())
+    Opts.m_owner.m_maxEvacuationAge = std::max(
+        toMilliseconds(Values.m_evacuationBound) - StartMargin, StartMargin);
   Scheduler::Options &Scheduling = Opts.m_owner.m_scheduler;
   const Milliseconds LongestLease = toMilliseconds(Values.m_maxLeaseDuration);
   Scheduling.m_storeOutageLease = LongestLease;
@@ -64,8 +69,9 @@
                      {[this] { return ownerPeer(); },
                       [this] { return m_candidate.logLatency(); }},
                      {}),
+      m_evacuations(Loop.clock()),
       m_candidate(
-          Loop, m_relayedStore, m_ledger,
+          Loop, m_relayedStore, m_ledger, m_evacuations,
           [&Loop](const WorkerRegistration &Registration)
               -> std::unique_ptr<WorkerLink> {
             return std::make_unique<HttpWorkerLink>(
@@ -76,7 +82,10 @@
           Loop, m_store,
           {.m_topic = LogTopic::Operator, .m_wait = Milliseconds(2000)},
           {[this](const StoredRecord &Record) { onOperatorRecord(Record); },
-           nullptr, nullptr}),
+           [this] { m_evacuations.onRead(m_operatorReader.caughtUpAt()); },
+           [this](const std::set<std::string> &Keys) {
+             onOperatorRecordsLoaded(Keys);
+           }}),
       m_jobService(Loop, m_relayedStore, m_ledger, jobServiceOptions(Values)),
       m_jobLookup(m_jobService, {[this] { return m_candidate.hasCaughtUp(); },
                                  [this](std::function<void()> Done) {
@@ -163,12 +172,19 @@
   m_metrics.setGauge("catkinseam_jobs",
                      static_cast<double>(m_ledger.jobs().size()));
   m_metrics.setGauge("catkinseam_is_owner", m_candidate.owner() ? 1 : 0);
+  m_metrics.setGauge("catkinseam_evacuated_data_centres",
+                     static_cast<double>(m_evacuations.requests().size()));
   if (const Owner *Current = m_candidate.owner()) {
     m_metrics.setGauge("catkinseam_live_jobs",
                        static_cast<double>(Current->scheduler().liveJobs()));
     m_metrics.setGauge(
         "catkinseam_waiting_tasks",
         static_cast<double>(Current->scheduler().summarize().m_waitingTasks));
+    std::size_t RunsLeft = 0;
+    for (const std::string &Each : m_evacuations.dataCentres())
+      RunsLeft += Current->scheduler().runsIn(Each).m_runs;
+    m_metrics.setGauge("catkinseam_evacuation_runs_left",
+                       static_cast<double>(RunsLeft));
   }
   return m_metrics.text();
 }
@@ -176,8 +192,27 @@
 // --- Operator configuration.
 
 void Node::onOperatorRecord(const StoredRecord &Record) {
-  if (Record.m_record.m_key != OperatorConfigKey || !Record.m_record.m_value)
-    return;
+  const KeyedRecord &Given = Record.m_record;
+  if (const auto DataCentre = parseEvacuationKey(Given.m_key)) {
+    if (Given.m_value)
+      m_evacuations.request(*DataCentre);
+    else
+      m_evacuations.withdraw(*DataCentre);
+  } else if (Given.m_key == OperatorConfigKey && Given.m_value) {
+    onOperatorConfig(Record);
+  }
+}
+
+void Node::onOperatorRecordsLoaded(const std::set<std::string> &Keys) {
+  std::set<std::string> Evacuated;
+  for (const std::string &Each : Keys)
+    if (const auto DataCentre = parseEvacuationKey(Each))
+      Evacuated.insert(*DataCentre);
+  m_evacuations.retainOnly(Evacuated);
+  m_evacuations.onRead(m_operatorReader.caughtUpAt());
+}
+
+void Node::onOperatorConfig(const StoredRecord &Record) {
   auto Read =
       attempt([&] { return parseOperatorConfig(*Record.m_record.m_value); });
   if (!Read) {
--- a/catkinseam/node/node.h
+++ b/catkinseam/node/node.h
@@ -44,6 +44,8 @@
 
 private:
   void onOperatorRecord(const StoredRecord &Record);
+  void onOperatorConfig(const StoredRecord &Record);
+  void onOperatorRecordsLoaded(const std::set<std::string> &Keys);
   bool isReady() const;
   void stopWhenDrained();
   std::string metricsText();
@@ -58,6 +60,7 @@
   RelayedLog m_relayedStore;
   Metrics m_metrics;
   Ledger m_ledger;
+  Evacuations m_evacuations;
   Candidate m_candidate;
   KeyedLogReader m_operatorReader;
   JobService m_jobService;
--- a/catkinseam/ownership/candidate.cc
+++ b/catkinseam/ownership/candidate.cc
@@ -7,10 +7,12 @@
 namespace catkinseam {
 
 Candidate::Candidate(Runtime &Host, KeyedLog &Log, Ledger &Jobs,
+                     const Evacuations &EvacuationRequests,
                      Owner::WorkerLinkFactory MakeLink,
                      Owner::WorkerRegistrationParser ParseRegistration,
                      const Options &Values)
-    : m_host(Host), m_log(Log), m_jobs(Jobs), m_makeLink(std::move(MakeLink)),
+    : m_host(Host), m_log(Log), m_jobs(Jobs), m_evacuations(EvacuationRequests),
+      m_makeLink(std::move(MakeLink)),
       m_parseRegistration(std::move(ParseRegistration)), m_options(Values),
       m_reader(Host, Log,
                {.m_topic = LogTopic::Jobs,
@@ -157,8 +159,8 @@
   Values.m_peer = m_options.m_peer;
   Values.m_processorShare = m_options.m_ownership.m_processorShare;
   m_owner = std::make_unique<Owner>(
-      m_host, m_log, m_jobs, m_makeLink, m_parseRegistration, Values,
-      [this] { return isCurrent(); },
+      m_host, m_log, m_jobs, m_evacuations, m_makeLink, m_parseRegistration,
+      Values, [this] { return isCurrent(); },
       [this] { return m_reader.coveredUntil(); },
       [this] {
         m_endTimer.start(Duration::zero(), [this] { onOwnershipLost(); });
--- a/catkinseam/ownership/candidate.h
+++ b/catkinseam/ownership/candidate.h
@@ -1,7 +1,7 @@
 // A node's part in electing the owner: follows the jobs topic, starts an
 // election when the owner times out, and runs an Owner while it is elected.
 //
-//   Candidate Node(Host, Log, Jobs, MakeLink, ParseRegistration,
+//   Candidate Node(Host, Log, Jobs, Requests, MakeLink, ParseRegistration,
 //                  {.m_node = "edge-1"});
 //   Node.start();
 #ifndef CATKINSEAM_OWNERSHIP_CANDIDATE_H
@@ -52,6 +52,7 @@
   };
 
   Candidate(Runtime &Host, KeyedLog &Log, Ledger &Jobs,
+            const Evacuations &EvacuationRequests,
             Owner::WorkerLinkFactory MakeLink,
             Owner::WorkerRegistrationParser ParseRegistration,
             const Options &Values);
@@ -114,6 +115,7 @@
   Runtime &m_host;
   KeyedLog &m_log;
   Ledger &m_jobs;
+  const Evacuations &m_evacuations;
   const Owner::WorkerLinkFactory m_makeLink;
   const Owner::WorkerRegistrationParser m_parseRegistration;
   const Options m_options;
--- a/catkinseam/ownership/owner.cc
+++ b/catkinseam/ownership/owner.cc
@@ -7,12 +7,13 @@
 namespace catkinseam {
 
 Owner::Owner(Runtime &Host, KeyedLog &Log, Ledger &Jobs,
-             WorkerLinkFactory MakeLink,
+             const Evacuations &EvacuationRequests, WorkerLinkFactory MakeLink,
              WorkerRegistrationParser ParseRegistration, const Options &Values,
              std::function<bool()> IsCurrent,
              std::function<TimePoint()> CoveredUntil,
              std::function<void()> OnOwnershipLost)
-    : m_host(Host), m_log(Log), m_jobs(Jobs), m_makeLink(std::move(MakeLink)),
+    : m_host(Host), m_log(Log), m_jobs(Jobs), m_evacuations(EvacuationRequests),
+      m_makeLink(std::move(MakeLink)),
       m_parseRegistration(std::move(ParseRegistration)), m_options(Values),
       m_isCurrent(std::move(IsCurrent)),
       m_coveredUntil(std::move(CoveredUntil)),
@@ -183,6 +184,17 @@
          m_options.m_maxRegistryAge;
 }
 
+bool Owner::areEvacuationsCurrent() const {
+  return m_options.m_maxEvacuationAge == Milliseconds::zero() ||
+         m_evacuations.areCurrent(m_options.m_maxEvacuationAge);
+}
+
+void Owner::updatePlacementInputs() {
+  m_scheduler.setEvacuatedDataCentres(m_evacuations.dataCentres());
+  m_scheduler.setPlacementInputsCurrent(isRegistryCurrent() &&
+                                        areEvacuationsCurrent());
+}
+
 void Owner::requestCycle() {
   if (!m_cycleTimer.isRunning())
     m_cycleTimer.start(m_options.m_batchingWindow, [this] { runCycle(); });
@@ -196,7 +208,7 @@
     m_scheduler.setStoreReachable(m_host.now() -
                                       m_progressAppender.startedAt() <
                                   m_options.m_slowAppendThreshold);
-  m_scheduler.setRegistryCurrent(isRegistryCurrent());
+  updatePlacementInputs();
   sendControls();
   if (!IsStoring && !m_isLeaving && m_isCurrent()) {
     Decisions Next = m_scheduler.decide();
@@ -251,12 +263,25 @@
            {"paced", std::to_string(Stats.m_fillerGranted)},
            {"over", std::to_string(Stats.m_servicesOverTarget)},
            {"open", std::to_string(Stats.m_availableWorkers)}});
+  logEvacuations();
   m_summaryTimer.start(m_options.m_summaryInterval, [this] {
     if (!m_hasSteppedDown)
       logSummary();
   });
 }
 
+void Owner::logEvacuations() const {
+  for (const auto &[DataCentre, Since] : m_evacuations.requests()) {
+    const Scheduler::DataCentreRuns Left = m_scheduler.runsIn(DataCentre);
+    logInfo("evacuation.in_force",
+            {{"data_centre", DataCentre},
+             {"since_ms",
+              std::to_string(toMilliseconds(m_host.now() - Since).count())},
+             {"runs", std::to_string(Left.m_runs)},
+             {"services", std::to_string(Left.m_services)}});
+  }
+}
+
 // --- The progress topic.
 
 void Owner::loadProgress(const std::string &AfterKey) {
@@ -341,8 +366,10 @@
     return announce();
   const bool IsStale =
       m_host.now() - m_progressAppender.startedAt() > m_options.m_maxStartAge;
+  updatePlacementInputs();
   sendStarts(m_scheduler.release(
-      m_pendingDecisions, IsStale || !m_isCurrent() || !isRegistryCurrent()));
+      m_pendingDecisions, IsStale || !m_isCurrent() || !isRegistryCurrent() ||
+                              !areEvacuationsCurrent()));
   for (auto &[Id, Connection] : m_connections)
     if (Connection.m_hasUnstoredEnds)
       schedulePoll(Id, Duration::zero());
--- a/catkinseam/ownership/owner.h
+++ b/catkinseam/ownership/owner.h
@@ -3,8 +3,8 @@
 //
 //   Owner::Options Values;
 //   Values.m_epoch = 7;
-//   Owner Elected(Host, Log, Jobs, MakeLink, ParseRegistration, Values,
-//                 IsCurrent, OnOwnershipLost);
+//   Owner Elected(Host, Log, Jobs, Requests, MakeLink, ParseRegistration,
+//                 Values, IsCurrent, CoveredUntil, OnOwnershipLost);
 //   Elected.start();
 //
 // Every node follows the jobs topic, so the owner announces only states there;
@@ -20,6 +20,7 @@
 #include "catkinseam/ledger/fenced_appender.h"
 #include "catkinseam/ledger/keyed_log_reader.h"
 #include "catkinseam/ledger/ledger.h"
+#include "catkinseam/ownership/evacuations.h"
 #include "catkinseam/ownership/learned_model_store.h"
 #include "catkinseam/scheduler/scheduler.h"
 
@@ -62,6 +63,9 @@
     /// No run is started once the registry of workers was last read to its end
     /// longer ago than this.
     Milliseconds m_maxRegistryAge{3000};
+    /// No run is started once the requests of evacuations were last read
+    /// longer ago than this; zero for no limit.
+    Milliseconds m_maxEvacuationAge{0};
     /// Interval of the `owner.summary` log event.
     Milliseconds m_summaryInterval{1000};
     /// Limits of the log.
@@ -90,7 +94,8 @@
   /// `OnOwnershipLost` is called once, when the log or a worker rejects this
   /// owner's epoch, or the log rejects an append of the owner as invalid or out
   /// of order. The owner must then be destroyed, but not from within the call.
-  Owner(Runtime &Host, KeyedLog &Log, Ledger &Jobs, WorkerLinkFactory MakeLink,
+  Owner(Runtime &Host, KeyedLog &Log, Ledger &Jobs,
+        const Evacuations &EvacuationRequests, WorkerLinkFactory MakeLink,
         WorkerRegistrationParser ParseRegistration, const Options &Values,
         std::function<bool()> IsCurrent,
         std::function<TimePoint()> CoveredUntil,
@@ -153,6 +158,7 @@
 
   void scheduleHeartbeat();
   void logSummary();
+  void logEvacuations() const;
   OwnerRecord ownRecord(bool IsLeaving) const;
 
   void pollWorker(const std::string &Id);
@@ -162,12 +168,16 @@
   WorkerConnection *findConnection(const std::string &Id);
   bool hasAuthority() const;
   bool isRegistryCurrent() const;
+  bool areEvacuationsCurrent() const;
+  /// Passes the scheduler what the operator and the workers have announced.
+  void updatePlacementInputs();
   void onFenced(const std::string &Worker);
   void stepDown(const char *Reason);
 
   Runtime &m_host;
   KeyedLog &m_log;
   Ledger &m_jobs;
+  const Evacuations &m_evacuations;
   const WorkerLinkFactory m_makeLink;
   const WorkerRegistrationParser m_parseRegistration;
   const Options m_options;
--- a/catkinseam/ownership/owner_test.cc
+++ b/catkinseam/ownership/owner_test.cc
@@ -47,6 +47,7 @@
       m_cluster.worker(Index).m_stopTime = Milliseconds(0);
     }
     m_cluster.restoreCapacities();
+    withdrawEvacuations();
     m_cluster.heal();
   }
 
@@ -71,6 +72,8 @@
         &FaultInjector::changeCapacities,
         &FaultInjector::delayStops,
         &FaultInjector::restartNodes,
+        &FaultInjector::evacuate,
+        &FaultInjector::withdrawEvacuations,
         &FaultInjector::clearFaults};
     (this->*Faults[randomIndex(Faults.size())])();
   }
@@ -134,6 +137,12 @@
         m_cluster.startNode(Index);
   }
 
+  void evacuate() { m_cluster.evacuate("dc" + std::to_string(randomIndex(3))); }
+  void withdrawEvacuations() {
+    for (int Index = 0; Index < 3; ++Index)
+      m_cluster.withdrawEvacuation("dc" + std::to_string(Index));
+  }
+
   SimulatedCluster &m_cluster;
 };
 
--- a/catkinseam/ownership/takeover_test.cc
+++ b/catkinseam/ownership/takeover_test.cc
@@ -20,6 +20,7 @@
   FakeLog Log(Host, Random);
   FakeLog::View View(Log);
   Ledger Jobs;
+  const Evacuations NoRequests(Host.clock());
   FakeWorker Worker(Host, Random, History, "w0", {4000, 8000, 0});
   Log.put(LogTopic::Workers, "w0", "0");
   JobProgress Started;
@@ -35,7 +36,7 @@
   Owner::Options Values;
   Values.m_epoch = 2;
   Owner Successor(
-      Host, View, Jobs,
+      Host, View, Jobs, NoRequests,
       [&](const WorkerRegistration &) { return Worker.connect(); },
       [&](const std::string &, const std::string &) {
         return Result<WorkerRegistration>(Worker.registration());
--- a/catkinseam/ownership/testing/fake_worker.cc
+++ b/catkinseam/ownership/testing/fake_worker.cc
@@ -160,6 +160,8 @@
   Registration.m_startedMs = m_startedMs;
   Registration.m_address = {"127.0.0.1", 1};
   Registration.m_service = "tally";
+  Registration.m_dataCentre = m_dataCentre;
+  Registration.m_coldFor = m_coldFor;
   Registration.m_capacity = m_capacity;
   return Registration;
 }
--- a/catkinseam/ownership/testing/fake_worker.h
+++ b/catkinseam/ownership/testing/fake_worker.h
@@ -54,6 +54,9 @@
   /// How long a run goes on after its stop was acknowledged.
   Milliseconds m_stopTime{0};
   Network m_network;
+  std::string m_dataCentre;
+  /// How long the worker registers that it is slow after its start.
+  Milliseconds m_coldFor{0};
   /// A crash ends the life of the id; the next incarnation has another one at
   /// the same address.
   bool m_changesId = false;
--- a/catkinseam/ownership/testing/run_history.cc
+++ b/catkinseam/ownership/testing/run_history.cc
@@ -196,6 +196,22 @@
   }
 }
 
+void checkEvacuations(const RunHistory &History, const HistoryBounds &Bounds,
+                      Violations &Found) {
+  for (const RecordedRun &Run : History.m_runs) {
+    const auto Place = Bounds.m_dataCentres.find(Run.m_worker);
+    if (Place == Bounds.m_dataCentres.end() || Run.m_wasDelayed)
+      continue;
+    for (const RunHistory::Evacuation &Each : History.m_evacuations)
+      if (Each.m_dataCentre == Place->second &&
+          Run.m_startedAt >
+              Each.m_requestedAt + Bounds.m_maxStartAfterEvacuation &&
+          Run.m_startedAt < Each.m_withdrawnAt)
+        Found.push_back("started in evacuated data centre \"" +
+                        Each.m_dataCentre + "\": " + describe(Run));
+  }
+}
+
 } // namespace
 
 RecordedRun *RunHistory::find(const std::string &Worker, const TaskKey &Task,
@@ -248,6 +264,18 @@
   m_capacityChanges[Worker].push_back({Now, Capacity});
 }
 
+void RunHistory::evacuationRequested(const std::string &DataCentre,
+                                     TimePoint Now) {
+  m_evacuations.push_back({DataCentre, Now});
+}
+
+void RunHistory::evacuationWithdrawn(const std::string &DataCentre,
+                                     TimePoint Now) {
+  for (Evacuation &Each : m_evacuations)
+    if (Each.m_dataCentre == DataCentre)
+      Each.m_withdrawnAt = std::min(Each.m_withdrawnAt, Now);
+}
+
 std::vector<std::string> checkHistory(const RunHistory &History,
                                       const std::vector<SubmittedJob> &Jobs,
                                       const HistoryBounds &Bounds) {
@@ -259,6 +287,7 @@
   checkAttempts(Runs, Jobs, Found);
   checkStepOrder(Runs, Jobs, Found);
   checkCapacity(History, Jobs, Bounds, Found);
+  checkEvacuations(History, Bounds, Found);
   return Found;
 }
 
--- a/catkinseam/ownership/testing/run_history.h
+++ b/catkinseam/ownership/testing/run_history.h
@@ -46,6 +46,9 @@
   /// acknowledged by then do not count.
   void leaseExpired(const std::string &Worker, TimePoint Now);
 
+  void evacuationRequested(const std::string &DataCentre, TimePoint Now);
+  void evacuationWithdrawn(const std::string &DataCentre, TimePoint Now);
+
   /// Records a change of a worker's registered capacity.
   void capacityChanged(const std::string &Worker, const Resources &Capacity,
                        TimePoint Now);
@@ -57,6 +60,13 @@
     Resources m_capacity;
   };
   std::map<std::string, std::vector<CapacityChange>> m_capacityChanges;
+  /// A request to evacuate a data centre, until it was withdrawn.
+  struct Evacuation {
+    std::string m_dataCentre;
+    TimePoint m_requestedAt;
+    TimePoint m_withdrawnAt = TimePoint::max();
+  };
+  std::vector<Evacuation> m_evacuations;
 
 private:
   RecordedRun *find(const std::string &Worker, const TaskKey &Task,
@@ -74,6 +84,10 @@
 struct HistoryBounds {
   /// Capacities before the first change.
   std::map<std::string, Resources> m_capacities;
+  std::map<std::string, std::string> m_dataCentres;
+  /// A task may start in a data centre up to this long after a request to
+  /// evacuate it.
+  Milliseconds m_maxStartAfterEvacuation{5000};
   /// A reduced capacity counts after this time, and this much later for starts
   /// that a worker executed late.
   Milliseconds m_capacityNotice{4500};
--- a/catkinseam/ownership/testing/run_history_test.cc
+++ b/catkinseam/ownership/testing/run_history_test.cc
@@ -15,7 +15,9 @@
 struct Fixture {
   RunHistory m_history;
   std::vector<SubmittedJob> m_jobs = {{chainedJob(Job, 2), TimePoint::max()}};
-  HistoryBounds m_bounds{{{"w1", {4000, 8000, 0}}, {"w2", {4000, 8000, 0}}}};
+  HistoryBounds m_bounds{
+      .m_capacities = {{"w1", {4000, 8000, 0}}, {"w2", {4000, 8000, 0}}},
+      .m_dataCentres = {{"w1", "dc0"}, {"w2", "dc1"}}};
 
   TaskKey task(std::uint32_t Step, std::uint32_t Index) const {
     return {Job, 0, Step, Index};
@@ -108,6 +110,19 @@
   BOOST_TEST(violations() == 1U);
 }
 
+// A request counts five seconds after it was made, until it is withdrawn.
+BOOST_FIXTURE_TEST_CASE(RejectsStartInEvacuatedDataCentre, Fixture) {
+  m_history.evacuationRequested("dc0", at(1000));
+  run("w1", task(0, 0), 1, 5900, 5950, RunEnd::Failed);
+  run("w2", task(0, 0), 2, 6100, 6200, RunEnd::Done);
+  BOOST_TEST(violations() == 0U);
+  run("w1", task(0, 1), 1, 6100, 6200, RunEnd::Failed);
+  BOOST_TEST(violations() == 1U);
+  m_history.evacuationWithdrawn("dc0", at(6500));
+  run("w1", task(0, 1), 2, 6600, 6700, RunEnd::Done);
+  BOOST_TEST(violations() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(RejectsTooManyTasksOfStepOnOneWorker, Fixture) {
   m_jobs[0].m_job.m_spec.m_steps[0].m_maxPerWorker = 1;
   run("w1", task(0, 0), 1, 0, 100, RunEnd::Done);
--- a/catkinseam/ownership/testing/simulated_cluster.cc
+++ b/catkinseam/ownership/testing/simulated_cluster.cc
@@ -144,16 +144,34 @@
 
 void FakeNode::start(Owner::WorkerLinkFactory MakeLink,
                      Owner::WorkerRegistrationParser ParseRegistration,
-                     Milliseconds JobRetention) {
+                     Milliseconds JobRetention, Milliseconds MaxEvacuationAge) {
   kill();
   m_pausableLog = std::make_unique<PausableLog>(*this);
   m_jobs = std::make_unique<Ledger>();
+  m_evacuations = std::make_unique<Evacuations>(clock());
+  m_operatorReader = std::make_unique<KeyedLogReader>(
+      *this, *m_pausableLog,
+      KeyedLogReader::Options{.m_topic = LogTopic::Operator,
+                              .m_wait = Milliseconds(2000)},
+      KeyedLogReader::Callbacks{
+          [this](const StoredRecord &Each) {
+            if (Each.m_record.m_value)
+              m_evacuations->request(Each.m_record.m_key);
+            else
+              m_evacuations->withdraw(Each.m_record.m_key);
+          },
+          [this] { m_evacuations->onRead(m_operatorReader->caughtUpAt()); },
+          [this](const std::set<std::string> &DataCentres) {
+            m_evacuations->retainOnly(DataCentres);
+            m_evacuations->onRead(m_operatorReader->caughtUpAt());
+          }});
   Candidate::Options Values;
   Values.m_node = m_name;
   Values.m_bootId = m_name + "-" + std::to_string(m_incarnation);
   Values.m_owner.m_scheduler.m_jobRetention = JobRetention;
+  Values.m_owner.m_maxEvacuationAge = MaxEvacuationAge;
   m_candidate = std::make_unique<Candidate>(
-      *this, *m_pausableLog, *m_jobs,
+      *this, *m_pausableLog, *m_jobs, *m_evacuations,
       [this,
        MakeLink = std::move(MakeLink)](const WorkerRegistration &Registration)
           -> std::unique_ptr<WorkerLink> {
@@ -171,6 +189,7 @@
                          [this](std::function<void(bool)> Done) {
                            m_candidate->cover(std::move(Done));
                          }});
+  m_operatorReader->start();
   m_candidate->start();
 }
 
@@ -178,6 +197,8 @@
   m_candidate.reset();
   m_jobLookup.reset();
   m_jobService.reset();
+  m_operatorReader.reset();
+  m_evacuations.reset();
   m_jobs.reset();
   m_pausableLog.reset();
   m_deferred.clear();
@@ -191,6 +212,7 @@
     m_workers.push_back(std::make_unique<FakeWorker>(
         m_host, m_random, m_history, "w" + std::to_string(Index),
         Values.m_capacity));
+    m_workers.back()->m_dataCentre = "dc" + std::to_string(Index % 3);
     registerWorker(Index);
   }
   for (std::size_t Index = 0; Index < Values.m_nodes; ++Index) {
@@ -219,7 +241,7 @@
           return makeError(ErrorCode::Invalid, "the id is no longer in use");
         return Read;
       },
-      m_options.m_jobRetention);
+      m_options.m_jobRetention, m_options.m_maxEvacuationAge);
 }
 
 void SimulatedCluster::crashWorker(std::size_t Index) {
@@ -243,6 +265,16 @@
     changeCapacity(Index, m_options.m_capacity);
 }
 
+void SimulatedCluster::evacuate(const std::string &DataCentre) {
+  m_history.evacuationRequested(DataCentre, m_host.now());
+  m_log.put(LogTopic::Operator, DataCentre, "{}");
+}
+
+void SimulatedCluster::withdrawEvacuation(const std::string &DataCentre) {
+  m_history.evacuationWithdrawn(DataCentre, m_host.now());
+  m_log.put(LogTopic::Operator, DataCentre, std::nullopt);
+}
+
 FakeNode *SimulatedCluster::owner() {
   for (const auto &Each : m_nodes)
     if (Each->isOwner() && !Each->isPaused() && !Each->m_log.m_isPartitioned)
@@ -274,8 +306,11 @@
 
 std::vector<std::string> SimulatedCluster::violations() const {
   HistoryBounds Bounds;
-  for (std::size_t Index = 0; Index < m_workers.size(); ++Index)
-    Bounds.m_capacities["w" + std::to_string(Index)] = m_options.m_capacity;
+  for (std::size_t Index = 0; Index < m_workers.size(); ++Index) {
+    const std::string Name = "w" + std::to_string(Index);
+    Bounds.m_capacities[Name] = m_options.m_capacity;
+    Bounds.m_dataCentres[Name] = m_workers[Index]->m_dataCentre;
+  }
   return checkHistory(m_history, m_submitted, Bounds);
 }
 
--- a/catkinseam/ownership/testing/simulated_cluster.h
+++ b/catkinseam/ownership/testing/simulated_cluster.h
@@ -35,7 +35,7 @@
   /// Starts a new incarnation of the process.
   void start(Owner::WorkerLinkFactory MakeLink,
              Owner::WorkerRegistrationParser ParseRegistration,
-             Milliseconds JobRetention);
+             Milliseconds JobRetention, Milliseconds MaxEvacuationAge);
   void kill();
   void pause() { m_isPaused = true; }
   void resume();
@@ -69,6 +69,8 @@
   std::deque<std::pair<TimerId, std::function<void()>>> m_deferred;
   std::unique_ptr<PausableLog> m_pausableLog;
   std::unique_ptr<Ledger> m_jobs;
+  std::unique_ptr<Evacuations> m_evacuations;
+  std::unique_ptr<KeyedLogReader> m_operatorReader;
   std::unique_ptr<Candidate> m_candidate;
   std::unique_ptr<JobService> m_jobService;
   std::unique_ptr<JobLookup> m_jobLookup;
@@ -81,6 +83,8 @@
     std::size_t m_nodes = 3;
     std::size_t m_workers = 6;
     Resources m_capacity{4000, 8000, 0};
+    /// See Owner::Options.
+    Milliseconds m_maxEvacuationAge{4500};
     Milliseconds m_jobRetention = Scheduler::Options{}.m_jobRetention;
   };
 
@@ -111,6 +115,9 @@
   void registerWorker(std::size_t Index);
   /// Changes the worker's capacity and its registration.
   void changeCapacity(std::size_t Index, const Resources &Capacity);
+  /// Requests the evacuation of a data centre: "dc0", "dc1" or "dc2".
+  void evacuate(const std::string &DataCentre);
+  void withdrawEvacuation(const std::string &DataCentre);
   /// Gives all workers the capacity that they began with.
   void restoreCapacities();
 
--- a/catkinseam/platform/adapters_test.cc
+++ b/catkinseam/platform/adapters_test.cc
@@ -63,12 +63,13 @@
   const std::string Text =
       R"({"service":"s","address":"10.1.0.9:80","zone":"a","state":"draining",)"
       R"("capacity":{"cpu":16000,"memMb":64000,"gpu":0},"labels":["a","r1"],)"
-      R"("remainingMs":2500,"born":17,"sequence":4})";
+      R"("remainingMs":2500,"coldRemainingMs":1200,"born":17,"sequence":4})";
   auto Parsed = attempt([&] { return parseWorkerRegistration("w1", Text); });
   BOOST_REQUIRE(static_cast<bool>(Parsed));
   BOOST_TEST(Parsed.value().m_isDraining);
   BOOST_TEST(Parsed.value().m_startedMs == 17);
   BOOST_TEST(Parsed.value().m_remaining.count() == 2500);
+  BOOST_TEST(Parsed.value().m_coldFor.count() == 1200);
   BOOST_TEST(Parsed.value().m_capacity.m_memoryMb == 64000);
 }
 
@@ -110,6 +111,12 @@
     BOOST_TEST(!Parse(Each), Each);
 }
 
+BOOST_AUTO_TEST_CASE(ParsesKeysOfEvacuations) {
+  BOOST_TEST(parseEvacuationKey("evacuate/samara").value() == "samara");
+  for (const char *Each : {"evacuate/", "evacuate", "config", "wave/1"})
+    BOOST_TEST(!parseEvacuationKey(Each), Each);
+}
+
 BOOST_AUTO_TEST_CASE(ParsesAnOperatorConfiguration) {
   auto Parsed = attempt([] {
     return parseOperatorConfig(
@@ -148,11 +155,14 @@
       "readiness = \"127.0.0.1:2\"\nmetrics = \"127.0.0.1:3\"\n"
       "[platform]\nstore = \"127.0.0.1:4\"\n"
       "[scheduling]\nlongest_lease_s = 6500e-3\njob_memory_s = 90.5\n"
+      "evacuation_s = 5000e-3\n"
       "[stop]\ngrace_s = 6\n");
   BOOST_TEST(Valid.m_errors.empty());
   BOOST_TEST(toMilliseconds(Valid.m_settings.m_maxLeaseDuration).count() ==
              6500);
   BOOST_TEST(toMilliseconds(Valid.m_settings.m_jobRetention).count() == 90500);
+  BOOST_TEST(toMilliseconds(Valid.m_settings.m_evacuationBound).count() ==
+             5000);
   BOOST_TEST(toMilliseconds(Valid.m_settings.m_shutdownGracePeriod).count() ==
              6000);
   const LoadedNodeSettings Invalid =
--- a/catkinseam/platform/job_lookup_test.cc
+++ b/catkinseam/platform/job_lookup_test.cc
@@ -28,10 +28,12 @@
   FakeLog m_log{m_host, m_random};
   FakeLog::View m_view{m_log};
   Ledger m_ledger;
+  Evacuations m_evacuations{m_host.clock()};
   Candidate m_candidate{
       m_host,
       m_view,
       m_ledger,
+      m_evacuations,
       [](const WorkerRegistration &) { return std::unique_ptr<WorkerLink>(); },
       [](const std::string &, const std::string &)
           -> Result<WorkerRegistration> { return WorkerRegistration{}; },
--- a/catkinseam/platform/operator_records.cc
+++ b/catkinseam/platform/operator_records.cc
@@ -75,6 +75,13 @@
 
 } // namespace
 
+std::optional<std::string> parseEvacuationKey(const std::string &Key) {
+  constexpr std::string_view Prefix = "evacuate/";
+  if (!Key.starts_with(Prefix) || Key.size() == Prefix.size())
+    return std::nullopt;
+  return Key.substr(Prefix.size());
+}
+
 Result<OperatorConfig> parseOperatorConfig(const std::string &Text) {
   BOOST_LEAF_AUTO(Body, parseJsonBody(Text));
   OperatorConfig Config;
@@ -115,6 +122,8 @@
   Registration.m_isDraining = State == "draining";
   BOOST_LEAF_ASSIGN(Registration.m_remaining,
                     millisecondsMember(Body, "remainingMs"));
+  BOOST_LEAF_ASSIGN(Registration.m_coldFor,
+                    millisecondsMember(Body, "coldRemainingMs"));
   const JsonValue *Capacity = findMember(Body, "capacity");
   if (!Capacity || !Capacity->is_object())
     return missing("capacity");
--- a/catkinseam/platform/operator_records.h
+++ b/catkinseam/platform/operator_records.h
@@ -9,6 +9,7 @@
 #include "catkinseam/front/routing.h"
 #include "catkinseam/scheduler/model.h"
 
+#include <optional>
 #include <string>
 
 namespace catkinseam {
@@ -16,6 +17,9 @@
 /// Key of the configuration record in the operator topic.
 extern const char *const OperatorConfigKey;
 
+/// Returns the data centre if the key is that of a request to evacuate one.
+std::optional<std::string> parseEvacuationKey(const std::string &Key);
+
 /// Parses an operator configuration. Returns Invalid, naming the invalid field,
 /// on failure.
 Result<OperatorConfig> parseOperatorConfig(const std::string &Text);
--- a/catkinseam/scheduler/model.h
+++ b/catkinseam/scheduler/model.h
@@ -158,6 +158,8 @@
   bool m_isDraining = false;
   /// While draining: the minimum time left.
   Milliseconds m_remaining{0};
+  /// How much longer the worker is slow after its start.
+  Milliseconds m_coldFor{0};
 
   bool operator==(const WorkerRegistration &) const = default;
 };
--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -39,6 +39,8 @@
 constexpr double UnprovenCost = 10.0;
 /// Cost of a worker outside the rack that holds the step's data.
 constexpr double RemoteDataCost = 2.0;
+/// Cost of a worker that is slow after its start.
+constexpr double ColdWorkerCost = 1.0;
 /// Cost per run of the same step that is already on the worker, for finite work
 /// and for services.
 constexpr double SameStepCost = 0.25;
@@ -81,6 +83,8 @@
       Worker.m_hasSucceeded && Now - Worker.m_lastSuccessAt < ProvenFor;
   if (Task.m_failures > 0 && (!IsProven || Worker.m_consecutiveFailures > 0))
     Cost += UnprovenCost;
+  if (Now < Worker.m_coldUntil)
+    Cost += ColdWorkerCost;
   const StepSpec &Spec = *Task.m_step->m_spec;
   if (!Spec.m_dataRack.empty() && !Worker.hasLabel(Spec.m_dataRack))
     Cost += RemoteDataCost;
@@ -145,8 +149,9 @@
 bool isAvailable(const WorkerInfo &Worker, TimePoint Now) {
   return Worker.m_isListed && Worker.m_hasAcceptedToken &&
          Worker.m_isReachable && !Worker.m_registration.m_isDraining &&
-         Worker.m_isClockKnown && !Worker.m_hasRunOfUnknownSize &&
-         Worker.m_backoffUntil <= Now && Worker.m_quarantinedUntil <= Now;
+         !Worker.m_isEvacuated && Worker.m_isClockKnown &&
+         !Worker.m_hasRunOfUnknownSize && Worker.m_backoffUntil <= Now &&
+         Worker.m_quarantinedUntil <= Now;
 }
 
 bool satisfiesConstraints(const TaskInfo &Task, const WorkerInfo &Worker) {
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -101,7 +101,7 @@
 
 void Scheduler::listAvailableWorkers() {
   m_availableByService.clear();
-  if (!m_isRegistryCurrent)
+  if (!m_arePlacementInputsCurrent)
     return;
   for (const auto &[Id, Row] : m_workers)
     if (isAvailable(*Row, m_clock.now()))
@@ -554,4 +554,16 @@
   return Stats;
 }
 
+Scheduler::DataCentreRuns
+Scheduler::runsIn(const std::string &DataCentre) const {
+  DataCentreRuns Found;
+  for (const auto &[Id, Worker] : m_workers) {
+    if (Worker->m_registration.m_dataCentre != DataCentre)
+      continue;
+    Found.m_runs += Worker->m_runs.size();
+    Found.m_services += Worker->m_services;
+  }
+  return Found;
+}
+
 } // namespace catkinseam
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -116,9 +116,15 @@
     return m_interference.encodedState(MaxBytes);
   }
   void setStoreReachable(bool IsReachable) { m_isStoreReachable = IsReachable; }
-  /// Whether the registrations of workers are up to date; no run is placed
-  /// while they are not, since capacities may have shrunk.
-  void setRegistryCurrent(bool IsCurrent) { m_isRegistryCurrent = IsCurrent; }
+  /// Whether the registrations of workers and the requests of evacuations are
+  /// up to date. No run is placed while they are not, since capacities may have
+  /// shrunk and data centres may have to be spared.
+  void setPlacementInputsCurrent(bool AreCurrent) {
+    m_arePlacementInputsCurrent = AreCurrent;
+  }
+  /// Sets the data centres in which no run is started, planned ones included.
+  /// The runs there go on.
+  void setEvacuatedDataCentres(const std::set<std::string> &DataCentres);
 
   void onStart(const StartOrder &Order, const OrderReply &Reply);
   void onStop(const StopOrder &Order, const OrderReply &Reply);
@@ -176,6 +182,13 @@
     std::size_t m_availableWorkers = 0;
   };
   Summary summarize() const;
+
+  /// What still runs in a data centre.
+  struct DataCentreRuns {
+    std::size_t m_runs = 0;
+    std::size_t m_services = 0;
+  };
+  DataCentreRuns runsIn(const std::string &DataCentre) const;
   std::size_t liveJobs() const { return m_liveJobs; }
 
 private:
@@ -291,7 +304,8 @@
   FillerThrottle m_throttle;
   InterferenceModel m_interference;
   bool m_isStoreReachable = true;
-  bool m_isRegistryCurrent = true;
+  bool m_arePlacementInputsCurrent = true;
+  std::set<std::string> m_evacuatedDataCentres;
   std::unordered_map<std::string, std::unique_ptr<JobInfo>> m_jobs;
   std::unordered_map<std::string, std::unique_ptr<WorkerInfo>> m_workers;
   struct StepKey {
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -58,6 +58,10 @@
       Registration.m_address != Worker.m_registration.m_address)
     Worker.m_hasAcceptedToken = false;
   Worker.m_registration = Registration;
+  Worker.m_isEvacuated =
+      m_evacuatedDataCentres.contains(Registration.m_dataCentre);
+  if (Registration.m_coldFor > Milliseconds::zero())
+    Worker.m_coldUntil = m_clock.now() + Registration.m_coldFor;
   if (!Worker.m_isListed)
     logInfo("worker.listed", {{"worker", Registration.m_id},
                               {"service", Registration.m_service},
@@ -65,6 +69,16 @@
   Worker.m_isListed = true;
 }
 
+void Scheduler::setEvacuatedDataCentres(
+    const std::set<std::string> &DataCentres) {
+  if (DataCentres == m_evacuatedDataCentres)
+    return;
+  m_evacuatedDataCentres = DataCentres;
+  for (const auto &[Id, Worker] : m_workers)
+    Worker->m_isEvacuated =
+        DataCentres.contains(Worker->m_registration.m_dataCentre);
+}
+
 void Scheduler::removeWorker(const std::string &Id) {
   const auto Found = m_workers.find(Id);
   if (Found == m_workers.end() || !Found->second->m_isListed)
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -176,6 +176,10 @@
   WorkerRegistration m_registration;
   /// Present in the registry.
   bool m_isListed = false;
+  /// Its data centre is being evacuated; no run is started.
+  bool m_isEvacuated = false;
+  /// The worker is slow after its start until this time.
+  TimePoint m_coldUntil;
   /// This incarnation has answered a status poll with this owner's fencing
   /// token.
   bool m_hasAcceptedToken = false;
