Show an unfinished job only by a ledger that covers the question

Decision: an answer that the caller can't trust is a 503 with Retry-After. Completed and failed are answered at any time; other states wait for a covering read. So that nobody waits for a read that waits at the log, a probe asks for the topic's end. refresh() is gone, cover() does its work.

--- a/catkinseam/front/job_lookup.cc
+++ b/catkinseam/front/job_lookup.cc
@@ -1,22 +1,23 @@
-// Reads the log on before a job is denied.
+// Reads the log on before a job is denied or shown as unfinished.
 #include "catkinseam/front/job_lookup.h"
 
 #include <utility>
 
 namespace catkinseam {
 
-JobLookup::JobLookup(const JobService &Jobs, Updates Source)
-    : m_jobs(Jobs), m_updates(std::move(Source)) {}
+namespace {
 
-bool JobLookup::answerIfKnown(
-    const std::string &Id,
-    const std::function<void(const Reply &)> &Done) const {
-  const std::optional<JobState> State = m_jobs.stateOf(Id);
-  if (State)
-    Done({Outcome::Found, *State});
-  return State.has_value();
+/// Whether a state is final even if some records have not been read. A job that
+/// has been cancelled may have completed before.
+bool isCertain(JobState State) {
+  return isFinal(State) && State != JobState::Cancelled;
 }
 
+} // namespace
+
+JobLookup::JobLookup(const JobService &Jobs, Updates Source)
+    : m_jobs(Jobs), m_updates(std::move(Source)) {}
+
 void JobLookup::find(const std::string &Id,
                      std::function<void(const Reply &)> Done) {
   // While the newest records are loaded for the first time, even a final state
@@ -24,16 +25,16 @@
   if (!m_updates.m_hasCaughtUp())
     return Done({Outcome::NotCurrent, JobState::Queued});
   const std::optional<JobState> Known = m_jobs.stateOf(Id);
-  if (Known && isFinal(*Known))
+  if (Known && isCertain(*Known))
     return Done({Outcome::Found, *Known});
-  m_updates.m_refresh([this, Id, Done = std::move(Done)] {
-    if (answerIfKnown(Id, Done))
-      return;
-    m_updates.m_cover([this, Id, Done](bool IsCovered) {
-      if (!answerIfKnown(Id, Done))
-        Done({IsCovered ? Outcome::NoSuchJob : Outcome::NotCurrent,
-              JobState::Queued});
-    });
+  // Another node may have shown the end of the job, so an unfinished state is
+  // shown only by a ledger that covers the time of the question.
+  m_updates.m_cover([this, Id, Done = std::move(Done)](bool IsCovered) {
+    const std::optional<JobState> State = m_jobs.stateOf(Id);
+    if (State && (IsCovered || isCertain(*State)))
+      return Done({Outcome::Found, *State});
+    Done({IsCovered ? Outcome::NoSuchJob : Outcome::NotCurrent,
+          JobState::Queued});
   });
 }
 
--- a/catkinseam/front/job_lookup.h
+++ b/catkinseam/front/job_lookup.h
@@ -1,6 +1,6 @@
 // Looks up jobs for customers, on any node.
 //
-//   JobLookup Jobs(Service, {HasCaughtUp, Refresh, Cover});
+//   JobLookup Jobs(Service, {HasCaughtUp, Cover});
 //   Jobs.find(Id, [](const JobLookup::Reply &Found) { ... });
 #ifndef CATKINSEAM_FRONT_JOB_LOOKUP_H
 #define CATKINSEAM_FRONT_JOB_LOOKUP_H
@@ -31,9 +31,6 @@
   struct Updates {
     /// Returns whether the ledger has been up to date with the log at any time.
     std::function<bool()> m_hasCaughtUp;
-    /// Calls back when the records that are ready at the log have been applied,
-    /// or could not be read.
-    std::function<void(std::function<void()>)> m_refresh;
     /// Calls back with whether the ledger includes all records that were
     /// appended before this call.
     std::function<void(std::function<void(bool)>)> m_cover;
@@ -41,15 +38,12 @@
 
   JobLookup(const JobService &Jobs, Updates Source);
 
-  /// A job is denied only by a ledger that covers the time of the call, and no
-  /// state is shown before the ledger was up to date for the first time.
+  /// A job is denied, or shown in a state that may change, only by a ledger
+  /// that covers the time of the call. No state is shown before the ledger was
+  /// up to date for the first time.
   void find(const std::string &Id, std::function<void(const Reply &)> Done);
 
 private:
-  /// Calls `Done` and returns true if the job is known here.
-  bool answerIfKnown(const std::string &Id,
-                     const std::function<void(const Reply &)> &Done) const;
-
   const JobService &m_jobs;
   const Updates m_updates;
 };
--- a/catkinseam/ledger/keyed_log_reader.cc
+++ b/catkinseam/ledger/keyed_log_reader.cc
@@ -21,7 +21,7 @@
   m_loadedKeys.clear();
   m_isFirstPage = true;
   loadPage("");
-  finishUncovered();
+  finishCoverages(false);
 }
 
 TimePoint KeyedLogReader::replyTime() const {
@@ -66,27 +66,13 @@
   readNext();
 }
 
-bool KeyedLogReader::isWaitingAtLog() const {
-  const Duration InFlight = m_host.now() - m_readStartedAt;
-  return m_isWaitingRead && InFlight > replyLatency() &&
-         InFlight <= m_readWait + replyLatency();
-}
-
-void KeyedLogReader::refresh(std::function<void()> Done) {
-  if (isWaitingAtLog() || m_isFailing || m_isLoading || !m_isLoaded)
-    return Done();
-  m_refreshes.push_back(std::move(Done));
-  if (!m_isBatching)
-    return;
-  m_timer.cancel();
-  m_isBatching = false;
-  read(Milliseconds(0));
-}
-
 void KeyedLogReader::cover(std::function<void(bool)> Done) {
   if (!m_isLoaded || m_isLoading || m_isFailing)
     return Done(false);
-  m_coverages.push_back({m_readCount + 1, std::move(Done)});
+  m_coverages.push_back(
+      {m_readCount + 1, m_probeCount + 1, std::nullopt, std::move(Done)});
+  if (m_isWaitingRead && !m_isProbing)
+    return probe();
   if (!m_isBatching)
     return;
   m_timer.cancel();
@@ -94,6 +80,44 @@
   read(Milliseconds(0));
 }
 
+void KeyedLogReader::probe() {
+  m_isProbing = true;
+  ++m_probeCount;
+  m_log.read(m_options.m_topic, m_nextOffset, Milliseconds(0),
+             m_options.m_timeoutMargin,
+             [this, Number = m_probeCount,
+              IsAlive = m_isAlive](const ReadReply &Reply) {
+               if (*IsAlive)
+                 onProbe(Number, Reply);
+             });
+}
+
+void KeyedLogReader::onProbe(std::uint64_t Number, const ReadReply &Reply) {
+  m_isProbing = false;
+  if (Reply.m_outcome == LogOutcome::Done)
+    for (Coverage &Each : m_coverages)
+      if (Each.m_firstProbe <= Number && !Each.m_end)
+        Each.m_end = Reply.m_endOffset;
+  const std::shared_ptr<bool> IsAlive = m_isAlive;
+  finishReachedCoverages();
+  if (!*IsAlive || !m_isWaitingRead || m_isProbing)
+    return;
+  if (std::any_of(m_coverages.begin(), m_coverages.end(),
+                  [](const Coverage &Each) { return !Each.m_end; }))
+    probe();
+}
+
+void KeyedLogReader::finishReachedCoverages() {
+  std::vector<Coverage> Due;
+  std::vector<Coverage> Left;
+  for (Coverage &Each : m_coverages)
+    (Each.m_end && *Each.m_end <= m_nextOffset ? Due : Left)
+        .push_back(std::move(Each));
+  m_coverages = std::move(Left);
+  for (const Coverage &Each : Due)
+    Each.m_done(true);
+}
+
 void KeyedLogReader::finishCoverages(bool IsCovered) {
   std::vector<Coverage> Due;
   std::vector<Coverage> Left;
@@ -105,20 +129,6 @@
     Each.m_done(IsCovered);
 }
 
-void KeyedLogReader::finishRefreshes() {
-  const std::vector<std::function<void()>> Due = std::move(m_refreshes);
-  m_refreshes.clear();
-  for (const std::function<void()> &Each : Due)
-    Each();
-}
-
-void KeyedLogReader::finishUncovered() {
-  const std::shared_ptr<bool> IsAlive = m_isAlive;
-  finishRefreshes();
-  if (*IsAlive)
-    finishCoverages(false);
-}
-
 void KeyedLogReader::readNext() {
   m_isBatching = false;
   read(m_wait);
@@ -127,7 +137,6 @@
 
 void KeyedLogReader::read(Milliseconds Wait) {
   m_readStartedAt = m_host.now();
-  m_readWait = Wait;
   ++m_readCount;
   m_log.read(m_options.m_topic, m_nextOffset, Wait,
              Wait + m_options.m_timeoutMargin,
@@ -147,7 +156,7 @@
   if (Read.m_outcome != LogOutcome::Done) {
     reportFailure("read", Read.m_outcome);
     scheduleRetry([this] { readNext(); });
-    return finishUncovered();
+    return finishCoverages(false);
   }
   if (m_isFailing) {
     m_isFailing = false;
@@ -190,11 +199,11 @@
     m_callbacks.m_onRead();
   if (!*IsAlive)
     return;
-  if (IsBehind)
-    return readNext();
-  finishRefreshes();
+  finishReachedCoverages();
   if (!*IsAlive)
     return;
+  if (IsBehind)
+    return readNext();
   finishCoverages(true);
   if (!*IsAlive)
     return;
--- a/catkinseam/ledger/keyed_log_reader.h
+++ b/catkinseam/ledger/keyed_log_reader.h
@@ -15,6 +15,7 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -55,17 +56,11 @@
   /// Starts reading, from the newest record of each key.
   void start();
 
-  /// Calls `Done` when all records that were appended before this call have
-  /// been delivered, or the read for them has failed. Ends the batching window.
-  /// Calls `Done` immediately while a read waits at the log, which then
-  /// delivers records at once, while reads fail, and while the newest records
-  /// are being loaded.
-  void refresh(std::function<void()> Done);
-
-  /// Calls `Done(true)` when a read that began after this call has reached the
-  /// end of the topic and its records have been delivered. Calls `Done(false)`
-  /// when that read fails, and immediately while reads fail or the newest
-  /// records are being loaded.
+  /// Calls `Done(true)` when all records that were appended before this call
+  /// have been delivered. Calls `Done(false)` when the read for them fails, and
+  /// immediately while reads fail or the newest records are being loaded. Ends
+  /// the batching window; while a read waits at the log, a probe asks for the
+  /// end of the topic meanwhile.
   void cover(std::function<void(bool IsCovered)> Done);
 
   /// Whether the newest record of each key has been delivered since start().
@@ -101,14 +96,13 @@
   TimePoint replyTime() const;
   void readNext();
   void read(Milliseconds Wait);
-  void finishRefreshes();
   void finishCoverages(bool IsCovered);
-  /// Finishes all calls that wait for a read, because it cannot be done.
-  void finishUncovered();
+  /// Asks for the end of the topic while the read in flight waits at the log.
+  void probe();
+  void onProbe(std::uint64_t Number, const ReadReply &Reply);
+  /// Finishes the coverages whose end, as found by a probe, has been read.
+  void finishReachedCoverages();
   void onRead(const ReadReply &Read);
-  /// Whether the read in flight waits at the log for a record: it has arrived
-  /// there, and its reply is not overdue.
-  bool isWaitingAtLog() const;
   void scheduleRetry(std::function<void()> Call);
   void reportFailure(const char *Call, LogOutcome Outcome);
 
@@ -123,17 +117,21 @@
   bool m_isBatching = false;
   /// The read in flight is one that waits at the log if it finds no record.
   bool m_isWaitingRead = false;
-  /// How long the log holds the read in flight.
-  Milliseconds m_readWait{0};
-  std::vector<std::function<void()>> m_refreshes;
   struct Coverage {
     /// Number of the first read that began after the call.
     std::uint64_t m_firstRead = 0;
+    /// Number of the first probe that began after the call.
+    std::uint64_t m_firstProbe = 0;
+    /// End of the topic as found by that probe, or a later one.
+    std::optional<std::int64_t> m_end;
     std::function<void(bool)> m_done;
   };
   std::vector<Coverage> m_coverages;
   /// Number of reads that have begun; at most one is in flight.
   std::uint64_t m_readCount = 0;
+  /// Number of probes that have begun; at most one is in flight.
+  std::uint64_t m_probeCount = 0;
+  bool m_isProbing = false;
   std::set<std::string> m_loadedKeys;
   bool m_isLoaded = false;
   /// The newest records are being read, for the first time or again.
--- a/catkinseam/node/node.cc
+++ b/catkinseam/node/node.cc
@@ -88,9 +88,6 @@
            }}),
       m_jobService(Loop, m_relayedStore, m_ledger, jobServiceOptions(Values)),
       m_jobLookup(m_jobService, {[this] { return m_candidate.hasCaughtUp(); },
-                                 [this](std::function<void()> Done) {
-                                   m_candidate.refresh(std::move(Done));
-                                 },
                                  [this](std::function<void(bool)> Done) {
                                    m_candidate.cover(std::move(Done));
                                  }}),
--- a/catkinseam/ownership/candidate.h
+++ b/catkinseam/ownership/candidate.h
@@ -74,12 +74,6 @@
     return toMilliseconds(m_host.now() - m_reader.coveredUntil());
   }
 
-  /// Calls `Done` when the ledger includes what was appended before this call,
-  /// or could not be brought up to date.
-  void refresh(std::function<void()> Done) {
-    m_reader.refresh(std::move(Done));
-  }
-
   /// See KeyedLogReader::hasCaughtUp().
   bool hasCaughtUp() const { return m_reader.hasCaughtUp(); }
 
--- a/catkinseam/ownership/testing/simulated_cluster.cc
+++ b/catkinseam/ownership/testing/simulated_cluster.cc
@@ -183,9 +183,6 @@
   m_jobLookup = std::make_unique<JobLookup>(
       *m_jobService,
       JobLookup::Updates{[this] { return m_candidate->hasCaughtUp(); },
-                         [this](std::function<void()> Done) {
-                           m_candidate->refresh(std::move(Done));
-                         },
                          [this](std::function<void(bool)> Done) {
                            m_candidate->cover(std::move(Done));
                          }});
