Answer submissions before the caller's deadline, at once if they can't be stored

Cause: while the log is slow, a record waited for the append in flight without regard to its caller's time.

Change: a record that is not expected to be stored in time, by the reply time of recent appends, is refused when it arrives. One that still waits at its deadline is refused then, one that was sent is in doubt (504). The count of retries that nothing read is gone.

--- a/catkinseam/front/job_service.cc
+++ b/catkinseam/front/job_service.cc
@@ -4,6 +4,7 @@
 #include "catkinseam/base/codec.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace catkinseam {
 
@@ -36,10 +37,18 @@
   TimePoint m_deadline;
   TimePoint m_startedAt;
   WriteDone m_done;
+  bool m_isAnswered = false;
+  /// Part of an append, in flight or answered.
+  bool m_isSent = false;
   /// An append was sent and not answered; it may still take effect.
   bool m_isInDoubt = false;
   /// The log rejected a batch that contained this record.
   bool m_isSentAlone = false;
+
+  void answer(LogOutcome Outcome) {
+    if (!std::exchange(m_isAnswered, true))
+      m_done(Outcome);
+  }
 };
 
 JobService::JobService(Runtime &Host, KeyedLog &Log, const Ledger &Jobs,
@@ -69,23 +78,47 @@
   }
   m_queue = std::move(Kept);
   for (const std::shared_ptr<Write> &Pending : Refused)
-    Pending->m_done(LogOutcome::Refused);
+    Pending->answer(LogOutcome::Refused);
 }
 
 void JobService::write(KeyedRecord Record, Milliseconds Budget,
                        WriteDone Done) {
   // Refuses immediately: a record that was never sent is certainly not stored.
-  if (isLogUnresponsive())
+  const Milliseconds Left = Budget - m_options.m_responseMargin;
+  if (isLogUnresponsive() || expectedWriteTime() > Left)
     return Done(LogOutcome::Refused);
   auto Pending = std::make_shared<Write>();
   Pending->m_record = std::move(Record);
   Pending->m_startedAt = m_host.now();
-  Pending->m_deadline = m_host.now() + Budget - m_options.m_responseMargin;
+  Pending->m_deadline = m_host.now() + Left;
   Pending->m_done = std::move(Done);
+  m_host.schedule(Left, [this, Weak = std::weak_ptr(Pending),
+                         IsAlive = m_isAlive] {
+    if (const std::shared_ptr<Write> Expired = Weak.lock(); *IsAlive && Expired)
+      onDeadline(Expired);
+  });
   m_queue.push_back(std::move(Pending));
   sendBatch();
 }
 
+Duration JobService::expectedWriteTime() const {
+  // An old reply time says nothing about the log's present one.
+  const bool IsRecent =
+      m_host.now() - m_lastReplyAt <= m_options.m_replyTimeMemory;
+  const Duration Append =
+      IsRecent ? m_appendTimeout.smoothedReplyTime() : Duration::zero();
+  if (!m_isAppending)
+    return Append;
+  const Duration Elapsed = m_host.now() - m_appendStartedAt;
+  return Append + std::max(Duration::zero(), Append - Elapsed);
+}
+
+void JobService::onDeadline(const std::shared_ptr<Write> &Expired) {
+  std::erase(m_queue, Expired);
+  Expired->answer(Expired->m_isSent ? LogOutcome::Unknown
+                                    : LogOutcome::Refused);
+}
+
 void JobService::sendBatch() {
   if (m_isAppending || m_queue.empty())
     return;
@@ -98,6 +131,7 @@
     if (!Batch.empty() &&
         (IsAlone || Bytes > m_options.m_appendLimits.m_maxTotalBytes))
       break;
+    m_queue.front()->m_isSent = true;
     Records.push_back(m_queue.front()->m_record);
     Batch.push_back(std::move(m_queue.front()));
     m_queue.pop_front();
@@ -122,6 +156,7 @@
     m_appendTimeout.onTimeout();
   else
     m_appendTimeout.onReply(m_host.now() - m_appendStartedAt);
+  m_lastReplyAt = m_host.now();
 }
 
 void JobService::onBatchReply(const std::vector<std::shared_ptr<Write>> &Batch,
@@ -186,22 +221,20 @@
 
 void JobService::completeOrRetry(const std::shared_ptr<Write> &Pending,
                                  LogOutcome Outcome) {
-  if (Pending->m_isInDoubt)
-    --m_inDoubtRetries;
   if (Outcome == LogOutcome::Done)
-    return Pending->m_done(LogOutcome::Done);
+    return Pending->answer(LogOutcome::Done);
   if (Outcome == LogOutcome::Unknown)
     Pending->m_isInDoubt = true;
   // Only a success resolves an in-doubt record. A repeated append of the same
   // record is idempotent.
   if (!Pending->m_isInDoubt)
-    return Pending->m_done(LogOutcome::Refused);
-  if (m_host.now() + m_options.m_appendRetryDelay >= retryDeadline(*Pending))
-    return Pending->m_done(LogOutcome::Unknown);
-  ++m_inDoubtRetries;
+    return Pending->answer(LogOutcome::Refused);
+  if (Pending->m_isAnswered ||
+      m_host.now() + m_options.m_appendRetryDelay >= retryDeadline(*Pending))
+    return Pending->answer(LogOutcome::Unknown);
   m_host.schedule(m_options.m_appendRetryDelay,
                   [this, Pending, IsAlive = m_isAlive] {
-                    if (!*IsAlive)
+                    if (!*IsAlive || Pending->m_isAnswered)
                       return;
                     m_queue.push_back(Pending);
                     sendBatch();
--- a/catkinseam/front/job_service.h
+++ b/catkinseam/front/job_service.h
@@ -50,6 +50,8 @@
     /// New requests are refused while an append is unanswered for longer than
     /// three times the usual reply time plus this.
     Milliseconds m_unresponsiveMargin{400};
+    /// How long the reply time of an append is expected of the next one.
+    Milliseconds m_replyTimeMemory{1500};
     /// Interval of empty appends that probe an unresponsive log.
     Milliseconds m_probeInterval{200};
     /// Maximum number of records in one append.
@@ -98,8 +100,14 @@
 
   /// Appends a record, with retries, until its outcome is known or its time is
   /// up. Only one append is in flight at a time, and later records are batched
-  /// into the next, because the log processes appends sequentially.
+  /// into the next, because the log processes appends sequentially. Refuses a
+  /// record at once that is not expected to be stored in time.
   void write(KeyedRecord Record, Milliseconds Budget, WriteDone Done);
+  /// Expected time until a record that arrives now is stored.
+  Duration expectedWriteTime() const;
+  /// Answers a caller whose time is up: Unknown if the record was sent, else
+  /// Refused.
+  void onDeadline(const std::shared_ptr<Write> &Expired);
   void sendBatch();
   bool isLogUnresponsive() const;
   void refuseUnsent();
@@ -127,9 +135,8 @@
   bool m_isAppending = false;
   bool m_lastAppendTimedOut = false;
   Timer m_probeTimer;
-  /// Number of in-doubt records that wait for a retry or its reply.
-  std::size_t m_inDoubtRetries = 0;
   TimePoint m_appendStartedAt;
+  TimePoint m_lastReplyAt;
   ReplyTimeout m_appendTimeout{{}};
   std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
--- a/catkinseam/front/job_service_test.cc
+++ b/catkinseam/front/job_service_test.cc
@@ -22,9 +22,10 @@
   JobService m_jobService{m_host, m_view, m_ledger, {}};
   std::optional<SubmitOutcome> m_outcome;
 
-  void submit(const std::string &Job = Id) {
+  void submit(const std::string &Job = Id, Milliseconds Time = Budget) {
     const Submission Submitted = batchJob(Job, 2);
-    m_jobService.submit(Submitted.m_policy, Job, Submitted.m_spec, Budget,
+    m_outcome.reset();
+    m_jobService.submit(Submitted.m_policy, Job, Submitted.m_spec, Time,
                         [this](SubmitOutcome Outcome) { m_outcome = Outcome; });
   }
 
@@ -111,6 +112,43 @@
   BOOST_TEST(!isStored("00000000000000a2"));
 }
 
+// Load: the log has become slow, and callers come back with little time left.
+// What cannot be stored in time must be refused when it arrives.
+BOOST_FIXTURE_TEST_CASE(RefusesAtOnceWhatCannotBeStoredInTime, Fixture) {
+  m_log.m_faults.m_latency = Milliseconds(300);
+  submit();
+  m_host.advance(Milliseconds(400));
+  BOOST_REQUIRE((m_outcome == SubmitOutcome::Accepted));
+  submit("00000000000000a2", Milliseconds(350));
+  BOOST_TEST((m_outcome == SubmitOutcome::NotAccepted));
+  submit("00000000000000a3", Milliseconds(600));
+  m_host.advance(Milliseconds(350));
+  BOOST_TEST((m_outcome == SubmitOutcome::Accepted));
+  BOOST_TEST(!isStored("00000000000000a2"));
+}
+
+// Guards against callers that are held beyond their deadline without an answer:
+// one whose record waits for an append that takes longer than expected was not
+// stored, and one whose record is being appended is in doubt.
+BOOST_FIXTURE_TEST_CASE(AnswersBeforeTheDeadline, Fixture) {
+  m_log.m_faults.m_latency = Milliseconds(390);
+  submit("00000000000000a1", Milliseconds(300));
+  std::optional<SubmitOutcome> Second;
+  const Submission Submitted = batchJob("00000000000000a2", 1);
+  m_jobService.submit(Submitted.m_policy, Submitted.m_id, Submitted.m_spec,
+                      Milliseconds(300),
+                      [&](SubmitOutcome Outcome) { Second = Outcome; });
+  m_host.advance(Milliseconds(199));
+  BOOST_TEST(!m_outcome.has_value());
+  BOOST_TEST(!Second.has_value());
+  m_host.advance(Milliseconds(1));
+  BOOST_TEST((m_outcome == SubmitOutcome::Unknown));
+  BOOST_TEST((Second == SubmitOutcome::NotAccepted));
+  m_host.advance(Milliseconds(3000));
+  BOOST_TEST(isStored("00000000000000a1"));
+  BOOST_TEST(!isStored("00000000000000a2"));
+}
+
 // The log is unresponsive for seconds. Only the append in flight at the start
 // is in doubt. Later callers are refused immediately for the whole outage and
 // accepted again within 0.7 s of its end.
