Order waiting work by what can be in time, and keep room for large tasks

Changes: - A job that has not begun and cannot meet its objective any more is deferred until its last useful start.

--- a/catkinseam/ledger/ledger.cc
+++ b/catkinseam/ledger/ledger.cc
@@ -19,6 +19,8 @@
       applyOwner(*Value);
     return true;
   }
+  if (Kind == RecordKind::Handover)
+    return false;
   // Written by owners of earlier versions.
   if (Kind == RecordKind::LearnedModel)
     return true;
@@ -118,10 +120,12 @@
 }
 
 void Ledger::updatePendingCount(const LedgerJob &Job, JobState Before) {
-  if (!Job.m_isSubmitted || Before != JobState::Queued ||
-      Job.state() == JobState::Queued)
+  const bool WasQueued = Before == JobState::Queued;
+  const bool IsQueued = Job.state() == JobState::Queued;
+  if (!Job.m_isSubmitted || WasQueued == IsQueued)
     return;
-  --m_pendingByQueue[Job.m_submission.m_policy.m_queue];
+  std::size_t &Pending = m_pendingByQueue[Job.m_submission.m_policy.m_queue];
+  IsQueued ? ++Pending : --Pending;
 }
 
 const LedgerJob *Ledger::find(const std::string &Id) const {
--- a/catkinseam/ledger/ledger_test.cc
+++ b/catkinseam/ledger/ledger_test.cc
@@ -45,6 +45,18 @@
   BOOST_TEST((Jobs.find(Id)->state() == JobState::Completed));
 }
 
+// Guards against jobs that are missing among those that wait: their planned
+// starts came to nothing, and they wait again.
+BOOST_AUTO_TEST_CASE(CountsJobsThatWaitAgain) {
+  Ledger Jobs;
+  Jobs.apply(0, submissionKey(Id), submission());
+  Jobs.apply(1, progressKey(Id), progress(JobState::InProgress));
+  Jobs.apply(2, progressKey(Id), progress(JobState::Queued));
+  BOOST_TEST(Jobs.pendingIn("counts") == 1U);
+  Jobs.apply(3, progressKey(Id), progress(JobState::InProgress));
+  BOOST_TEST(Jobs.pendingIn("counts") == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(CancelMayPrecedeSubmission) {
   Ledger Jobs;
   Jobs.apply(4, cancelKey(Id), std::string("1"));
--- a/catkinseam/ledger/records.cc
+++ b/catkinseam/ledger/records.cc
@@ -6,6 +6,7 @@
 namespace catkinseam {
 
 const char *const OwnerKey = "owner";
+const char *const HandoverKey = "handover";
 const char *const LearnedModelKey = "learned";
 
 namespace {
@@ -74,6 +75,8 @@
 RecordKind parseRecordKey(const std::string &Key, std::string &Job) {
   if (Key == OwnerKey)
     return RecordKind::Owner;
+  if (Key == HandoverKey)
+    return RecordKind::Handover;
   if (Key == LearnedModelKey)
     return RecordKind::LearnedModel;
   if (Key.empty())
--- a/catkinseam/ledger/records.h
+++ b/catkinseam/ledger/records.h
@@ -137,6 +137,21 @@
   }
 };
 
+/// Asks the owner of an epoch to hand over to a node, or grants that.
+struct HandoverRecord {
+  std::uint64_t m_epoch = 0;
+  /// The node that is to become the owner.
+  std::string m_node;
+  std::string m_bootId;
+  double m_processorShare = 0.0;
+  /// Written by the owner, before the record by which it resigns.
+  bool m_isGranted = false;
+
+  template <class Archive> void serialize(Archive &Target) {
+    Target(m_epoch, m_node, m_bootId, m_processorShare, m_isGranted);
+  }
+};
+
 /// Encodes the state of a job, for the nodes that do not schedule it.
 std::string encodeState(JobState State);
 /// Encodes progress with the state in the first byte, so that decodeState()
@@ -157,6 +172,7 @@
   Progress,
   Cancel,
   Owner,
+  Handover,
   LearnedModel,
   Unknown
 };
@@ -167,6 +183,7 @@
 std::string progressKey(const std::string &Job);
 std::string cancelKey(const std::string &Job);
 extern const char *const OwnerKey;
+extern const char *const HandoverKey;
 /// Key of the interference model, which owners store for their successors.
 extern const char *const LearnedModelKey;
 
--- a/catkinseam/node/node.cc
+++ b/catkinseam/node/node.cc
@@ -17,6 +17,9 @@
 /// A node exits this long before the end of its grace period, when it would be
 /// killed.
 constexpr Milliseconds ForcedExitMargin{400};
+/// The absence of a route is reported only from a configuration that was read
+/// to its end within this time; reads wait for 2 s at the log.
+constexpr Milliseconds MaxConfigAge{2500};
 /// Interval of the check for requests in progress during a stop.
 constexpr Milliseconds DrainPollInterval{50};
 
@@ -47,6 +50,8 @@
   Scheduler::Options &Scheduling = Opts.m_owner.m_scheduler;
   const Milliseconds LongestLease = toMilliseconds(Values.m_maxLeaseDuration);
   Scheduling.m_storeOutageLease = LongestLease;
+  Scheduling.m_maxReservations =
+      static_cast<std::size_t>(Values.m_maxReservations);
   Scheduling.m_lease = std::min(Scheduling.m_lease, LongestLease);
   // Safety margin of leases that an earlier owner granted.
   constexpr Milliseconds LeaseMargin{500};
@@ -93,6 +98,10 @@
                                  }}),
       m_ingress(m_jobService, m_jobLookup, m_metrics, Loop,
                 {[this] { return m_config ? &*m_config : nullptr; },
+                 [this] {
+                   return m_loop.now() - m_operatorReader.caughtUpAt() <
+                          MaxConfigAge;
+                 },
                  [this] { return m_candidate.isCurrent(); },
                  [this] { return m_candidate.ledgerAge(); },
                  [this] { return isReady(); }}),
--- a/catkinseam/ownership/owner.cc
+++ b/catkinseam/ownership/owner.cc
@@ -262,7 +262,8 @@
            {"asked", std::to_string(Stats.m_fillerRequest)},
            {"paced", std::to_string(Stats.m_fillerGranted)},
            {"over", std::to_string(Stats.m_servicesOverTarget)},
-           {"open", std::to_string(Stats.m_availableWorkers)}});
+           {"open", std::to_string(Stats.m_availableWorkers)},
+           {"reservations", std::to_string(Stats.m_reservations)}});
   logEvacuations();
   m_summaryTimer.start(m_options.m_summaryInterval, [this] {
     if (!m_hasSteppedDown)
--- a/catkinseam/platform/ingress.cc
+++ b/catkinseam/platform/ingress.cc
@@ -85,6 +85,9 @@
   const std::string *Host = Request.header("Host");
   const QueueRoute *Route =
       Host ? Config->findRoute(*Host, Request.m_path) : nullptr;
+  if (!Route && !m_callbacks.m_isConfigCurrent())
+    return reject(Context, 503, "no_current_configuration",
+                  "configuration on this node is not up to date");
   if (!Route)
     return reject(Context, 404, "no_route",
                   "no route for path \"" + Request.m_path + "\"");
--- a/catkinseam/platform/ingress.h
+++ b/catkinseam/platform/ingress.h
@@ -21,6 +21,9 @@
   struct Callbacks {
     /// Returns the current configuration, or null before the first one arrives.
     std::function<const OperatorConfig *()> m_config;
+    /// Returns whether the configuration is recent enough to say that a route
+    /// does not exist.
+    std::function<bool()> m_isConfigCurrent;
     /// Returns whether this node's view of the jobs is up to date.
     std::function<bool()> m_isCurrent;
     /// Returns how long ago the node's view of the jobs was up to date.
--- a/catkinseam/platform/job_lookup_test.cc
+++ b/catkinseam/platform/job_lookup_test.cc
@@ -42,6 +42,7 @@
   JobService m_jobService{m_host, m_view, m_ledger, {}};
   Metrics m_metrics;
   OperatorConfig m_config;
+  bool m_isConfigCurrent = true;
   JobLookup m_jobLookup{m_jobService,
                         {[this] { return m_candidate.hasCaughtUp(); },
                          [this](std::function<void(bool)> Done) {
@@ -49,10 +50,10 @@
                          }}};
   std::unique_ptr<Ingress> m_ingress = std::make_unique<Ingress>(
       m_jobService, m_jobLookup, m_metrics, m_host,
-      Ingress::Callbacks{[this] { return &m_config; },
-                         [this] { return m_candidate.isCurrent(); },
-                         [this] { return m_candidate.ledgerAge(); },
-                         [] { return true; }});
+      Ingress::Callbacks{
+          [this] { return &m_config; }, [this] { return m_isConfigCurrent; },
+          [this] { return m_candidate.isCurrent(); },
+          [this] { return m_candidate.ledgerAge(); }, [] { return true; }});
   std::vector<int> m_statuses;
   std::vector<std::string> m_bodies;
   /// Responses with a Retry-After header.
@@ -159,6 +160,18 @@
   BOOST_TEST(m_log.newestOf(LogTopic::Jobs, cancelKey(Id)).has_value());
 }
 
+// Guards against a 404 for a route that was added while this node could not
+// read the configuration.
+BOOST_FIXTURE_TEST_CASE(RouteIsNotDeniedByAnOldConfiguration, IdleFixture) {
+  m_config.m_routes.clear();
+  call("POST");
+  m_isConfigCurrent = false;
+  call("POST");
+  BOOST_TEST(m_statuses == std::vector<int>({404, 503}),
+             boost::test_tools::per_element());
+  BOOST_TEST(m_retryLater == 1);
+}
+
 // A late reader. The connection to the log has gone silent, so the read that
 // waits there delivers nothing, and the node has not yet noticed.
 BOOST_FIXTURE_TEST_CASE(JobIsNotDeniedWhileReadsAreSilent, Fixture) {
--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -2,6 +2,7 @@
 #include "catkinseam/scheduler/placement.h"
 
 #include "catkinseam/scheduler/crash_suspects.h"
+#include "catkinseam/scheduler/reservations.h"
 
 #include <algorithm>
 
@@ -11,9 +12,6 @@
 
 // Costs have no unit; the worker with the lowest sum is chosen.
 
-/// Minimum share of its processor request that a filler must get.
-constexpr double MinFillerShare = 0.5;
-
 /// Minimum CPU rate (0 to 1) at which a filler may start; workers that allow a
 /// higher CPU rate are preferred.
 constexpr double MinStartCpuRate = 0.4;
@@ -197,14 +195,16 @@
 
 Placement chooseWorker(const TaskInfo &Task,
                        const std::vector<WorkerInfo *> &Candidates,
-                       const InterferenceModel &Learned, TimePoint Now) {
+                       const InterferenceModel &Learned,
+                       const Reservations &Kept, TimePoint Now) {
   const StepSpec &Spec = *Task.m_step->m_spec;
   const bool NeedsTrial = isSuspect(Task);
   Placement Best;
   double BestCost = 0.0;
   for (WorkerInfo *Each : Candidates) {
     if (!isAvailable(*Each, Now) || !isFeasible(Task, *Each) ||
-        (NeedsTrial && !allowsTrial(Task, *Each)))
+        (NeedsTrial && !allowsTrial(Task, *Each)) ||
+        Kept.delays(Task, *Each, Now))
       continue;
     InterferenceModel::FillerEstimate Estimate;
     if (Spec.m_isFiller) {
--- a/catkinseam/scheduler/placement.h
+++ b/catkinseam/scheduler/placement.h
@@ -1,6 +1,7 @@
 // Chooses a worker for a task.
 //
-//   Placement Chosen = chooseWorker(Task, Candidates, Learned, Clock.now());
+//   Placement Chosen =
+//       chooseWorker(Task, Candidates, Learned, Kept, Clock.now());
 #ifndef CATKINSEAM_SCHEDULER_PLACEMENT_H
 #define CATKINSEAM_SCHEDULER_PLACEMENT_H
 
@@ -12,6 +13,11 @@
 
 namespace catkinseam {
 
+class Reservations;
+
+/// Minimum share of its processor request that a filler must get.
+constexpr double MinFillerShare = 0.5;
+
 /// Whether new runs may be started on the worker.
 bool isAvailable(const WorkerInfo &Worker, TimePoint Now);
 
@@ -35,11 +41,12 @@
   int m_cpuRatePercent = 100;
 };
 
-/// Returns the cheapest available, feasible worker; m_worker is null if there
-/// is none.
+/// Returns the cheapest available, feasible worker on which the task delays no
+/// task with a reservation; m_worker is null if there is none.
 Placement chooseWorker(const TaskInfo &Task,
                        const std::vector<WorkerInfo *> &Candidates,
-                       const InterferenceModel &Learned, TimePoint Now);
+                       const InterferenceModel &Learned,
+                       const Reservations &Kept, TimePoint Now);
 
 } // namespace catkinseam
 
--- a/catkinseam/scheduler/run_end_test.cc
+++ b/catkinseam/scheduler/run_end_test.cc
@@ -96,4 +96,29 @@
   BOOST_TEST(waitingTasks() == 0U);
 }
 
+// Guards against jobs that are shown as begun and are not: their planned starts
+// were withdrawn, by this owner or by one that handed over, and they wait
+// again.
+BOOST_FIXTURE_TEST_CASE(JobWithoutRunsIsShownAsQueued, Fixture) {
+  addWorker("w1");
+  m_scheduler.addJob(makeJob(Id, 2), nullptr);
+  const Decisions Planned = m_scheduler.decide();
+  BOOST_REQUIRE(Planned.m_progress.size() == 1U);
+  BOOST_TEST((Planned.m_progress[0].second.m_state == JobState::InProgress));
+  BOOST_TEST(m_scheduler.release(Planned, true).empty());
+  m_scheduler.setPlacementInputsCurrent(false);
+  const Decisions Next = m_scheduler.decide();
+  BOOST_REQUIRE(Next.m_progress.size() == 1U);
+  BOOST_TEST((Next.m_progress[0].second.m_state == JobState::Queued));
+
+  // A successor that finds the planned runs on no worker.
+  Fixture Later;
+  Later.addWorker("w1", {0, 0, 0});
+  Later.m_scheduler.addJob(makeJob(Id, 2), &Planned.m_progress[0].second);
+  Later.answerPoll("w1", {}, {});
+  const Decisions Taken = Later.m_scheduler.decide();
+  BOOST_REQUIRE(Taken.m_progress.size() == 1U);
+  BOOST_TEST((Taken.m_progress[0].second.m_state == JobState::Queued));
+}
+
 } // namespace catkinseam
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -66,7 +66,8 @@
 } // namespace
 
 Scheduler::Scheduler(const Clock &Time, const Options &Values)
-    : m_clock(Time), m_options(Values), m_throttle({}), m_interference({}) {}
+    : m_clock(Time), m_options(Values), m_throttle({}), m_interference({}),
+      m_reservations({.m_max = Values.m_maxReservations}) {}
 
 Scheduler::~Scheduler() = default;
 
@@ -115,15 +116,20 @@
   std::vector<std::pair<WorkRank, StepInfo *>> Order;
   Order.reserve(m_stepQueue.size());
   for (const auto &[Key, Step] : m_stepQueue)
-    Order.emplace_back(rankOf(*Step, WallNow), Step);
+    Order.emplace_back(rankOf(*Step, Now, WallNow), Step);
   // Steps of equal rank keep the order of their ids.
   std::stable_sort(Order.begin(), Order.end(),
                    [](const auto &One, const auto &Other) {
                      return One.first < Other.first;
                    });
+  m_reservations.beginRound();
   for (const auto &[Rank, Step] : Order) {
-    if (Step->m_retryAt > Now)
+    const bool MayReserve = !Rank.m_isDeferred && !Rank.m_isExpired;
+    if (Step->m_retryAt > Now) {
+      if (MayReserve)
+        reserveFor(*Step);
       continue;
+    }
     if (Step->m_spec->m_isGang) {
       placeGang(*Step, Next);
       continue;
@@ -138,11 +144,21 @@
       if (!hasMissedObjective(*Step, WallNow))
         preemptFor(*Task);
       Step->m_retryAt = Now + PlacementRetryInterval;
+      if (MayReserve)
+        reserveFor(*Step);
       break;
     }
   }
 }
 
+void Scheduler::reserveFor(const StepInfo &Step) {
+  if (Step.m_waitingTasks.empty() || Step.m_spec->m_isGang)
+    return;
+  const std::string &Service = Step.m_occurrence->m_job->policy().m_service;
+  m_reservations.reserve(*Step.m_waitingTasks.front(),
+                         availableWorkers(Service), m_clock.now());
+}
+
 void Scheduler::preemptFor(const TaskInfo &Task) {
   const JobInfo &Job = *Task.m_step->m_occurrence->m_job;
   if (Task.m_step->m_spec->m_isFiller)
@@ -164,8 +180,9 @@
 bool Scheduler::placeTask(TaskInfo &Task, Decisions &Next) {
   const std::string &Service =
       Task.m_step->m_occurrence->m_job->policy().m_service;
-  const Placement Chosen = chooseWorker(Task, availableWorkers(Service),
-                                        m_interference, m_clock.now());
+  const Placement Chosen =
+      chooseWorker(Task, availableWorkers(Service), m_interference,
+                   m_reservations, m_clock.now());
   if (!Chosen.m_worker)
     return false;
   dequeueTask(Task);
@@ -397,8 +414,9 @@
         continue;
       const std::string &Service =
           Ref.m_task->m_step->m_occurrence->m_job->policy().m_service;
-      const Placement Target = chooseWorker(
-          *Ref.m_task, availableWorkers(Service), m_interference, Now);
+      const Placement Target =
+          chooseWorker(*Ref.m_task, availableWorkers(Service), m_interference,
+                       m_reservations, Now);
       if (!Target.m_worker ||
           Target.m_cpuRatePercent < MinMoveTargetCpuRatePercent)
         continue;
@@ -451,6 +469,7 @@
   constexpr Milliseconds RefusalBackoff{1000};
   switch (Reply.m_outcome) {
   case OrderOutcome::Done:
+    Task->m_step->m_occurrence->m_job->m_hasBegun = true;
     if (Run->m_phase == RunPhase::Starting) {
       Run->m_phase = RunPhase::Running;
       Run->m_confirmedAt = m_clock.now();
@@ -516,6 +535,7 @@
 Scheduler::Summary Scheduler::summarize() const {
   Summary Stats;
   Stats.m_liveJobs = m_liveJobs;
+  Stats.m_reservations = m_reservations.count();
   for (const auto &[Key, Step] : m_stepQueue) {
     Stats.m_waitingTasks += Step->m_waitingTasks.size();
     if (Step->m_spec->m_isService)
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -25,6 +25,7 @@
 #include "catkinseam/scheduler/orders.h"
 #include "catkinseam/scheduler/placement.h"
 #include "catkinseam/scheduler/preemption.h"
+#include "catkinseam/scheduler/reservations.h"
 #include "catkinseam/scheduler/tables.h"
 
 #include <deque>
@@ -89,6 +90,9 @@
     Milliseconds m_pollWait{1500};
     /// The same on workers with services, whose tail latencies control fillers.
     Milliseconds m_servicePollWait{500};
+    /// Maximum number of waiting steps for which room is kept at a time; zero
+    /// for none.
+    std::size_t m_maxReservations = 0;
     /// How long ended jobs are kept.
     Milliseconds m_jobRetention{180000};
   };
@@ -180,6 +184,8 @@
     std::int64_t m_fillerGranted = 0;
     std::size_t m_servicesOverTarget = 0;
     std::size_t m_availableWorkers = 0;
+    /// Waiting steps for which room is kept.
+    std::size_t m_reservations = 0;
   };
   Summary summarize() const;
 
@@ -203,6 +209,9 @@
   void markDirty(JobInfo &Job);
   void completeTask(TaskInfo &Task);
   void endJob(JobInfo &Job, JobState State);
+  /// Shows the job as queued again if its planned runs came to nothing before
+  /// any of its tasks has run.
+  void returnToQueue(JobInfo &Job);
   void enqueueTask(TaskInfo &Task, Duration Delay);
   void dequeueTask(TaskInfo &Task);
   JobProgress progressOf(const JobInfo &Job) const;
@@ -285,6 +294,8 @@
   void listAvailableWorkers();
   void placeWaitingTasks(Decisions &Next);
   bool placeTask(TaskInfo &Task, Decisions &Next);
+  /// Keeps room for the first task of a step that could not be placed.
+  void reserveFor(const StepInfo &Step);
   /// Stops runs of a lower priority for a task that could not be placed.
   void preemptFor(const TaskInfo &Task);
   const std::vector<WorkerInfo *> &availableWorkers(const std::string &Service);
@@ -303,6 +314,7 @@
   const Options m_options;
   FillerThrottle m_throttle;
   InterferenceModel m_interference;
+  Reservations m_reservations;
   bool m_isStoreReachable = true;
   bool m_arePlacementInputsCurrent = true;
   std::set<std::string> m_evacuatedDataCentres;
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -67,8 +67,8 @@
   auto Made = std::make_unique<JobInfo>();
   JobInfo &Row = *Made;
   Row.m_submission = Job;
-  const auto CriticalPathMs =
-      static_cast<double>(criticalPath(Job.m_spec).count());
+  Row.m_criticalPath = criticalPath(Job.m_spec);
+  const auto CriticalPathMs = static_cast<double>(Row.m_criticalPath.count());
   Row.m_objectiveMs =
       Job.m_acceptedMs +
       static_cast<std::int64_t>(Job.m_policy.m_stretchFactor * CriticalPathMs) +
@@ -94,6 +94,7 @@
   }
   if (Recorded) {
     restore(Row, *Recorded);
+    returnToQueue(Row);
     logRestored(Row);
   }
   if (Job.m_spec.m_occurrences == 0 && !Row.m_occurrences.empty())
@@ -216,6 +217,8 @@
   Task.m_wasSpared = Recorded.m_wasSpared;
   Task.m_lastRun = Recorded.m_lastRun;
   Task.m_checkpoint = Recorded.m_checkpoint;
+  if (Task.m_isDone || Task.m_failures > 0 || !Task.m_checkpoint.empty())
+    Task.m_step->m_occurrence->m_job->m_hasBegun = true;
   if (Task.m_isDone) {
     ++Task.m_step->m_doneCount;
     return;
@@ -249,6 +252,14 @@
     endJob(*Found->second, JobState::Failed);
 }
 
+void Scheduler::returnToQueue(JobInfo &Job) {
+  if (Job.m_state != JobState::InProgress || Job.m_hasBegun ||
+      Job.m_activeRunCount > 0)
+    return;
+  Job.m_state = JobState::Queued;
+  markDirty(Job);
+}
+
 void Scheduler::endJob(JobInfo &Job, JobState State) {
   Job.m_state = State;
   Job.m_endedAt = m_clock.now();
@@ -373,6 +384,7 @@
     endJob(Job, JobState::Failed);
   else
     enqueueTask(Task, Delay);
+  returnToQueue(Job);
 }
 
 bool Scheduler::hasExhaustedAttempts(const TaskInfo &Task) {
@@ -388,6 +400,7 @@
   RunInfo *Run = findRun(Task, Number);
   WorkerInfo &Worker = *Run->m_worker;
   const Duration RanFor = m_clock.now() - Run->m_since;
+  Job.m_hasBegun = true;
   if (!Checkpoint.empty())
     Task.m_checkpoint = Checkpoint;
   if (End == RunEnd::Failed)
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -262,6 +262,7 @@
       continue;
     }
     Listed.insert({Task, Each.m_run});
+    Task->m_step->m_occurrence->m_job->m_hasBegun = true;
     // An earlier owner may have changed the CPU rate.
     if (Run->m_phase == RunPhase::Adopted) {
       Run->m_confirmedCpuRatePercent = UnknownCpuRate;
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -153,6 +153,8 @@
   Submission m_submission;
   JobState m_state = JobState::Queued;
   std::deque<OccurrenceInfo> m_occurrences;
+  /// A worker has run one of its tasks, as far as is known.
+  bool m_hasBegun = false;
   /// Changed since decide() last returned its progress to be stored.
   bool m_isDirty = false;
   /// Runs of all tasks that may still be active on a worker.
@@ -160,6 +162,8 @@
   TimePoint m_endedAt;
   /// Completion objective, in milliseconds since 1970; see QueuePolicy.
   std::int64_t m_objectiveMs = 0;
+  /// Length of the critical path of one occurrence by the declared estimates.
+  Milliseconds m_criticalPath{0};
 
   const QueuePolicy &policy() const { return m_submission.m_policy; }
 };
--- a/catkinseam/scheduler/testing/scheduler_fixture.h
+++ b/catkinseam/scheduler/testing/scheduler_fixture.h
@@ -20,11 +20,14 @@
 /// A scheduler with workers whose replies the test controls.
 struct SchedulerFixture {
   ManualClock m_clock;
-  Scheduler m_scheduler{m_clock, {}};
+  Scheduler m_scheduler;
   /// Starts sent to each worker whose end has not been reported.
   std::map<std::string, std::vector<StartOrder>> m_sentStarts;
   std::map<std::string, std::uint64_t> m_endCounts;
 
+  explicit SchedulerFixture(const Scheduler::Options &Values = {})
+      : m_scheduler(m_clock, Values) {}
+
   static WorkerRegistration registration(const std::string &Name,
                                          const Resources &Capacity,
                                          const std::string &Rack = "r1") {
--- a/catkinseam/scheduler/work_order.cc
+++ b/catkinseam/scheduler/work_order.cc
@@ -1,6 +1,8 @@
 // Ranks waiting steps by priority and next deadline.
 #include "catkinseam/scheduler/work_order.h"
 
+#include <algorithm>
+
 namespace catkinseam {
 
 namespace {
@@ -8,6 +10,11 @@
 /// A late result is of use until this multiple of the time that the objective
 /// allows.
 constexpr std::int64_t LateFactor = 3;
+/// Deferred work competes again this long before its last useful start.
+constexpr Milliseconds LastStartMargin{1000};
+/// A service may be away for a few seconds; after this time of waiting it comes
+/// before finite work of its priority.
+constexpr Milliseconds MaxServiceWait{2000};
 
 std::int64_t millisecondsOf(WallTime Time) {
   return Time.time_since_epoch().count();
@@ -23,26 +30,52 @@
   return Step.m_occurrence->m_job->m_objectiveMs + dueDelayMs(Step);
 }
 
+bool hasWaitedLong(const StepInfo &Step, TimePoint Now) {
+  return std::any_of(Step.m_waitingTasks.begin(), Step.m_waitingTasks.end(),
+                     [Now](const TaskInfo *Each) {
+                       return Now - Each->m_earliestStart >= MaxServiceWait;
+                     });
+}
+
+/// Whether the occurrence has used any resources: its first steps have ended,
+/// or one of the step's tasks is not waiting.
+bool hasBegun(const StepInfo &Step) {
+  return Step.m_occurrence->m_doneStepCount > 0 ||
+         Step.m_waitingTasks.size() < Step.m_tasks.size();
+}
+
+/// Expected time from the first start to the end of an occurrence. Where steps
+/// wait for room at all, they run on throttled processors and wait again before
+/// the next step.
+Milliseconds expectedTimeUnderLoad(const StepInfo &Step) {
+  return Step.m_occurrence->m_job->m_criticalPath * 5 / 4;
+}
+
 } // namespace
 
 bool hasMissedObjective(const StepInfo &Step, WallTime Now) {
   return !Step.m_spec->m_isService && objectiveMs(Step) < millisecondsOf(Now);
 }
 
-WorkRank rankOf(const StepInfo &Step, WallTime Now) {
+WorkRank rankOf(const StepInfo &Step, TimePoint Now, WallTime WallNow) {
   WorkRank Rank;
   Rank.m_priority = Step.m_occurrence->m_job->policy().m_priority;
-  Rank.m_isService = Step.m_spec->m_isService;
   Rank.m_deadlineMs = objectiveMs(Step);
-  if (!hasMissedObjective(Step, Now))
+  if (Step.m_spec->m_isService) {
+    Rank.m_isService = !hasWaitedLong(Step, Now);
+    return Rank;
+  }
+  const std::int64_t NowMs = millisecondsOf(WallNow);
+  const bool HasBegun = hasBegun(Step);
+  const std::int64_t EarliestEndMs =
+      HasBegun ? NowMs : NowMs + expectedTimeUnderLoad(Step).count();
+  if (EarliestEndMs <= Rank.m_deadlineMs)
     return Rank;
   const std::int64_t DueMs = Step.m_occurrence->m_dueMs;
-  const std::int64_t UsefulUntilMs =
-      DueMs + LateFactor * (objectiveMs(Step) - DueMs);
-  if (UsefulUntilMs < millisecondsOf(Now))
-    Rank.m_isExpired = true;
-  else
-    Rank.m_deadlineMs = UsefulUntilMs;
+  Rank.m_deadlineMs = DueMs + LateFactor * (objectiveMs(Step) - DueMs);
+  Rank.m_isExpired = Rank.m_deadlineMs < NowMs;
+  Rank.m_isDeferred =
+      !HasBegun && EarliestEndMs + LastStartMargin.count() < Rank.m_deadlineMs;
   return Rank;
 }
 
--- a/catkinseam/scheduler/work_order_test.cc
+++ b/catkinseam/scheduler/work_order_test.cc
@@ -70,4 +70,82 @@
   BOOST_TEST(m_sentStarts["w1"].front().m_task.m_job == "00000000000000a2");
 }
 
+// Load: after a burst a standing queue makes every job late by a little. A job
+// that has not begun and cannot be in time any more must not delay one that
+// can; it starts when its result would otherwise be of no use.
+BOOST_FIXTURE_TEST_CASE(JobThatCannotBeInTimeIsDeferred, Fixture) {
+  m_clock.advance(Milliseconds(100000));
+  const WallTime Start = m_clock.wallNow();
+  addWorker("w1", {1000, 8000, 0});
+  m_scheduler.addJob(jobAcceptedAt("00000000000000a0", Start, 1), nullptr);
+  BOOST_TEST(scheduleOnce() == 1U);
+  // Both have one second from their acceptance, and need 0.5 s. The first would
+  // end 0.3 s late, and is of use for two seconds more.
+  m_scheduler.addJob(jobAcceptedAt("00000000000000a1", Start, 1), nullptr);
+  m_clock.advance(Milliseconds(650));
+  m_scheduler.addJob(jobAcceptedAt("00000000000000a2", m_clock.wallNow(), 1),
+                     nullptr);
+  endRun("w1", m_sentStarts["w1"].front(), RunEnd::Done);
+  m_clock.advance(Milliseconds(50));
+  BOOST_TEST(scheduleOnce() == 1U);
+  BOOST_TEST(m_sentStarts["w1"].front().m_task.m_job == "00000000000000a2");
+  // 1.6 s later its last useful start is near, and it precedes a job that has
+  // just been accepted.
+  m_clock.advance(Milliseconds(800));
+  m_scheduler.addJob(jobAcceptedAt("00000000000000a3", m_clock.wallNow(), 1),
+                     nullptr);
+  endRun("w1", m_sentStarts["w1"].front(), RunEnd::Done);
+  m_clock.advance(Milliseconds(50));
+  BOOST_TEST(scheduleOnce() == 1U);
+  BOOST_TEST(m_sentStarts["w1"].front().m_task.m_job == "00000000000000a3");
+  m_clock.advance(Milliseconds(300));
+  m_scheduler.addJob(jobAcceptedAt("00000000000000a4", m_clock.wallNow(), 2),
+                     nullptr);
+  endRun("w1", m_sentStarts["w1"].front(), RunEnd::Done);
+  m_clock.advance(Milliseconds(50));
+  BOOST_TEST(scheduleOnce() == 1U);
+  BOOST_TEST(m_sentStarts["w1"].front().m_task.m_job == "00000000000000a1");
+}
+
+// Guards against work that is thrown away: a job of which some tasks have run
+// goes on by its objective, however late it is.
+BOOST_FIXTURE_TEST_CASE(JobThatHasBegunIsNotDeferred, Fixture) {
+  m_clock.advance(Milliseconds(100000));
+  const WallTime Start = m_clock.wallNow();
+  addWorker("w1", {1000, 8000, 0});
+  m_scheduler.addJob(jobAcceptedAt("00000000000000a1", Start, 2), nullptr);
+  BOOST_TEST(scheduleOnce() == 1U);
+  m_clock.advance(Milliseconds(700));
+  m_scheduler.addJob(jobAcceptedAt("00000000000000a2", m_clock.wallNow(), 1),
+                     nullptr);
+  endRun("w1", m_sentStarts["w1"].front(), RunEnd::Done);
+  m_clock.advance(Milliseconds(50));
+  BOOST_TEST(scheduleOnce() == 1U);
+  BOOST_TEST(m_sentStarts["w1"].front().m_task.m_job == "00000000000000a1");
+}
+
+// Load: short jobs take all that becomes free. A service whose worker left must
+// not be away for longer than a few seconds because of them.
+BOOST_FIXTURE_TEST_CASE(ServiceThatHasWaitedComesFirst, Fixture) {
+  m_clock.advance(Milliseconds(100000));
+  addWorker("w1", {1000, 8000, 0});
+  m_scheduler.addJob(jobAcceptedAt("00000000000000a0", m_clock.wallNow(), 1),
+                     nullptr);
+  BOOST_TEST(scheduleOnce() == 1U);
+  m_scheduler.addJob(
+      serviceAcceptedAt("00000000000000c1", m_clock.wallNow(), 1), nullptr);
+  for (int Round = 0; Round < 3; ++Round) {
+    m_clock.advance(Milliseconds(750));
+    m_scheduler.addJob(jobAcceptedAt("00000000000000b" + std::to_string(Round),
+                                     m_clock.wallNow(), 1),
+                       nullptr);
+    endRun("w1", m_sentStarts["w1"].front(), RunEnd::Done);
+    m_clock.advance(Milliseconds(50));
+    BOOST_TEST(scheduleOnce() == 1U);
+    const bool IsServiceDue = Round == 2;
+    BOOST_TEST((m_sentStarts["w1"].front().m_task.m_job ==
+                "00000000000000c1") == IsServiceDue);
+  }
+}
+
 } // namespace catkinseam
--- a/catkinseam/settings/node_settings.cc
+++ b/catkinseam/settings/node_settings.cc
@@ -32,6 +32,8 @@
        false, 1, SecondsPerDay},
       {"scheduling", "job_memory_s", &NodeSettings::m_jobRetention, false, 1,
        SecondsPerDay},
+      {"scheduling", "reservations", &NodeSettings::m_maxReservations, false, 0,
+       1000},
       {"scheduling", "evacuation_s", &NodeSettings::m_evacuationBound, false, 0,
        600},
       {"stop", "grace_s", &NodeSettings::m_shutdownGracePeriod, false, 0, 600},
--- a/catkinseam/settings/node_settings.h
+++ b/catkinseam/settings/node_settings.h
@@ -42,6 +42,9 @@
   FractionalSeconds m_maxLeaseDuration{6.0};
   /// How long the result of a finished job is retained.
   FractionalSeconds m_jobRetention{120.0};
+  /// Maximum number of waiting steps for which room is kept at a time; zero for
+  /// none.
+  std::int64_t m_maxReservations = 0;
   /// No run starts in a data centre later than this after its evacuation was
   /// requested, whatever the node can read; zero if no evacuations are made.
   FractionalSeconds m_evacuationBound{0.0};
