Hand ownership over to a clearly fitter node

Change: a node whose share of a processor is at least 1.5 times the owner's asks it in the jobs topic; the owner stops deciding, stores what is pending, and resigns in its favour. An owner that does not comply within 1.5 s is displaced. A slow owner announces less than its share.

Found by its test: a successor that had come back from a partition did not know the evacuations yet and started nothing for 1.1 s; only nodes that know them ask now.

--- a/catkinseam/ownership/candidate.cc
+++ b/catkinseam/ownership/candidate.cc
@@ -6,6 +6,18 @@
 
 namespace catkinseam {
 
+namespace {
+
+Handover::Options handoverOptions(const Candidate::Options &Values) {
+  Handover::Options Opts = Values.m_handover;
+  Opts.m_node = Values.m_node;
+  Opts.m_bootId = Values.m_bootId;
+  Opts.m_processorShare = Values.m_ownership.m_processorShare;
+  return Opts;
+}
+
+} // namespace
+
 Candidate::Candidate(Runtime &Host, KeyedLog &Log, Ledger &Jobs,
                      const Evacuations &EvacuationRequests,
                      Owner::WorkerLinkFactory MakeLink,
@@ -23,7 +35,8 @@
                 [this](const std::set<std::string> &Keys) { onLoaded(Keys); },
                 [this] { onLogRegained(); }}),
       m_ownership(Host.clock(), Values.m_ownership, Values.m_node),
-      m_checkTimer(Host), m_retryTimer(Host), m_endTimer(Host) {}
+      m_handover(Host.clock(), handoverOptions(Values)), m_checkTimer(Host),
+      m_retryTimer(Host), m_endTimer(Host) {}
 
 Candidate::~Candidate() { *m_isAlive = false; }
 
@@ -44,6 +57,10 @@
   if (IsOwnerRecord)
     m_ownership.onOwnerActivity();
   const OwnerRecord &Newest = m_jobs.owner();
+  if (Record.m_record.m_key == OwnerKey)
+    m_handover.onOwner(Newest);
+  if (Record.m_record.m_key == HandoverKey && Record.m_record.m_value)
+    onHandoverRecord(*Record.m_record.m_value);
   if (Newest.m_epoch > PreviousEpoch) {
     logInfo("owner.seen", {{"epoch", std::to_string(Newest.m_epoch)},
                            {"node", Newest.m_node}});
@@ -53,7 +70,48 @@
       setFollowerWindow();
   }
   if (Newest.m_isResigning)
-    m_ownership.onOwnerLeaving();
+    m_ownership.onOwnerLeaving(m_handover.successor(Newest.m_epoch));
+}
+
+void Candidate::onHandoverRecord(const std::string &Value) {
+  auto Read = attempt([&] { return decode<HandoverRecord>(Value); });
+  if (!Read) {
+    logWarn("owner.handover_unreadable", {{"fault", Read.error().m_message}});
+    return;
+  }
+  m_handover.onRecord(Read.value());
+  if (m_owner && m_owner->hasTakenOver() && !m_owner->isLeaving() &&
+      m_handover.shouldComply(Read.value()))
+    handOver(Read.value());
+}
+
+void Candidate::handOver(const HandoverRecord &Request) {
+  logInfo("owner.hands_over",
+          {{"epoch", std::to_string(Request.m_epoch)},
+           {"to", Request.m_node},
+           {"its_share", std::to_string(Request.m_processorShare)},
+           {"share", std::to_string(m_jobs.owner().m_processorShare)}});
+  HandoverRecord Granted = Request;
+  Granted.m_isGranted = true;
+  m_owner->leave(Granted, [this] {
+    m_endTimer.start(Duration::zero(), [this] {
+      m_owner.reset();
+      setFollowerWindow();
+    });
+  });
+}
+
+void Candidate::requestHandover() {
+  const HandoverRecord Request = m_handover.request();
+  logInfo("owner.handover_requested",
+          {{"epoch", std::to_string(Request.m_epoch)},
+           {"owner", m_jobs.owner().m_node},
+           {"owner_share", std::to_string(m_jobs.owner().m_processorShare)},
+           {"share", std::to_string(Request.m_processorShare)}});
+  m_log.append(LogTopic::Jobs, {{HandoverKey, encode(Request)}}, std::nullopt,
+               m_options.m_claimTimeout, [](const AppendReply &) {
+                 // The record read back from the log counts.
+               });
 }
 
 void Candidate::onRead() {
@@ -74,7 +132,7 @@
   const OwnerRecord &Newest = m_jobs.owner();
   if (Newest.m_node == m_options.m_node &&
       Newest.m_bootId != m_options.m_bootId)
-    m_ownership.onOwnerLeaving();
+    m_ownership.onOwnerLeaving(std::nullopt);
 }
 
 void Candidate::onLogRegained() {
@@ -82,11 +140,23 @@
     m_owner->onLogRegained();
 }
 
+bool Candidate::mayClaim() const {
+  return m_ownership.shouldStartElection() || m_handover.shouldDisplace();
+}
+
 void Candidate::check() {
-  if (!m_owner && m_claimedEpoch == 0 && !m_isLeaving && m_reader.isLoaded() &&
-      m_ownership.shouldStartElection()) {
-    m_claimedEpoch = m_jobs.owner().m_epoch + 1;
-    claimEpoch();
+  // A successor that does not know the evacuations could start nothing.
+  const Milliseconds MaxAge = m_options.m_owner.m_maxEvacuationAge;
+  const bool KnowsEvacuations =
+      MaxAge == Milliseconds::zero() || m_evacuations.areCurrent(MaxAge);
+  m_handover.onState(isCurrent() && KnowsEvacuations, m_reader.replyLatency());
+  if (!m_owner && m_claimedEpoch == 0 && !m_isLeaving && m_reader.isLoaded()) {
+    if (mayClaim()) {
+      m_claimedEpoch = m_jobs.owner().m_epoch + 1;
+      claimEpoch();
+    } else if (m_handover.shouldRequest()) {
+      requestHandover();
+    }
   }
   m_checkTimer.start(m_options.m_checkInterval, [this] { check(); });
 }
@@ -130,7 +200,7 @@
     // The owner may have been active since the last attempt, in which case the
     // claim must not be repeated. An earlier attempt may still be carried out,
     // so the election stays open.
-    if (m_ownership.shouldStartElection())
+    if (mayClaim())
       claimEpoch();
     else
       scheduleClaimRetry();
@@ -186,7 +256,7 @@
   m_isLeaving = true;
   m_claimedEpoch = 0;
   if (m_owner)
-    m_owner->leave([this] {
+    m_owner->leave(std::nullopt, [this] {
       m_endTimer.start(Duration::zero(), [this] { m_owner.reset(); });
     });
 }
--- a/catkinseam/ownership/candidate.h
+++ b/catkinseam/ownership/candidate.h
@@ -44,6 +44,9 @@
     /// The owner reads more often, to learn of new jobs sooner.
     Milliseconds m_ownerBatchingWindow{12};
     Ownership::Options m_ownership;
+    /// Its node, boot id and processor share are ignored; the candidate sets
+    /// them.
+    Handover::Options m_handover;
     /// Address for other nodes, as HOST:PORT; empty if there is none.
     std::string m_peer;
     /// Its epoch, node, boot id, peer address and processor share are ignored;
@@ -96,6 +99,8 @@
   void onLoaded(const std::set<std::string> &Keys);
   void onLogRegained();
   void check();
+  /// Whether the next epoch may be claimed.
+  bool mayClaim() const;
   void claimEpoch();
   void onClaimReply(const AppendReply &Reply);
   /// Repeats the claim after a delay, if the election is still justified then.
@@ -104,6 +109,9 @@
   void becomeOwner(std::uint64_t Epoch);
   /// Sets how often this node reads the jobs topic while it is not the owner.
   void setFollowerWindow();
+  void onHandoverRecord(const std::string &Value);
+  void handOver(const HandoverRecord &Request);
+  void requestHandover();
   void onOwnershipLost();
 
   Runtime &m_host;
@@ -115,6 +123,7 @@
   const Options m_options;
   KeyedLogReader m_reader;
   Ownership m_ownership;
+  Handover m_handover;
   std::unique_ptr<Owner> m_owner;
   Timer m_checkTimer;
   Timer m_retryTimer;
--- a/catkinseam/ownership/owner.cc
+++ b/catkinseam/ownership/owner.cc
@@ -242,8 +242,12 @@
 }
 
 OwnerRecord Owner::ownRecord(bool IsLeaving) const {
-  return {m_options.m_epoch, m_options.m_node,           m_options.m_bootId,
-          IsLeaving,         m_options.m_processorShare, m_options.m_peer};
+  return {m_options.m_epoch,
+          m_options.m_node,
+          m_options.m_bootId,
+          IsLeaving,
+          effectiveShare(m_options.m_processorShare, m_lag.value()),
+          m_options.m_peer};
 }
 
 void Owner::logSummary() {
@@ -263,7 +267,8 @@
            {"paced", std::to_string(Stats.m_fillerGranted)},
            {"over", std::to_string(Stats.m_servicesOverTarget)},
            {"open", std::to_string(Stats.m_availableWorkers)},
-           {"reservations", std::to_string(Stats.m_reservations)}});
+           {"reservations", std::to_string(Stats.m_reservations)},
+           {"lag_ms", std::to_string(toMilliseconds(m_lag.value()).count())}});
   logEvacuations();
   m_summaryTimer.start(m_options.m_summaryInterval, [this] {
     if (!m_hasSteppedDown)
@@ -429,6 +434,8 @@
   m_jobsBeingDeleted = std::move(m_expiredJobs);
   m_expiredJobs.clear();
   m_announcesLeaving = m_isLeaving && !m_progressAppender.isBusy();
+  if (m_announcesLeaving && m_successor)
+    Groups.push_back({"", {{HandoverKey, encode(*m_successor)}}});
   if (Groups.empty() || m_announcesLeaving)
     Groups.push_back({"", {{OwnerKey, encode(ownRecord(m_announcesLeaving))}}});
   m_lastAnnouncement = m_host.now();
@@ -454,7 +461,9 @@
 }
 
 void Owner::scheduleHeartbeat() {
-  m_heartbeatTimer.start(m_options.m_heartbeatInterval, [this] {
+  const TimePoint Due = m_host.now() + m_options.m_heartbeatInterval;
+  m_heartbeatTimer.start(m_options.m_heartbeatInterval, [this, Due] {
+    m_lag.record(m_host.now() - Due);
     if (m_host.now() - m_lastAnnouncement >= m_options.m_heartbeatInterval)
       announce();
     scheduleHeartbeat();
@@ -550,8 +559,10 @@
   m_onOwnershipLost();
 }
 
-void Owner::leave(std::function<void()> Done) {
+void Owner::leave(const std::optional<HandoverRecord> &Successor,
+                  std::function<void()> Done) {
   m_isLeaving = true;
+  m_successor = Successor;
   m_onLeft = std::move(Done);
   if (!m_progressAppender.isBusy())
     announce();
--- a/catkinseam/ownership/owner.h
+++ b/catkinseam/ownership/owner.h
@@ -21,6 +21,7 @@
 #include "catkinseam/ledger/keyed_log_reader.h"
 #include "catkinseam/ledger/ledger.h"
 #include "catkinseam/ownership/evacuations.h"
+#include "catkinseam/ownership/handover.h"
 #include "catkinseam/ownership/learned_model_store.h"
 #include "catkinseam/scheduler/scheduler.h"
 
@@ -105,12 +106,15 @@
   void start();
 
   /// Hands over ownership: calls `Done` once a record that announces the
-  /// departure is durable.
-  void leave(std::function<void()> Done);
+  /// departure is durable. It names `Successor`, if there is one.
+  void leave(const std::optional<HandoverRecord> &Successor,
+             std::function<void()> Done);
 
   /// Reports that the ledger was read on.
   void onLedgerRead() { takeOverJobs(); }
 
+  bool isLeaving() const { return m_isLeaving; }
+
   /// Whether this owner schedules.
   bool hasTakenOver() const { return m_hasTakenOver; }
 
@@ -202,6 +206,8 @@
   bool m_hasSteppedDown = false;
   bool m_isLeaving = false;
   std::function<void()> m_onLeft;
+  std::optional<HandoverRecord> m_successor;
+  LoopLag m_lag;
   /// The announcement in progress says that this owner is leaving.
   bool m_announcesLeaving = false;
   Decisions m_pendingDecisions;
--- a/catkinseam/ownership/owner_test.cc
+++ b/catkinseam/ownership/owner_test.cc
@@ -149,7 +149,11 @@
 /// Runs one seed: ten seconds of jobs and faults, then 30 s without faults.
 /// Returns a line for each violated invariant.
 std::vector<std::string> runSeed(std::uint64_t Seed) {
-  SimulatedCluster Cluster({.m_seed = Seed});
+  // Nodes of unequal size hand ownership over as the larger ones return.
+  SimulatedCluster::Options Values{.m_seed = Seed};
+  if (Seed % 2 == 0)
+    Values.m_processorShares = {0.1, 0.5, 0.5};
+  SimulatedCluster Cluster(Values);
   FaultInjector Injector(Cluster);
   Cluster.run(2 * Second);
   std::vector<std::string> Ids;
--- a/catkinseam/ownership/ownership.cc
+++ b/catkinseam/ownership/ownership.cc
@@ -10,7 +10,7 @@
 
 Ownership::Ownership(const Clock &Time, const Options &Values,
                      const std::string &NodeName)
-    : m_clock(Time), m_options(Values),
+    : m_clock(Time), m_options(Values), m_nodeName(NodeName),
       m_jitterFraction(static_cast<double>(hashBytes(NodeName) % 1024) /
                        1024.0),
       m_lastOwnerActivity(Time.now()) {}
@@ -38,6 +38,15 @@
   m_lastOwnerActivity = m_clock.now();
 }
 
+void Ownership::onOwnerLeaving(const std::optional<std::string> &Successor) {
+  m_isOwnerLeaving = true;
+  m_leavingDelay = jitter() / 4 + electionDelay();
+  if (Successor)
+    m_leavingDelay = *Successor == m_nodeName
+                         ? Duration::zero()
+                         : m_leavingDelay + m_options.m_successorGrace;
+}
+
 void Ownership::onElectionFailed() {
   m_nextElection = m_clock.now() + m_options.m_electionBackoff;
 }
@@ -75,7 +84,7 @@
       Now - m_lastRead > m_options.m_maxReadAge + 2 * m_logLatency)
     return false;
   if (m_isOwnerLeaving)
-    return Now - m_lastOwnerActivity >= jitter() / 4 + electionDelay();
+    return Now - m_lastOwnerActivity >= m_leavingDelay;
   const Duration Timeout = std::max<Duration>(
       m_options.m_ownerTimeout + m_options.m_latencyMultiplier * m_logLatency,
       std::min<Duration>(m_options.m_intervalMultiplier * m_longestInterval,
--- a/catkinseam/ownership/ownership.h
+++ b/catkinseam/ownership/ownership.h
@@ -56,6 +56,9 @@
     /// Added to the timeout after an outage of the log: the owner's append may
     /// be waiting for a reply that was lost.
     Milliseconds m_outageGrace{1200};
+    /// When the owner hands over to another node, how long that node is given
+    /// to claim the next epoch.
+    Milliseconds m_successorGrace{700};
     /// Pause after a lost election.
     Milliseconds m_electionBackoff{500};
   };
@@ -75,8 +78,9 @@
     m_ownerProcessorShare = ProcessorShare;
   }
 
-  /// Reports that the newest owner has announced its departure.
-  void onOwnerLeaving() { m_isOwnerLeaving = true; }
+  /// Reports that the newest owner has announced its departure, and the node to
+  /// which it hands over, if it has named one.
+  void onOwnerLeaving(const std::optional<std::string> &Successor);
 
   /// Reports that another node claimed the epoch or this node lost ownership;
   /// starts the backoff.
@@ -97,6 +101,7 @@
 
   const Clock &m_clock;
   const Options m_options;
+  const std::string m_nodeName;
   /// From 0 to 1.
   const double m_jitterFraction;
   TimePoint m_lastRead;
@@ -106,6 +111,8 @@
   Duration m_longestInterval{0};
   TimePoint m_nextElection;
   bool m_isOwnerLeaving = false;
+  /// While the owner is leaving: added to the delays of this node.
+  Duration m_leavingDelay{0};
   /// Not set before the first owner.
   std::optional<double> m_ownerProcessorShare;
 };
--- a/catkinseam/ownership/testing/run_history.h
+++ b/catkinseam/ownership/testing/run_history.h
@@ -84,7 +84,7 @@
 struct HistoryBounds {
   /// Capacities before the first change.
   std::map<std::string, Resources> m_capacities;
-  std::map<std::string, std::string> m_dataCentres;
+  std::map<std::string, std::string> m_dataCentres{};
   /// A task may start in a data centre up to this long after a request to
   /// evacuate it.
   Milliseconds m_maxStartAfterEvacuation{5000};
--- a/catkinseam/ownership/testing/simulated_cluster.cc
+++ b/catkinseam/ownership/testing/simulated_cluster.cc
@@ -144,7 +144,7 @@
 
 void FakeNode::start(Owner::WorkerLinkFactory MakeLink,
                      Owner::WorkerRegistrationParser ParseRegistration,
-                     Milliseconds JobRetention, Milliseconds MaxEvacuationAge) {
+                     const Options &Opts) {
   kill();
   m_pausableLog = std::make_unique<PausableLog>(*this);
   m_jobs = std::make_unique<Ledger>();
@@ -168,8 +168,9 @@
   Candidate::Options Values;
   Values.m_node = m_name;
   Values.m_bootId = m_name + "-" + std::to_string(m_incarnation);
-  Values.m_owner.m_scheduler.m_jobRetention = JobRetention;
-  Values.m_owner.m_maxEvacuationAge = MaxEvacuationAge;
+  Values.m_owner.m_scheduler.m_jobRetention = Opts.m_jobRetention;
+  Values.m_owner.m_maxEvacuationAge = Opts.m_maxEvacuationAge;
+  Values.m_ownership.m_processorShare = Opts.m_processorShare;
   m_candidate = std::make_unique<Candidate>(
       *this, *m_pausableLog, *m_jobs, *m_evacuations,
       [this,
@@ -238,7 +239,10 @@
           return makeError(ErrorCode::Invalid, "the id is no longer in use");
         return Read;
       },
-      m_options.m_jobRetention, m_options.m_maxEvacuationAge);
+      {m_options.m_jobRetention, m_options.m_maxEvacuationAge,
+       Index < m_options.m_processorShares.size()
+           ? m_options.m_processorShares[Index]
+           : 1.0});
 }
 
 void SimulatedCluster::crashWorker(std::size_t Index) {
--- a/catkinseam/ownership/testing/simulated_cluster.h
+++ b/catkinseam/ownership/testing/simulated_cluster.h
@@ -32,10 +32,17 @@
   TimerId schedule(Duration Delay, std::function<void()> Call) override;
   void cancel(TimerId Id) override;
 
+  struct Options {
+    Milliseconds m_jobRetention{0};
+    /// See Owner::Options.
+    Milliseconds m_maxEvacuationAge{0};
+    double m_processorShare = 1.0;
+  };
+
   /// Starts a new incarnation of the process.
   void start(Owner::WorkerLinkFactory MakeLink,
              Owner::WorkerRegistrationParser ParseRegistration,
-             Milliseconds JobRetention, Milliseconds MaxEvacuationAge);
+             const Options &Values);
   void kill();
   void pause() { m_isPaused = true; }
   void resume();
@@ -85,6 +92,8 @@
     Resources m_capacity{4000, 8000, 0};
     /// See Owner::Options.
     Milliseconds m_maxEvacuationAge{4500};
+    /// Processor shares of the nodes; those that are not listed have 1.0.
+    std::vector<double> m_processorShares{};
     Milliseconds m_jobRetention = Scheduler::Options{}.m_jobRetention;
   };
 
