Check a configuration of the users' platform before it is sent

Operators asked for it: errors, entries that can never match, limits that contradict each other, and what differs from the version in force.

--- a/catkinseam/cli/main.cc
+++ b/catkinseam/cli/main.cc
@@ -2,6 +2,7 @@
 #include "catkinseam/base/signals.h"
 #include "catkinseam/cli/command.h"
 #include "catkinseam/cli/operator_commands.h"
+#include "catkinseam/node/config_check_command.h"
 #include "catkinseam/node/node_command.h"
 #include "catkinseam/server/entry_server.h"
 #include "catkinseam/settings/settings.h"
@@ -74,7 +75,12 @@
          "check a settings file",
          addSettingsOption,
          {"settings"},
-         check}};
+         check},
+        {"config check",
+         "check a configuration of the users' platform before it is sent",
+         addConfigCheckOptions,
+         {"file"},
+         runConfigCheck}};
     for (Command &OperatorCommand : operatorCommands())
       Commands.push_back(std::move(OperatorCommand));
     return Commands;
