Test deferral and reservations so that they fail without the code

Cause: planted faults showed two dead checks in. A deferred job also came later by its new deadline, and the job for which no room may be kept had missed its objective, so that it could reserve nothing anyway.

Change: the deferred job competes with jobs that have more time than it; the distant room is tested against a near one.

--- a/catkinseam/platform/adapters_test.cc
+++ b/catkinseam/platform/adapters_test.cc
@@ -155,7 +155,7 @@
       "readiness = \"127.0.0.1:2\"\nmetrics = \"127.0.0.1:3\"\n"
       "[platform]\nstore = \"127.0.0.1:4\"\n"
       "[scheduling]\nlongest_lease_s = 6500e-3\njob_memory_s = 90.5\n"
-      "evacuation_s = 5000e-3\n"
+      "evacuation_s = 5000e-3\nreservations = 16\n"
       "[stop]\ngrace_s = 6\n");
   BOOST_TEST(Valid.m_errors.empty());
   BOOST_TEST(toMilliseconds(Valid.m_settings.m_maxLeaseDuration).count() ==
@@ -163,6 +163,7 @@
   BOOST_TEST(toMilliseconds(Valid.m_settings.m_jobRetention).count() == 90500);
   BOOST_TEST(toMilliseconds(Valid.m_settings.m_evacuationBound).count() ==
              5000);
+  BOOST_TEST(Valid.m_settings.m_maxReservations == 16);
   BOOST_TEST(toMilliseconds(Valid.m_settings.m_shutdownGracePeriod).count() ==
              6000);
   const LoadedNodeSettings Invalid =
--- a/catkinseam/scheduler/reservations_test.cc
+++ b/catkinseam/scheduler/reservations_test.cc
@@ -108,16 +108,19 @@
 
 // Nothing is kept for a task whose room will not be free soon.
 BOOST_AUTO_TEST_CASE(DistantRoomIsNotReserved) {
-  SchedulerFixture Each(withReservations(4));
-  Each.addWorker("w1", {4000, 8000, 0});
-  Each.m_scheduler.addJob(
-      jobOf("00000000000000a1", 3, 1000, Milliseconds(9000)), nullptr);
-  BOOST_TEST(Each.scheduleOnce() == 3U);
-  Each.m_scheduler.addJob(jobOf(LargeId, 1, 4000, Milliseconds(1000)), nullptr);
-  Each.m_scheduler.addJob(
-      jobOf("00000000000000b1", 1, 1000, Milliseconds(9000)), nullptr);
-  BOOST_TEST(Each.scheduleOnce() == 1U);
-  BOOST_TEST(Each.m_scheduler.summarize().m_reservations == 0U);
+  for (const bool IsDistant : {true, false}) {
+    Fixture Each(4);
+    const Milliseconds Left(IsDistant ? 9000 : 900);
+    Each.m_clock.advance(Milliseconds(200));
+    Each.endRun("w1", Each.m_sentStarts["w1"].front(), RunEnd::Done);
+    Each.m_scheduler.cancelJob(LargeId);
+    Each.submit(jobOf("00000000000000c1", 1, 1000, Left));
+    BOOST_TEST(Each.scheduleOnce() == 1U);
+    Each.submit(jobOf("00000000000000c2", 1, 4000, Milliseconds(1000)));
+    Each.scheduleOnce();
+    BOOST_TEST(Each.m_scheduler.summarize().m_reservations ==
+               (IsDistant ? 0U : 1U));
+  }
 }
 
 // Reported progress counts more than a declared estimate, which may be far from
--- a/catkinseam/scheduler/work_order_test.cc
+++ b/catkinseam/scheduler/work_order_test.cc
@@ -72,39 +72,38 @@
 
 // Load: after a burst a standing queue makes every job late by a little. A job
 // that has not begun and cannot be in time any more must not delay one that
-// can; it starts when its result would otherwise be of no use.
+// can, even if that has more time; it starts when its result would otherwise be
+// of no use.
 BOOST_FIXTURE_TEST_CASE(JobThatCannotBeInTimeIsDeferred, Fixture) {
   m_clock.advance(Milliseconds(100000));
   const WallTime Start = m_clock.wallNow();
+  const auto AddPatientJob = [this](const std::string &Id) {
+    Submission Job = jobAcceptedAt(Id, m_clock.wallNow(), 1);
+    Job.m_policy.m_slack = Milliseconds(9000);
+    m_scheduler.addJob(Job, nullptr);
+  };
+  const auto StartedNext = [this] {
+    endRun("w1", m_sentStarts["w1"].front(), RunEnd::Done);
+    m_clock.advance(Milliseconds(50));
+    BOOST_TEST(scheduleOnce() == 1U);
+    return m_sentStarts["w1"].front().m_task.m_job;
+  };
   addWorker("w1", {1000, 8000, 0});
   m_scheduler.addJob(jobAcceptedAt("00000000000000a0", Start, 1), nullptr);
   BOOST_TEST(scheduleOnce() == 1U);
-  // Both have one second from their acceptance, and need 0.5 s. The first would
-  // end 0.3 s late, and is of use for two seconds more.
+  // It has one second from its acceptance, needs 0.5 s, and is of use for two
+  // seconds after that.
   m_scheduler.addJob(jobAcceptedAt("00000000000000a1", Start, 1), nullptr);
   m_clock.advance(Milliseconds(650));
-  m_scheduler.addJob(jobAcceptedAt("00000000000000a2", m_clock.wallNow(), 1),
-                     nullptr);
-  endRun("w1", m_sentStarts["w1"].front(), RunEnd::Done);
-  m_clock.advance(Milliseconds(50));
-  BOOST_TEST(scheduleOnce() == 1U);
-  BOOST_TEST(m_sentStarts["w1"].front().m_task.m_job == "00000000000000a2");
-  // 1.6 s later its last useful start is near, and it precedes a job that has
-  // just been accepted.
-  m_clock.advance(Milliseconds(800));
-  m_scheduler.addJob(jobAcceptedAt("00000000000000a3", m_clock.wallNow(), 1),
-                     nullptr);
-  endRun("w1", m_sentStarts["w1"].front(), RunEnd::Done);
-  m_clock.advance(Milliseconds(50));
-  BOOST_TEST(scheduleOnce() == 1U);
-  BOOST_TEST(m_sentStarts["w1"].front().m_task.m_job == "00000000000000a3");
+  AddPatientJob("00000000000000a2");
+  BOOST_TEST(StartedNext() == "00000000000000a2");
+  m_clock.advance(Milliseconds(400));
+  AddPatientJob("00000000000000a3");
+  BOOST_TEST(StartedNext() == "00000000000000a3");
+  // 1.6 s after its acceptance, its last useful start is near.
   m_clock.advance(Milliseconds(300));
-  m_scheduler.addJob(jobAcceptedAt("00000000000000a4", m_clock.wallNow(), 2),
-                     nullptr);
-  endRun("w1", m_sentStarts["w1"].front(), RunEnd::Done);
-  m_clock.advance(Milliseconds(50));
-  BOOST_TEST(scheduleOnce() == 1U);
-  BOOST_TEST(m_sentStarts["w1"].front().m_task.m_job == "00000000000000a1");
+  AddPatientJob("00000000000000a4");
+  BOOST_TEST(StartedNext() == "00000000000000a1");
 }
 
 // Guards against work that is thrown away: a job of which some tasks have run
