Keep the bound of evacuations with the requests; loop lag in a file of its own

Cause, from reading the diff: the owner and the candidate both worked out whether the requests of evacuations are recent enough, and handover.h measured timers beside its policy.

Change: moves only. Evacuations has the limit among its options and is asked in both places; LoopLag and effectiveShare are in ownership/loop_lag.h.

--- a/catkinseam/node/node.cc
+++ b/catkinseam/node/node.cc
@@ -34,6 +34,15 @@
   return Opts;
 }
 
+Evacuations::Options evacuationOptions(const NodeSettings &Values) {
+  // Time for a start to reach its worker.
+  constexpr Milliseconds StartMargin{500};
+  const Milliseconds Bound = toMilliseconds(Values.m_evacuationBound);
+  if (Bound == Milliseconds::zero())
+    return {};
+  return {std::max(Bound - StartMargin, StartMargin)};
+}
+
 Candidate::Options candidateOptions(const NodeSettings &Values) {
   Candidate::Options Opts;
   Opts.m_node = Values.m_name;
@@ -42,11 +51,6 @@
     Opts.m_peer = toString(Values.m_peerEndpoint);
   Opts.m_ownership.m_processorShare = Values.m_processorShare;
   Opts.m_owner.m_appendLimits = appendLimits(Values);
-  // Time for a start to reach its worker.
-  constexpr Milliseconds StartMargin{500};
-  if (Values.m_evacuationBound > FractionalSeconds::zero())
-    Opts.m_owner.m_maxEvacuationAge = std::max(
-        toMilliseconds(Values.m_evacuationBound) - StartMargin, StartMargin);
   Scheduler::Options &Scheduling = Opts.m_owner.m_scheduler;
   const Milliseconds LongestLease = toMilliseconds(Values.m_maxLeaseDuration);
   Scheduling.m_storeOutageLease = LongestLease;
@@ -74,7 +78,7 @@
                      {[this] { return ownerPeer(); },
                       [this] { return m_candidate.logLatency(); }},
                      {}),
-      m_evacuations(Loop.clock()),
+      m_evacuations(Loop.clock(), evacuationOptions(Values)),
       m_candidate(
           Loop, m_relayedStore, m_ledger, m_evacuations,
           [&Loop](const WorkerRegistration &Registration)
--- a/catkinseam/ownership/candidate.cc
+++ b/catkinseam/ownership/candidate.cc
@@ -146,10 +146,8 @@
 
 void Candidate::check() {
   // A successor that does not know the evacuations could start nothing.
-  const Milliseconds MaxAge = m_options.m_owner.m_maxEvacuationAge;
-  const bool KnowsEvacuations =
-      MaxAge == Milliseconds::zero() || m_evacuations.areCurrent(MaxAge);
-  m_handover.onState(isCurrent() && KnowsEvacuations, m_reader.replyLatency());
+  m_handover.onState(isCurrent() && m_evacuations.areCurrent(),
+                     m_reader.replyLatency());
   if (!m_owner && m_claimedEpoch == 0 && !m_isLeaving && m_reader.isLoaded()) {
     if (mayClaim()) {
       m_claimedEpoch = m_jobs.owner().m_epoch + 1;
--- a/catkinseam/ownership/candidate.h
+++ b/catkinseam/ownership/candidate.h
@@ -9,6 +9,7 @@
 
 #include "catkinseam/ledger/keyed_log_reader.h"
 #include "catkinseam/ledger/ledger.h"
+#include "catkinseam/ownership/handover.h"
 #include "catkinseam/ownership/owner.h"
 #include "catkinseam/ownership/ownership.h"
 
--- a/catkinseam/ownership/evacuations.cc
+++ b/catkinseam/ownership/evacuations.cc
@@ -34,8 +34,10 @@
   m_isRead = true;
 }
 
-bool Evacuations::areCurrent(Duration MaxAge) const {
-  return m_isRead && m_clock.now() - m_readAt < MaxAge;
+bool Evacuations::areCurrent() const {
+  if (m_options.m_maxAge == Milliseconds::zero())
+    return true;
+  return m_isRead && m_clock.now() - m_readAt < m_options.m_maxAge;
 }
 
 std::set<std::string> Evacuations::dataCentres() const {
--- a/catkinseam/ownership/evacuations.h
+++ b/catkinseam/ownership/evacuations.h
@@ -2,10 +2,10 @@
 // the requests in the operator topic; the owner starts no run in these data
 // centres.
 //
-//   Evacuations Requests(Clock);
+//   Evacuations Requests(Clock, {.m_maxAge = Milliseconds(4500)});
 //   Requests.request("tamarindo");
 //   Requests.onRead(Reader.caughtUpAt());
-//   if (Requests.areCurrent(Milliseconds(4500))) ... Requests.dataCentres()
+//   if (Requests.areCurrent()) ... Requests.dataCentres()
 #ifndef CATKINSEAM_OWNERSHIP_EVACUATIONS_H
 #define CATKINSEAM_OWNERSHIP_EVACUATIONS_H
 
@@ -20,7 +20,13 @@
 /// Not thread-safe.
 class Evacuations {
 public:
-  explicit Evacuations(const Clock &Time) : m_clock(Time) {}
+  struct Options {
+    /// How long ago the requests may have been read; zero for no limit.
+    Milliseconds m_maxAge{0};
+  };
+
+  Evacuations(const Clock &Time, const Options &Values)
+      : m_clock(Time), m_options(Values) {}
 
   /// Applies a request. Repeating it has no effect.
   void request(const std::string &DataCentre);
@@ -33,9 +39,9 @@
   /// Reports that all requests made before `When` have been applied.
   void onRead(TimePoint When);
 
-  /// Whether all requests older than `MaxAge` have been applied. False until
-  /// the first read.
-  bool areCurrent(Duration MaxAge) const;
+  /// Whether the requests are recent enough to start runs. With a limit on
+  /// their age, false until the first read.
+  bool areCurrent() const;
 
   /// The requests in force: the data centres, and when this node learned of
   /// each request.
@@ -46,6 +52,7 @@
 
 private:
   const Clock &m_clock;
+  const Options m_options;
   std::map<std::string, TimePoint> m_requests;
   TimePoint m_readAt;
   bool m_isRead = false;
--- a/catkinseam/ownership/handover.cc
+++ b/catkinseam/ownership/handover.cc
@@ -3,17 +3,8 @@
 
 #include "catkinseam/base/hash.h"
 
-#include <algorithm>
-
 namespace catkinseam {
 
-namespace {
-
-/// Loop lag at which an owner announces half of its share.
-constexpr Milliseconds HalvingLag{200};
-
-} // namespace
-
 Handover::Handover(const Clock &Time, const Options &Values)
     : m_clock(Time), m_options(Values),
       m_jitter(Values.m_maxJitter *
@@ -99,14 +90,4 @@
   return m_newest.m_node;
 }
 
-void LoopLag::record(Duration Late) {
-  constexpr int Memory = 8;
-  m_lag = ((Memory - 1) * m_lag + std::max(Duration::zero(), Late)) / Memory;
-}
-
-double effectiveShare(double ProcessorShare, Duration Lag) {
-  return ProcessorShare / (1.0 + std::chrono::duration<double>(Lag) /
-                                     std::chrono::duration<double>(HalvingLag));
-}
-
 } // namespace catkinseam
--- a/catkinseam/ownership/handover.h
+++ b/catkinseam/ownership/handover.h
@@ -102,21 +102,6 @@
   HandoverRecord m_newest;
 };
 
-/// Measures how late a process is: the delay of timers beyond their time.
-class LoopLag {
-public:
-  /// Records a timer that ran `Late` after its time.
-  void record(Duration Late);
-  Duration value() const { return m_lag; }
-
-private:
-  Duration m_lag{0};
-};
-
-/// The share of a processor that an owner announces: its node's share, less the
-/// more its loop lags.
-double effectiveShare(double ProcessorShare, Duration Lag);
-
 } // namespace catkinseam
 
 #endif // CATKINSEAM_OWNERSHIP_HANDOVER_H
--- a/catkinseam/ownership/handover_test.cc
+++ b/catkinseam/ownership/handover_test.cc
@@ -1,6 +1,7 @@
 // Ownership that moves to a fitter node while the owner still works.
 #define BOOST_TEST_MODULE handover
 #include "catkinseam/ownership/handover.h"
+#include "catkinseam/ownership/loop_lag.h"
 #include "catkinseam/ownership/testing/simulated_cluster.h"
 
 #include <algorithm>
--- a/catkinseam/ownership/owner.cc
+++ b/catkinseam/ownership/owner.cc
@@ -184,15 +184,10 @@
          m_options.m_maxRegistryAge;
 }
 
-bool Owner::areEvacuationsCurrent() const {
-  return m_options.m_maxEvacuationAge == Milliseconds::zero() ||
-         m_evacuations.areCurrent(m_options.m_maxEvacuationAge);
-}
-
 void Owner::updatePlacementInputs() {
   m_scheduler.setEvacuatedDataCentres(m_evacuations.dataCentres());
   m_scheduler.setPlacementInputsCurrent(isRegistryCurrent() &&
-                                        areEvacuationsCurrent());
+                                        m_evacuations.areCurrent());
 }
 
 void Owner::requestCycle() {
@@ -375,7 +370,7 @@
   updatePlacementInputs();
   sendStarts(m_scheduler.release(
       m_pendingDecisions, IsStale || !m_isCurrent() || !isRegistryCurrent() ||
-                              !areEvacuationsCurrent()));
+                              !m_evacuations.areCurrent()));
   for (auto &[Id, Connection] : m_connections)
     if (Connection.m_hasUnstoredEnds)
       schedulePoll(Id, Duration::zero());
--- a/catkinseam/ownership/owner.h
+++ b/catkinseam/ownership/owner.h
@@ -21,8 +21,8 @@
 #include "catkinseam/ledger/keyed_log_reader.h"
 #include "catkinseam/ledger/ledger.h"
 #include "catkinseam/ownership/evacuations.h"
-#include "catkinseam/ownership/handover.h"
 #include "catkinseam/ownership/learned_model_store.h"
+#include "catkinseam/ownership/loop_lag.h"
 #include "catkinseam/scheduler/scheduler.h"
 
 #include <functional>
@@ -64,9 +64,6 @@
     /// No run is started once the registry of workers was last read to its end
     /// longer ago than this.
     Milliseconds m_maxRegistryAge{3000};
-    /// No run is started once the requests of evacuations were last read
-    /// longer ago than this; zero for no limit.
-    Milliseconds m_maxEvacuationAge{0};
     /// Interval of the `owner.summary` log event.
     Milliseconds m_summaryInterval{1000};
     /// Limits of the log.
@@ -172,7 +169,6 @@
   WorkerConnection *findConnection(const std::string &Id);
   bool hasAuthority() const;
   bool isRegistryCurrent() const;
-  bool areEvacuationsCurrent() const;
   /// Passes the scheduler what the operator and the workers have announced.
   void updatePlacementInputs();
   void onFenced(const std::string &Worker);
--- a/catkinseam/ownership/takeover_test.cc
+++ b/catkinseam/ownership/takeover_test.cc
@@ -20,7 +20,7 @@
   FakeLog Log(Host, Random);
   FakeLog::View View(Log);
   Ledger Jobs;
-  const Evacuations NoRequests(Host.clock());
+  const Evacuations NoRequests(Host.clock(), {});
   FakeWorker Worker(Host, Random, History, "w0", {4000, 8000, 0});
   Log.put(LogTopic::Workers, "w0", "0");
   JobProgress Started;
--- a/catkinseam/ownership/testing/simulated_cluster.cc
+++ b/catkinseam/ownership/testing/simulated_cluster.cc
@@ -148,7 +148,8 @@
   kill();
   m_pausableLog = std::make_unique<PausableLog>(*this);
   m_jobs = std::make_unique<Ledger>();
-  m_evacuations = std::make_unique<Evacuations>(clock());
+  m_evacuations = std::make_unique<Evacuations>(
+      clock(), Evacuations::Options{Opts.m_maxEvacuationAge});
   m_operatorReader = std::make_unique<KeyedLogReader>(
       *this, *m_pausableLog,
       KeyedLogReader::Options{.m_topic = LogTopic::Operator,
@@ -169,7 +170,6 @@
   Values.m_node = m_name;
   Values.m_bootId = m_name + "-" + std::to_string(m_incarnation);
   Values.m_owner.m_scheduler.m_jobRetention = Opts.m_jobRetention;
-  Values.m_owner.m_maxEvacuationAge = Opts.m_maxEvacuationAge;
   Values.m_ownership.m_processorShare = Opts.m_processorShare;
   m_candidate = std::make_unique<Candidate>(
       *this, *m_pausableLog, *m_jobs, *m_evacuations,
--- a/catkinseam/ownership/testing/simulated_cluster.h
+++ b/catkinseam/ownership/testing/simulated_cluster.h
@@ -34,7 +34,7 @@
 
   struct Options {
     Milliseconds m_jobRetention{0};
-    /// See Owner::Options.
+    /// See Evacuations::Options.
     Milliseconds m_maxEvacuationAge{0};
     double m_processorShare = 1.0;
   };
@@ -90,7 +90,7 @@
     std::size_t m_nodes = 3;
     std::size_t m_workers = 6;
     Resources m_capacity{4000, 8000, 0};
-    /// See Owner::Options.
+    /// See Evacuations::Options.
     Milliseconds m_maxEvacuationAge{4500};
     /// Processor shares of the nodes; those that are not listed have 1.0.
     std::vector<double> m_processorShares{};
--- a/catkinseam/platform/job_lookup_test.cc
+++ b/catkinseam/platform/job_lookup_test.cc
@@ -29,7 +29,7 @@
   FakeLog m_log{m_host, m_random};
   FakeLog::View m_view{m_log};
   Ledger m_ledger;
-  Evacuations m_evacuations{m_host.clock()};
+  Evacuations m_evacuations{m_host.clock(), {}};
   Candidate m_candidate{
       m_host,
       m_view,
