--- a/catkinseam/front/job_service.cc
+++ b/catkinseam/front/job_service.cc
@@ -152,10 +152,9 @@
 void JobService::recordAppendOutcome(LogOutcome Outcome) {
   m_isAppending = false;
   m_lastAppendTimedOut = Outcome == LogOutcome::Unknown;
-  if (Outcome == LogOutcome::Unknown)
-    m_appendTimeout.onTimeout();
-  else
-    m_appendTimeout.onReply(m_host.now() - m_appendStartedAt);
+  if (m_lastAppendTimedOut)
+    return m_appendTimeout.onTimeout();
+  m_appendTimeout.onReply(m_host.now() - m_appendStartedAt);
   m_lastReplyAt = m_host.now();
 }
 
--- a/catkinseam/scheduler/reservations.cc
+++ b/catkinseam/scheduler/reservations.cc
@@ -111,7 +111,7 @@
       continue;
     Best = Each;
     subtract(Free, Needed);
-    Chosen = {Task.m_step, Needed, At, Free};
+    Chosen = {Task.m_step, At, Free};
   }
   if (Best)
     m_byWorker.emplace(Best, Chosen);
--- a/catkinseam/scheduler/reservations.h
+++ b/catkinseam/scheduler/reservations.h
@@ -65,7 +65,6 @@
 private:
   struct Reservation {
     const StepInfo *m_step = nullptr;
-    Claim m_claim;
     /// When the task is expected to fit, and what is expected to be left then.
     TimePoint m_at;
     Claim m_left;
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -357,7 +357,7 @@
 ImmediateOrders Scheduler::control() {
   expireUnreachableWorkers();
   endTrials();
-  evacuateDrainingWorkers();
+  moveRunsOffDrainingWorkers();
   listAvailableWorkers();
   updateSuspendedShare();
   moveThrottledFillers();
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -282,7 +282,7 @@
   void reserveForUnknownRun(WorkerInfo &Worker, const TaskKey &Task) const;
   static void releaseUnknownRuns(WorkerInfo &Worker);
   void expireUnreachableWorkers();
-  void evacuateDrainingWorkers();
+  void moveRunsOffDrainingWorkers();
   void updateSuspendedShare();
   /// Stops throttled or starved fillers that could run faster on another
   /// worker.
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -350,7 +350,7 @@
   Worker.m_hasRunOfUnknownSize = false;
 }
 
-void Scheduler::evacuateDrainingWorkers() {
+void Scheduler::moveRunsOffDrainingWorkers() {
   for (const auto &[Id, Worker] : m_workers) {
     if (!Worker->m_registration.m_isDraining || !Worker->m_isReachable)
       continue;
