--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -113,17 +113,12 @@
   listAvailableWorkers();
   const TimePoint Now = m_clock.now();
   const WallTime WallNow = m_clock.wallNow();
-  std::vector<std::pair<WorkRank, StepInfo *>> Order;
-  Order.reserve(m_stepQueue.size());
+  std::vector<StepInfo *> Queued;
+  Queued.reserve(m_stepQueue.size());
   for (const auto &[Key, Step] : m_stepQueue)
-    Order.emplace_back(rankOf(*Step, Now, WallNow), Step);
-  // Steps of equal rank keep the order of their ids.
-  std::stable_sort(Order.begin(), Order.end(),
-                   [](const auto &One, const auto &Other) {
-                     return One.first < Other.first;
-                   });
+    Queued.push_back(Step);
   m_reservations.beginRound();
-  for (const auto &[Rank, Step] : Order) {
+  for (const auto &[Rank, Step] : inWorkOrder(Queued, Now, WallNow)) {
     const bool MayReserve = !Rank.m_isDeferred && !Rank.m_isExpired;
     if (Step->m_retryAt > Now) {
       if (MayReserve)
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -22,6 +22,7 @@
 #include "catkinseam/ledger/records.h"
 #include "catkinseam/scheduler/filler_throttle.h"
 #include "catkinseam/scheduler/interference_model.h"
+#include "catkinseam/scheduler/job_value.h"
 #include "catkinseam/scheduler/orders.h"
 #include "catkinseam/scheduler/placement.h"
 #include "catkinseam/scheduler/preemption.h"
@@ -315,6 +316,7 @@
   FillerThrottle m_throttle;
   InterferenceModel m_interference;
   Reservations m_reservations;
+  JobValuation m_valuation;
   bool m_isStoreReachable = true;
   bool m_arePlacementInputsCurrent = true;
   std::set<std::string> m_evacuatedDataCentres;
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -68,6 +68,7 @@
   JobInfo &Row = *Made;
   Row.m_submission = Job;
   Row.m_criticalPath = criticalPath(Job.m_spec);
+  Row.m_value = m_valuation.add(Job.m_policy.m_queue, declaredWork(Job.m_spec));
   const auto CriticalPathMs = static_cast<double>(Row.m_criticalPath.count());
   Row.m_objectiveMs =
       Job.m_acceptedMs +
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -5,6 +5,7 @@
 #ifndef CATKINSEAM_SCHEDULER_TABLES_H
 #define CATKINSEAM_SCHEDULER_TABLES_H
 
+#include "catkinseam/scheduler/job_value.h"
 #include "catkinseam/scheduler/model.h"
 #include "catkinseam/scheduler/periodic_load.h"
 
@@ -164,6 +165,7 @@
   std::int64_t m_objectiveMs = 0;
   /// Length of the critical path of one occurrence by the declared estimates.
   Milliseconds m_criticalPath{0};
+  JobValue m_value;
 
   const QueuePolicy &policy() const { return m_submission.m_policy; }
 };
--- a/catkinseam/scheduler/work_order.cc
+++ b/catkinseam/scheduler/work_order.cc
@@ -1,7 +1,8 @@
-// Ranks waiting steps by priority and next deadline.
+// Ranks waiting steps by priority, remaining work and deadline.
 #include "catkinseam/scheduler/work_order.h"
 
 #include <algorithm>
+#include <set>
 
 namespace catkinseam {
 
@@ -44,6 +45,18 @@
          Step.m_waitingTasks.size() < Step.m_tasks.size();
 }
 
+/// Counts the tasks that have not started: the others hold their resources
+/// already.
+double remainingWorkPerValue(const OccurrenceInfo &Occurrence) {
+  ProcessorSeconds Remaining = 0.0;
+  for (const StepInfo &Each : Occurrence.m_steps) {
+    const std::size_t Tasks =
+        Each.m_isStarted ? Each.m_waitingTasks.size() : Each.m_spec->m_count;
+    Remaining += static_cast<double>(Tasks) * taskWork(*Each.m_spec);
+  }
+  return Remaining / Occurrence.m_job->m_value.current();
+}
+
 /// Expected time from the first start to the end of an occurrence. Where steps
 /// wait for room at all, they run on throttled processors and wait again before
 /// the next step.
@@ -51,12 +64,6 @@
   return Step.m_occurrence->m_job->m_criticalPath * 5 / 4;
 }
 
-} // namespace
-
-bool hasMissedObjective(const StepInfo &Step, WallTime Now) {
-  return !Step.m_spec->m_isService && objectiveMs(Step) < millisecondsOf(Now);
-}
-
 WorkRank rankOf(const StepInfo &Step, TimePoint Now, WallTime WallNow) {
   WorkRank Rank;
   Rank.m_priority = Step.m_occurrence->m_job->policy().m_priority;
@@ -79,4 +86,34 @@
   return Rank;
 }
 
+} // namespace
+
+bool hasMissedObjective(const StepInfo &Step, WallTime Now) {
+  return !Step.m_spec->m_isService && objectiveMs(Step) < millisecondsOf(Now);
+}
+
+std::vector<std::pair<WorkRank, StepInfo *>>
+inWorkOrder(const std::vector<StepInfo *> &Waiting, TimePoint Now,
+            WallTime WallNow) {
+  std::vector<std::pair<WorkRank, StepInfo *>> Order;
+  Order.reserve(Waiting.size());
+  std::set<std::int64_t> OverloadedPriorities;
+  for (StepInfo *Each : Waiting) {
+    const WorkRank Rank = rankOf(*Each, Now, WallNow);
+    // A job that can never run would otherwise count for as long as it waits.
+    if (hasMissedObjective(*Each, WallNow) && !Rank.m_isExpired)
+      OverloadedPriorities.insert(Rank.m_priority);
+    Order.emplace_back(Rank, Each);
+  }
+  for (auto &[Rank, Step] : Order)
+    if (!Step->m_spec->m_isService &&
+        OverloadedPriorities.contains(Rank.m_priority))
+      Rank.m_remainingWorkPerValue = remainingWorkPerValue(*Step->m_occurrence);
+  std::stable_sort(Order.begin(), Order.end(),
+                   [](const auto &One, const auto &Other) {
+                     return One.first < Other.first;
+                   });
+  return Order;
+}
+
 } // namespace catkinseam
--- a/catkinseam/scheduler/work_order_test.cc
+++ b/catkinseam/scheduler/work_order_test.cc
@@ -123,6 +123,87 @@
   BOOST_TEST(m_sentStarts["w1"].front().m_task.m_job == "00000000000000a1");
 }
 
+// Load: more wide jobs than the workers can run, with a new one every second
+// whose objective comes earlier than what is left to those that have missed
+// theirs. A job of which most tasks have run must not starve behind them.
+BOOST_FIXTURE_TEST_CASE(NearlyFinishedJobPrecedesLaterJobs, Fixture) {
+  m_clock.advance(Milliseconds(100000));
+  addWorker("w1", {3000, 8000, 0});
+  m_scheduler.addJob(jobAcceptedAt("00000000000000a1", m_clock.wallNow(), 4),
+                     nullptr);
+  BOOST_TEST(scheduleOnce() == 3U);
+  // It has missed its objective of 1 s, and is of use for 1.9 s more.
+  m_clock.advance(Milliseconds(1000));
+  m_scheduler.addJob(jobAcceptedAt("00000000000000b1", m_clock.wallNow(), 4),
+                     nullptr);
+  endRun("w1", m_sentStarts["w1"].front(), RunEnd::Done);
+  BOOST_TEST(scheduleOnce() == 1U);
+  BOOST_TEST(m_sentStarts["w1"].back().m_task.m_job == "00000000000000a1");
+}
+
+// Load: a job of four tasks has missed its objective, so not all that waits can
+// be in time. Of jobs that have not begun, the short one is served first even
+// if it came later: it delays the long one by little. While all can be in time,
+// the earlier objective decides.
+BOOST_FIXTURE_TEST_CASE(ShortJobPrecedesLongJobUnderOverload, Fixture) {
+  for (const bool IsOverloaded : {false, true}) {
+    SchedulerFixture Each;
+    Each.m_clock.advance(Milliseconds(100000));
+    Each.addWorker("w1", {1000, 8000, 0});
+    Submission Late = jobAcceptedAt("00000000000000a0", Each.m_clock.wallNow(),
+                                    IsOverloaded ? 4 : 1);
+    Each.m_scheduler.addJob(Late, nullptr);
+    BOOST_TEST(Each.scheduleOnce() == 1U);
+    Each.m_clock.advance(Milliseconds(1000));
+    Each.m_scheduler.addJob(
+        jobAcceptedAt("00000000000000a1", Each.m_clock.wallNow(), 8), nullptr);
+    Each.m_clock.advance(Milliseconds(100));
+    Each.m_scheduler.addJob(
+        jobAcceptedAt("00000000000000b1", Each.m_clock.wallNow(), 1), nullptr);
+    Each.endRun("w1", Each.m_sentStarts["w1"].front(), RunEnd::Done);
+    BOOST_TEST(Each.scheduleOnce() == 1U);
+    BOOST_TEST(Each.m_sentStarts["w1"].front().m_task.m_job ==
+               (IsOverloaded ? "00000000000000b1" : "00000000000000a1"));
+  }
+}
+
+// Guards against one job that no worker can run: it waits forever, and must not
+// count as overload once its result is of no use.
+BOOST_FIXTURE_TEST_CASE(HopelessJobIsNoOverload, Fixture) {
+  m_clock.advance(Milliseconds(100000));
+  addWorker("w1", {1000, 8000, 0});
+  Submission Hopeless = jobAcceptedAt("00000000000000a0", m_clock.wallNow(), 1);
+  Hopeless.m_spec.m_steps[0].m_request.m_milliProcessors = 9000;
+  m_scheduler.addJob(Hopeless, nullptr);
+  m_clock.advance(Milliseconds(4000));
+  m_scheduler.addJob(jobAcceptedAt("00000000000000a1", m_clock.wallNow(), 8),
+                     nullptr);
+  m_clock.advance(Milliseconds(100));
+  m_scheduler.addJob(jobAcceptedAt("00000000000000b1", m_clock.wallNow(), 1),
+                     nullptr);
+  BOOST_TEST(scheduleOnce() == 1U);
+  BOOST_TEST(m_sentStarts["w1"].front().m_task.m_job == "00000000000000a1");
+}
+
+// Load: the same. Guards against large jobs that starve: one of which most has
+// run precedes small ones that have not begun, although it needs more work than
+// each of them.
+BOOST_FIXTURE_TEST_CASE(LargeJobThatHasRunPrecedesSmallJobs, Fixture) {
+  m_clock.advance(Milliseconds(100000));
+  addWorker("w1", {15000, 40000, 0});
+  m_scheduler.addJob(jobAcceptedAt("00000000000000a1", m_clock.wallNow(), 20),
+                     nullptr);
+  BOOST_TEST(scheduleOnce() == 15U);
+  m_clock.advance(Milliseconds(1000));
+  for (int Small = 0; Small < 5; ++Small)
+    m_scheduler.addJob(jobAcceptedAt("00000000000000b" + std::to_string(Small),
+                                     m_clock.wallNow(), 2),
+                       nullptr);
+  endRun("w1", m_sentStarts["w1"].front(), RunEnd::Done);
+  BOOST_TEST(scheduleOnce() == 1U);
+  BOOST_TEST(m_sentStarts["w1"].back().m_task.m_job == "00000000000000a1");
+}
+
 // Load: short jobs take all that becomes free. A service whose worker left must
 // not be away for longer than a few seconds because of them.
 BOOST_FIXTURE_TEST_CASE(ServiceThatHasWaitedComesFirst, Fixture) {
