--- a/catkinseam/ownership/owner.cc
+++ b/catkinseam/ownership/owner.cc
@@ -263,6 +263,7 @@
            {"over", std::to_string(Stats.m_servicesOverTarget)},
            {"open", std::to_string(Stats.m_availableWorkers)},
            {"reservations", std::to_string(Stats.m_reservations)},
+           {"overloaded", std::to_string(Stats.m_overloadedSteps)},
            {"lag_ms", std::to_string(toMilliseconds(m_lag.value()).count())}});
   logEvacuations();
   m_summaryTimer.start(m_options.m_summaryInterval, [this] {
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -118,7 +118,9 @@
   for (const auto &[Key, Step] : m_stepQueue)
     Queued.push_back(Step);
   m_reservations.beginRound();
+  m_overloadedSteps = 0;
   for (const auto &[Rank, Step] : inWorkOrder(Queued, Now, WallNow)) {
+    m_overloadedSteps += Rank.m_remainingWorkPerValue > 0.0;
     const bool MayReserve = !Rank.m_isDeferred && !Rank.m_isExpired;
     if (Step->m_retryAt > Now) {
       if (MayReserve)
@@ -531,6 +533,7 @@
   Summary Stats;
   Stats.m_liveJobs = m_liveJobs;
   Stats.m_reservations = m_reservations.count();
+  Stats.m_overloadedSteps = m_overloadedSteps;
   for (const auto &[Key, Step] : m_stepQueue) {
     Stats.m_waitingTasks += Step->m_waitingTasks.size();
     if (Step->m_spec->m_isService)
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -187,6 +187,9 @@
     std::size_t m_availableWorkers = 0;
     /// Waiting steps for which room is kept.
     std::size_t m_reservations = 0;
+    /// Waiting steps that came by their remaining work in the last round, as
+    /// their priority is overloaded.
+    std::size_t m_overloadedSteps = 0;
   };
   Summary summarize() const;
 
@@ -317,6 +320,8 @@
   InterferenceModel m_interference;
   Reservations m_reservations;
   JobValuation m_valuation;
+  /// Of the last round; see Summary.
+  std::size_t m_overloadedSteps = 0;
   bool m_isStoreReachable = true;
   bool m_arePlacementInputsCurrent = true;
   std::set<std::string> m_evacuatedDataCentres;
--- a/catkinseam/scheduler/work_order_test.cc
+++ b/catkinseam/scheduler/work_order_test.cc
@@ -162,6 +162,8 @@
         jobAcceptedAt("00000000000000b1", Each.m_clock.wallNow(), 1), nullptr);
     Each.endRun("w1", Each.m_sentStarts["w1"].front(), RunEnd::Done);
     BOOST_TEST(Each.scheduleOnce() == 1U);
+    BOOST_TEST((Each.m_scheduler.summarize().m_overloadedSteps > 0) ==
+               IsOverloaded);
     BOOST_TEST(Each.m_sentStarts["w1"].front().m_task.m_job ==
                (IsOverloaded ? "00000000000000b1" : "00000000000000a1"));
   }
