Start no filler where it would run throttled from the start

A filler that starts at 40% of its speed takes up that headroom all the same and ends late.

Change: a filler starts only where it may use 80% of its processors at once (40% before). The test fails with the old value.

--- a/catkinseam/scheduler/interference_test.cc
+++ b/catkinseam/scheduler/interference_test.cc
@@ -2,6 +2,8 @@
 #define BOOST_TEST_MODULE interference
 #include "catkinseam/base/codec.h"
 #include "catkinseam/scheduler/filler_throttle.h"
+#include "catkinseam/scheduler/placement.h"
+#include "catkinseam/scheduler/reservations.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -264,4 +266,35 @@
   BOOST_TEST(m_filler.m_runs.front().m_cpuRatePercent == 100);
 }
 
+// The load: batch work waits beside services that tolerate only a part of it.
+// Guards against starting fillers that are throttled from their start.
+BOOST_FIXTURE_TEST_CASE(FillerWaitsWhereItWouldStartThrottled, Fixture) {
+  m_worker.m_runs.pop_back();
+  m_worker.m_fillers = 0;
+  m_worker.m_isListed = true;
+  m_worker.m_hasAcceptedToken = true;
+  m_worker.m_isReachable = true;
+  m_worker.m_isClockKnown = true;
+  const Reservations NoneKept({});
+  const std::vector<WorkerInfo *> Workers{&m_worker};
+  TaskInfo Waiting;
+  Waiting.m_step = &m_fillerStep;
+  const auto Starts = [&](std::int64_t MilliProcessors) {
+    m_fillerSpec.m_request.m_milliProcessors = MilliProcessors;
+    return chooseWorker(Waiting, Workers, m_model, NoneKept, m_clock.now())
+               .m_worker == &m_worker;
+  };
+  const auto CpuRate = [&](double MilliProcessors) {
+    return m_model
+        .estimateFiller(m_worker, m_fillerStep.m_image, MilliProcessors,
+                        m_clock.now())
+        .m_cpuRateFraction;
+  };
+  BOOST_TEST_REQUIRE(CpuRate(900.0) < 0.8);
+  BOOST_TEST_REQUIRE(CpuRate(900.0) > 0.4);
+  BOOST_TEST(!Starts(900));
+  BOOST_TEST_REQUIRE(CpuRate(700.0) > 0.8);
+  BOOST_TEST(Starts(700));
+}
+
 } // namespace catkinseam
--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -13,8 +13,9 @@
 // Costs have no unit; the worker with the lowest sum is chosen.
 
 /// Minimum CPU rate (0 to 1) at which a filler may start; workers that allow a
-/// higher CPU rate are preferred.
-constexpr double MinStartCpuRate = 0.4;
+/// higher CPU rate are preferred. A filler that starts throttled uses up the
+/// load headroom of services, and ends later than one that waits.
+constexpr double MinStartCpuRate = 0.8;
 /// Cost of a start at a CPU rate of zero; decreases linearly to none at the
 /// full CPU rate.
 constexpr double SlowStartCost = 3.0;
