--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -470,6 +470,7 @@
   std::size_t activeRuns() const { return m_active.size(); }
   std::int64_t cpuInUse() const;
   const std::string &id() const { return m_id; }
+  std::uint16_t port() const { return m_server.port(); }
   std::int64_t cpu() const { return m_cpu; }
   void step(std::int64_t PassedMs);
   void announce();
