Log what a suspect that is not placed waits for

Change: task.trial_awaited, once a second for each waiting suspect: how many workers are available, and which check excludes how many of them.

--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -228,4 +228,25 @@
   return Best;
 }
 
+PlacementObstacles findObstacles(const TaskInfo &Task,
+                                 const std::vector<WorkerInfo *> &Candidates,
+                                 const Reservations &Kept, TimePoint Now) {
+  const bool NeedsTrial = isSuspect(Task);
+  PlacementObstacles Found;
+  for (const WorkerInfo *Each : Candidates) {
+    if (!isAvailable(*Each, Now))
+      continue;
+    ++Found.m_available;
+    if (isBarredByTrial(Task, *Each))
+      ++Found.m_onTrial;
+    else if (!isFeasible(Task, *Each))
+      ++Found.m_infeasible;
+    else if (Kept.delays(Task, *Each, Now))
+      ++Found.m_reserved;
+    else if (NeedsTrial && !allowsTrial(Task, *Each))
+      ++Found.m_unsettled;
+  }
+  return Found;
+}
+
 } // namespace catkinseam
--- a/catkinseam/scheduler/placement.h
+++ b/catkinseam/scheduler/placement.h
@@ -8,6 +8,7 @@
 #include "catkinseam/scheduler/interference_model.h"
 #include "catkinseam/scheduler/tables.h"
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,25 @@
                        const InterferenceModel &Learned,
                        const Reservations &Kept, TimePoint Now);
 
+/// Why no worker was chosen for a task: the number of available workers, and of
+/// those that each check excludes first, in this order.
+struct PlacementObstacles {
+  std::size_t m_available = 0;
+  /// Another task is on trial.
+  std::size_t m_onTrial = 0;
+  /// No room, or a constraint is not satisfied.
+  std::size_t m_infeasible = 0;
+  /// The start would delay a task with a reservation.
+  std::size_t m_reserved = 0;
+  /// A run is too young for a trial beside it, or its worker has not been heard
+  /// of since; see allowsTrial().
+  std::size_t m_unsettled = 0;
+};
+
+PlacementObstacles findObstacles(const TaskInfo &Task,
+                                 const std::vector<WorkerInfo *> &Candidates,
+                                 const Reservations &Kept, TimePoint Now);
+
 } // namespace catkinseam
 
 #endif // CATKINSEAM_SCHEDULER_PLACEMENT_H
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -1,6 +1,7 @@
 // Decisions: placement of waiting tasks, stops and CPU rates of runs.
 #include "catkinseam/scheduler/scheduler.h"
 
+#include "catkinseam/scheduler/crash_suspects.h"
 #include "catkinseam/scheduler/work_order.h"
 #include "catkinseam/telemetry/log.h"
 
@@ -60,6 +61,8 @@
 constexpr Milliseconds PlacementRetryInterval{40};
 /// Interval at which the suspended share of filler work is updated.
 constexpr Milliseconds SuspendedShareInterval{200};
+/// Interval at which the log tells why a suspect is not placed.
+constexpr Milliseconds WaitLogInterval{1000};
 /// Maximum interval between calls of decide().
 constexpr Milliseconds MaxDecideInterval{250};
 
@@ -180,8 +183,11 @@
   const Placement Chosen =
       chooseWorker(Task, availableWorkers(Service), m_interference,
                    m_reservations, m_clock.now());
-  if (!Chosen.m_worker)
+  if (!Chosen.m_worker) {
+    if (isSuspect(Task))
+      logTrialAwaited(Task);
     return false;
+  }
   dequeueTask(Task);
   ++Task.m_lastRun;
   RunInfo &Run =
@@ -200,6 +206,27 @@
   return true;
 }
 
+void Scheduler::logTrialAwaited(TaskInfo &Task) {
+  const TimePoint Now = m_clock.now();
+  if (Now - Task.m_waitLoggedAt < WaitLogInterval)
+    return;
+  Task.m_waitLoggedAt = Now;
+  const std::string &Service =
+      Task.m_step->m_occurrence->m_job->policy().m_service;
+  const PlacementObstacles Found =
+      findObstacles(Task, availableWorkers(Service), m_reservations, Now);
+  logInfo("task.trial_awaited",
+          {{"task", toString(keyOf(Task))},
+           {"waited_ms",
+            std::to_string(toMilliseconds(Now - Task.m_earliestStart).count())},
+           {"lost_workers", std::to_string(Task.m_lostWorkers)},
+           {"workers", std::to_string(Found.m_available)},
+           {"infeasible", std::to_string(Found.m_infeasible)},
+           {"on_trial", std::to_string(Found.m_onTrial)},
+           {"reserved", std::to_string(Found.m_reserved)},
+           {"unsettled", std::to_string(Found.m_unsettled)}});
+}
+
 bool Scheduler::needsCopy(const TaskInfo &Task) const {
   // The copy may fail too; both failures must stay within the attempt limit.
   const std::uint32_t MaxAttempts =
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -298,6 +298,8 @@
   void listAvailableWorkers();
   void placeWaitingTasks(Decisions &Next);
   bool placeTask(TaskInfo &Task, Decisions &Next);
+  /// Logs at intervals why a suspect could not be placed.
+  void logTrialAwaited(TaskInfo &Task);
   /// Keeps room for the first task of a step that could not be placed.
   void reserveFor(const StepInfo &Step);
   /// Stops runs of a lower priority for a task that could not be placed.
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -101,6 +101,8 @@
   /// Workers on which the task failed or that refused it, newest last.
   std::vector<std::string> m_avoidedWorkers;
   TimePoint m_earliestStart;
+  /// When the log last told that the task waits for a trial.
+  TimePoint m_waitLoggedAt;
   /// Number of times the task was stopped to run on another worker.
   std::uint32_t m_moveCount = 0;
   /// Whether the task is in its step's m_waitingTasks.
