Reserve a worker for a suspect that waits for its trial

Cause: a suspect starts only on a worker whose runs are all known to have lasted 200 ms. Where each worker starts something more often than that, there never is one.

Change: a suspect that has waited for 300 ms gets a worker on which nothing else starts until its trial has begun. The worker whose youngest run is the oldest is chosen, and remains so. At most a quarter of the workers, 2 s each, and 500 ms for others in between. The same for the suspects of a gang, all at once, and for copies, which waited for the same reason.

--- a/catkinseam/ownership/crashing_task_test.cc
+++ b/catkinseam/ownership/crashing_task_test.cc
@@ -251,6 +251,52 @@
   }
 }
 
+// A service whose worker was lost right after the start never started again
+// while wide jobs made each worker start something all the time (review/2). It
+// may be away for 6 s, in which the lease of its last run expires, and 3 s
+// more.
+BOOST_AUTO_TEST_CASE(SuspectStartsWhileAllWorkersKeepStarting) {
+  constexpr Milliseconds MaxAway{9000};
+  constexpr std::uint32_t Width = 17;
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    SimulatedCluster Cluster(
+        {.m_seed = Seed, .m_workers = Width, .m_capacity = {16000, 64000, 0}});
+    Cluster.run(Milliseconds(2000));
+    std::uint64_t Number = 1;
+    const auto SubmitWide = [&] {
+      Submission Wide = batchJob(jobId(++Number), Width);
+      Wide.m_spec.m_steps.front().m_request = {300, 100, 0};
+      Cluster.submit(Wide);
+      Cluster.run(Milliseconds(100 + Cluster.m_random() % 40));
+    };
+    for (int Round = 0; Round < 20; ++Round)
+      SubmitWide();
+    Cluster.submit(serviceJob(jobId(1), 1));
+    const auto ServiceRuns = [&] {
+      std::vector<RecordedRun> Found;
+      for (const RecordedRun &Each : Cluster.m_history.m_runs)
+        if (Each.m_task.m_job == jobId(1))
+          Found.push_back(Each);
+      return Found;
+    };
+    while (ServiceRuns().empty())
+      SubmitWide();
+    const std::size_t Lost =
+        std::stoul(ServiceRuns().front().m_worker.substr(1));
+    Cluster.worker(Lost).m_network.m_isPartitioned = true;
+    Cluster.worker(Lost).crash();
+    const TimePoint LostAt = Cluster.now();
+    while (ServiceRuns().size() < 2 &&
+           Cluster.now() - LostAt < Milliseconds(30000))
+      SubmitWide();
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      BOOST_TEST(toMilliseconds(Cluster.now() - LostAt).count() <=
+                 MaxAway.count());
+      BOOST_TEST(Cluster.violations().empty());
+    }
+  }
+}
+
 // Harmless services waited for one trial after another when all workers and
 // nodes had lost their power.
 BOOST_AUTO_TEST_CASE(ServicesRestartTogetherAfterPowerLoss) {
--- a/catkinseam/scheduler/crash_suspects.cc
+++ b/catkinseam/scheduler/crash_suspects.cc
@@ -28,6 +28,20 @@
   return One.m_step == Other.m_step && One.m_step->m_spec->m_isGang;
 }
 
+/// Whether the run is too young for a trial beside it.
+bool isUnsettled(const RunInfo &Run) {
+  return Run.m_phase != RunPhase::Stopping &&
+         (Run.m_confirmedAt == TimePoint() ||
+          Run.m_worker->m_aliveUntil - Run.m_confirmedAt < SettlingTime);
+}
+
+bool isReservedForOther(const TaskInfo &Task, const WorkerInfo &Worker) {
+  if (!Worker.m_trialStep)
+    return false;
+  return Worker.m_trialStep != Task.m_step ||
+         !(Task.m_step->m_spec->m_isGang || isSuspect(Task));
+}
+
 } // namespace
 
 bool hasSurvivedTrial(const RunInfo &Run) {
@@ -54,14 +68,26 @@
   return std::all_of(
       Worker.m_runs.begin(), Worker.m_runs.end(), [&](const RunRef &Each) {
         const RunInfo *Run = findReferencedRun(Each);
-        return !Run || Run->m_phase == RunPhase::Stopping ||
-               isSameGang(Task, *Each.m_task) ||
-               (Run->m_confirmedAt != TimePoint() &&
-                Worker.m_aliveUntil - Run->m_confirmedAt >= SettlingTime);
+        return !Run || isSameGang(Task, *Each.m_task) || !isUnsettled(*Run);
       });
 }
 
+TimePoint trialTime(const WorkerInfo &Worker, TimePoint Now) {
+  TimePoint At = TimePoint::min();
+  for (const RunRef &Each : Worker.m_runs) {
+    const RunInfo *Run = findReferencedRun(Each);
+    if (!Run || !isUnsettled(*Run))
+      continue;
+    const TimePoint Since =
+        Run->m_confirmedAt == TimePoint() ? Now : Run->m_confirmedAt;
+    At = std::max<TimePoint>(At, Since + SettlingTime);
+  }
+  return At;
+}
+
 bool isBarredByTrial(const TaskInfo &Task, const WorkerInfo &Worker) {
+  if (isReservedForOther(Task, Worker))
+    return true;
   return Worker.m_trials > 0 &&
          std::any_of(Worker.m_runs.begin(), Worker.m_runs.end(),
                      [&](const RunRef &Each) {
--- a/catkinseam/scheduler/crash_suspects.h
+++ b/catkinseam/scheduler/crash_suspects.h
@@ -8,7 +8,8 @@
 // cause. The tasks of these runs become suspects. A suspect is started on
 // trial: on a worker that starts nothing else meanwhile, so that the loss of
 // this worker would point to the suspect alone. Surviving the trial clears the
-// suspect.
+// suspect. Where all workers start something all the time, one is reserved for
+// the trial (trial_reservations.h).
 //
 // The loss of many workers at once has another cause, and so may the loss of a
 // worker while the owner changed. Each task is spared once for such a loss,
@@ -40,7 +41,12 @@
 /// they are given up together.
 bool allowsTrial(const TaskInfo &Task, const WorkerInfo &Worker);
 
-/// Whether the task may not start on this worker because of a run on trial.
+/// When a trial may begin on this worker if nothing else starts there and it is
+/// heard of; TimePoint::min() if one may begin now.
+TimePoint trialTime(const WorkerInfo &Worker, TimePoint Now);
+
+/// Whether the task may not start on this worker because of a run on trial, or
+/// because the worker is reserved for the trial of another task.
 bool isBarredByTrial(const TaskInfo &Task, const WorkerInfo &Worker);
 
 /// The runs that may have caused the loss of their worker.
--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -194,34 +194,44 @@
                  static_cast<double>(Spec.m_request.m_milliProcessors);
 }
 
+std::optional<InterferenceModel::FillerEstimate>
+estimateStart(const TaskInfo &Task, WorkerInfo &Worker,
+              const InterferenceModel &Learned, TimePoint Now) {
+  if (!isAvailable(Worker, Now) || !isFeasible(Task, Worker))
+    return std::nullopt;
+  const StepSpec &Spec = *Task.m_step->m_spec;
+  if (!Spec.m_isFiller)
+    return InterferenceModel::FillerEstimate();
+  const InterferenceModel::FillerEstimate Estimate = Learned.estimateFiller(
+      Worker, Task.m_step->m_image,
+      static_cast<double>(Spec.m_request.m_milliProcessors), Now);
+  if (Estimate.m_cpuRateFraction < MinStartCpuRate ||
+      !hasFillerCapacity(Task, Worker))
+    return std::nullopt;
+  return Estimate;
+}
+
 Placement chooseWorker(const TaskInfo &Task,
                        const std::vector<WorkerInfo *> &Candidates,
                        const InterferenceModel &Learned,
                        const Reservations &Kept, TimePoint Now) {
-  const StepSpec &Spec = *Task.m_step->m_spec;
   const bool NeedsTrial = isSuspect(Task);
   Placement Best;
   double BestCost = 0.0;
   for (WorkerInfo *Each : Candidates) {
-    if (!isAvailable(*Each, Now) || !isFeasible(Task, *Each) ||
-        (NeedsTrial && !allowsTrial(Task, *Each)) ||
+    if ((NeedsTrial && !allowsTrial(Task, *Each)) ||
         Kept.delays(Task, *Each, Now))
       continue;
-    InterferenceModel::FillerEstimate Estimate;
-    if (Spec.m_isFiller) {
-      Estimate = Learned.estimateFiller(
-          *Each, Task.m_step->m_image,
-          static_cast<double>(Spec.m_request.m_milliProcessors), Now);
-      if (Estimate.m_cpuRateFraction < MinStartCpuRate ||
-          !hasFillerCapacity(Task, *Each))
-        continue;
-    }
+    const std::optional<InterferenceModel::FillerEstimate> Estimate =
+        estimateStart(Task, *Each, Learned, Now);
+    if (!Estimate)
+      continue;
     const double Cost = riskCost(Task, *Each, Now) +
-                        placeCost(Task, *Each, Estimate.m_loadHeadroom) +
-                        SlowStartCost * (1.0 - Estimate.m_cpuRateFraction) +
-                        AffectedServiceCost * Estimate.m_affectedFraction;
+                        placeCost(Task, *Each, Estimate->m_loadHeadroom) +
+                        SlowStartCost * (1.0 - Estimate->m_cpuRateFraction) +
+                        AffectedServiceCost * Estimate->m_affectedFraction;
     if (!Best.m_worker || Cost < BestCost) {
-      Best = {Each, static_cast<int>(Estimate.m_cpuRateFraction * 100.0)};
+      Best = {Each, static_cast<int>(Estimate->m_cpuRateFraction * 100.0)};
       BestCost = Cost;
     }
   }
--- a/catkinseam/scheduler/placement.h
+++ b/catkinseam/scheduler/placement.h
@@ -9,6 +9,7 @@
 #include "catkinseam/scheduler/tables.h"
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,13 @@
 /// Whether a filler at its full CPU rate receives almost no processor time.
 bool isStarved(const StepSpec &Spec, const RunInfo &Run, TimePoint Now);
 
+/// What a start of the task on the worker would lead to; nullopt if the worker
+/// is not available, or the task may not or should not start there. Ignores
+/// reservations and whether the worker allows a trial.
+std::optional<InterferenceModel::FillerEstimate>
+estimateStart(const TaskInfo &Task, WorkerInfo &Worker,
+              const InterferenceModel &Learned, TimePoint Now);
+
 /// The worker chosen for a task and, for a filler, its CPU rate in percent.
 struct Placement {
   WorkerInfo *m_worker = nullptr;
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -70,7 +70,8 @@
 
 Scheduler::Scheduler(const Clock &Time, const Options &Values)
     : m_clock(Time), m_options(Values), m_throttle({}), m_interference({}),
-      m_reservations({.m_max = Values.m_maxReservations}) {}
+      m_reservations({.m_max = Values.m_maxReservations}),
+      m_trialReservations({}) {}
 
 Scheduler::~Scheduler() = default;
 
@@ -112,8 +113,36 @@
       m_availableByService[Row->m_registration.m_service].push_back(Row.get());
 }
 
+void Scheduler::reserveForTrials() {
+  const TimePoint Now = m_clock.now();
+  for (const auto &[Id, Worker] : m_workers)
+    m_trialReservations.beginRound(*Worker, Now);
+  std::map<std::string, std::vector<TrialRequest>> Waiting;
+  const auto Add = [&](const TaskInfo &Task, TimePoint Since) {
+    Waiting[Task.m_step->m_occurrence->m_job->policy().m_service].push_back(
+        {&Task, Since});
+  };
+  for (const TaskInfo *Each : m_waitingSuspects)
+    Add(*Each, Each->m_earliestStart);
+  for (const StepInfo *Step : m_speculativeSteps)
+    for (const TaskInfo &Each : Step->m_tasks)
+      if (isSuspect(Each) && needsCopy(Each))
+        Add(Each, Each.m_runs.front().m_worker->m_lostAt);
+  for (auto &[Service, Requests] : Waiting) {
+    std::sort(Requests.begin(), Requests.end(),
+              [](const TrialRequest &One, const TrialRequest &Other) {
+                return One.m_waitingSince != Other.m_waitingSince
+                           ? One.m_waitingSince < Other.m_waitingSince
+                           : keyOf(*One.m_task) < keyOf(*Other.m_task);
+              });
+    m_trialReservations.reserve(Requests, availableWorkers(Service),
+                                m_interference, Now);
+  }
+}
+
 void Scheduler::placeWaitingTasks(Decisions &Next) {
   listAvailableWorkers();
+  reserveForTrials();
   const TimePoint Now = m_clock.now();
   const WallTime WallNow = m_clock.wallNow();
   std::vector<StepInfo *> Queued;
@@ -287,19 +316,22 @@
     Each.m_lastRun = Last;
     Each.m_checkpoint = Checkpoint;
   }
+  // Suspects first: fewer workers are open to them.
+  std::vector<TaskInfo *> Members;
+  for (TaskInfo &Each : Step.m_tasks)
+    Members.push_back(&Each);
+  std::stable_partition(Members.begin(), Members.end(),
+                        [](const TaskInfo *Each) { return isSuspect(*Each); });
   std::size_t Placed = 0;
-  for (TaskInfo &Each : Step.m_tasks) {
-    if (!placeTask(Each, Next))
-      break;
+  while (Placed < Members.size() && placeTask(*Members[Placed], Next))
     ++Placed;
-  }
-  if (Placed == Step.m_tasks.size())
+  if (Placed == Members.size())
     return true;
   Next.m_starts.resize(Begin);
-  for (std::size_t At = 0; At < Placed; ++At) {
-    TaskInfo &Task = Step.m_tasks[At];
-    removeRun(Task, Task.m_lastRun);
-    enqueueTask(Task, Duration::zero());
+  Members.resize(Placed);
+  for (TaskInfo *Each : Members) {
+    removeRun(*Each, Each->m_lastRun);
+    enqueueTask(*Each, Duration::zero());
   }
   return false;
 }
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -28,6 +28,7 @@
 #include "catkinseam/scheduler/preemption.h"
 #include "catkinseam/scheduler/reservations.h"
 #include "catkinseam/scheduler/tables.h"
+#include "catkinseam/scheduler/trial_reservations.h"
 
 #include <deque>
 #include <map>
@@ -274,6 +275,9 @@
   /// one may differ in capacity, labels and service.
   static void expectRegistration(WorkerInfo &Worker, std::int64_t StartedMs);
   static bool hasStartInDoubt(const WorkerInfo &Worker);
+  /// How long the next status poll may wait at a worker that is reserved for a
+  /// trial: until a sign of life permits the trial.
+  Milliseconds trialPollWait(const WorkerInfo &Worker) const;
   void updateClock(WorkerInfo &Worker, Milliseconds Clock);
   void extendLeaseEnd(WorkerInfo &Worker, Milliseconds Expires);
   Milliseconds leaseExpiry(const WorkerInfo &Worker) const;
@@ -296,6 +300,8 @@
 
   // Decisions.
   void listAvailableWorkers();
+  /// Reserves workers for the suspects that wait for a trial.
+  void reserveForTrials();
   void placeWaitingTasks(Decisions &Next);
   bool placeTask(TaskInfo &Task, Decisions &Next);
   /// Logs at intervals why a suspect could not be placed.
@@ -321,6 +327,7 @@
   FillerThrottle m_throttle;
   InterferenceModel m_interference;
   Reservations m_reservations;
+  TrialReservations m_trialReservations;
   JobValuation m_valuation;
   /// Of the last round; see Summary.
   std::size_t m_overloadedSteps = 0;
@@ -338,6 +345,8 @@
   static StepKey keyOf(const StepInfo &Step);
   /// Steps with waiting tasks.
   std::map<StepKey, StepInfo *> m_stepQueue;
+  /// Waiting tasks that are suspects.
+  std::set<TaskInfo *> m_waitingSuspects;
   /// Speculative steps in progress.
   std::set<StepInfo *> m_speculativeSteps;
   /// Available workers by service; rebuilt by each decide() and control().
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -296,6 +296,8 @@
   Task.m_earliestStart = m_clock.now() + Delay;
   Step.m_waitingTasks.push_back(&Task);
   m_stepQueue[keyOf(Step)] = &Step;
+  if (isSuspect(Task))
+    m_waitingSuspects.insert(&Task);
 }
 
 void Scheduler::dequeueTask(TaskInfo &Task) {
@@ -304,6 +306,7 @@
   Task.m_isWaiting = false;
   StepInfo &Step = *Task.m_step;
   std::erase(Step.m_waitingTasks, &Task);
+  m_waitingSuspects.erase(&Task);
   if (Step.m_waitingTasks.empty())
     m_stepQueue.erase(keyOf(Step));
 }
@@ -351,7 +354,11 @@
     Worker.m_serviceProcessors -= Spec.reservation().m_milliProcessors;
   }
   Worker.m_reserved -= Spec.reservation();
-  Worker.m_trials -= Run->m_isOnTrial ? 1 : 0;
+  if (Run->m_isOnTrial) {
+    --Worker.m_trials;
+    if (Run->m_phase != RunPhase::Recording)
+      Worker.m_trialEndedAt = m_clock.now();
+  }
   Worker.m_areLoadHeadroomsStale = true;
   std::erase(Worker.m_runs, RunRef{&Task, Number});
   std::erase_if(Task.m_runs, [Number](const RunInfo &Each) {
--- a/catkinseam/scheduler/scheduler_losses.cc
+++ b/catkinseam/scheduler/scheduler_losses.cc
@@ -154,6 +154,7 @@
         continue;
       Run->m_isOnTrial = false;
       --Worker->m_trials;
+      Worker->m_trialEndedAt = m_clock.now();
     }
   }
 }
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -163,9 +163,20 @@
     return Order;
   Order.m_maxWait = Worker.m_services > 0 ? m_options.m_servicePollWait
                                           : m_options.m_pollWait;
+  if (Worker.m_trialStep)
+    Order.m_maxWait = std::min(Order.m_maxWait, trialPollWait(Worker));
   return Order;
 }
 
+Milliseconds Scheduler::trialPollWait(const WorkerInfo &Worker) const {
+  const TimePoint Now = m_clock.now();
+  const TimePoint At = trialTime(Worker, Now);
+  if (At == TimePoint::min())
+    return m_options.m_pollWait;
+  return std::chrono::ceil<Milliseconds>(
+      std::max<Duration>(Duration::zero(), At - Now));
+}
+
 bool Scheduler::hasStartInDoubt(const WorkerInfo &Worker) {
   return std::any_of(Worker.m_runs.begin(), Worker.m_runs.end(),
                      [](const RunRef &Each) {
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -203,6 +203,12 @@
   std::uint32_t m_fillers = 0;
   /// Number of runs on trial; no other run is started beside them.
   std::uint32_t m_trials = 0;
+  /// The step for whose suspects the worker is reserved, null for none, and
+  /// since when; made anew in each round of placement (trial_reservations.h).
+  const StepInfo *m_trialStep = nullptr;
+  TimePoint m_trialReservedAt;
+  /// When the last trial ended, or the last reservation that led to none.
+  TimePoint m_trialEndedAt;
 
   /// Runs that the worker lists and that are not in m_runs, such as those of a
   /// job that ended under an earlier owner. They are being stopped.
--- /dev/null
+++ b/catkinseam/scheduler/trial_reservations_test.cc
@@ -0,0 +1,456 @@
+// Suspects under a steady load: every worker starts something all the time.
+#define BOOST_TEST_MODULE trial_reservations
+#include "catkinseam/scheduler/crash_suspects.h"
+#include "catkinseam/scheduler/testing/scheduler_fixture.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace catkinseam {
+
+namespace {
+
+const std::string One = "00000000000000a1";
+/// The longest that a task may wait while there is room for it (LOST).
+constexpr Milliseconds MaxWait{3000};
+
+/// The tasks that each worker starts at a fixed interval.
+struct LoadShape {
+  Milliseconds m_interval{100};
+  Milliseconds m_runTime{300};
+  std::int64_t m_milliProcessors = 300;
+};
+
+/// Workers that answer status polls as the platform's do, and short tasks for
+/// each of them, which are more urgent than all other tasks.
+struct SteadyLoad : SchedulerFixture {
+  struct Run {
+    StartOrder m_order;
+    TimePoint m_startedAt;
+  };
+  struct Worker {
+    std::vector<Run> m_runs;
+    std::vector<EndedRun> m_ended;
+    std::optional<PollOrder> m_poll;
+    TimePoint m_polledAt;
+    std::uint64_t m_ends = 0;
+    bool m_isSilent = false;
+    /// Neither carries out the next start nor answers it.
+    bool m_losesStart = false;
+    bool m_hasShortTasks = true;
+  };
+
+  const LoadShape m_shape;
+  std::map<std::string, Worker> m_busyWorkers;
+  struct ShortTask {
+    std::string m_worker;
+    TimePoint m_submittedAt;
+  };
+  /// Waiting short tasks by job.
+  std::map<std::string, ShortTask> m_shortTasks;
+  /// Of those that have started.
+  Milliseconds m_longestShortWait{0};
+  std::uint64_t m_shortCount = 0;
+  TimePoint m_nextShortAt;
+
+  explicit SteadyLoad(const LoadShape &Shape = {}) : m_shape(Shape) {
+    m_clock.advance(Milliseconds(1000));
+  }
+
+  /// The worker has its name as a label.
+  void addBusyWorker(const std::string &Name) {
+    addWorker(Name, {4000, 8000, 0}, Name);
+    m_busyWorkers[Name];
+  }
+
+  void addBusyWorkers(int Count) {
+    for (int Index = 0; Index < Count; ++Index)
+      addBusyWorker("w" + std::to_string(Index));
+    pass(Milliseconds(1000));
+  }
+
+  void submitShortTasks() {
+    m_nextShortAt = m_clock.now() + m_shape.m_interval;
+    for (const auto &[Name, Row] : m_busyWorkers) {
+      if (Row.m_isSilent || !Row.m_hasShortTasks)
+        continue;
+      Submission Job = makeJob("b" + std::to_string(++m_shortCount), 1);
+      Job.m_spec.m_steps.front().m_request = {m_shape.m_milliProcessors, 10, 0};
+      Job.m_spec.m_steps.front().m_estimate = m_shape.m_runTime;
+      Job.m_spec.m_steps.front().m_requiredLabel = Name;
+      m_scheduler.addJob(Job, nullptr);
+      m_shortTasks[Job.m_id] = {Name, m_clock.now()};
+    }
+  }
+
+  bool isShort(const StartOrder &Order) const {
+    return Order.m_task.m_job.front() == 'b';
+  }
+
+  void endRun(Worker &Row, std::size_t Index, RunEnd How) {
+    const StartOrder &Order = Row.m_runs[Index].m_order;
+    Row.m_ended.push_back({++Row.m_ends, Order.m_task, Order.m_run, How, ""});
+    Row.m_runs.erase(Row.m_runs.begin() + static_cast<std::ptrdiff_t>(Index));
+  }
+
+  void endRunOf(const TaskKey &Task, RunEnd How) {
+    for (auto &[Name, Row] : m_busyWorkers)
+      for (std::size_t Index = Row.m_runs.size(); Index-- > 0;)
+        if (Row.m_runs[Index].m_order.m_task == Task)
+          endRun(Row, Index, How);
+  }
+
+  void endShortRuns(Worker &Row) {
+    for (std::size_t Index = Row.m_runs.size(); Index-- > 0;)
+      if (isShort(Row.m_runs[Index].m_order) &&
+          m_clock.now() - Row.m_runs[Index].m_startedAt >= m_shape.m_runTime)
+        endRun(Row, Index, RunEnd::Done);
+  }
+
+  Milliseconds workerClock() const {
+    return toMilliseconds(m_clock.now().time_since_epoch());
+  }
+
+  /// Long poll: replies when a run has ended or the wait is over.
+  void answerPolls(const std::string &Name, Worker &Row) {
+    if (!Row.m_poll) {
+      Row.m_poll = m_scheduler.nextPoll(Name);
+      Row.m_polledAt = m_clock.now();
+    }
+    if (!Row.m_poll || (Row.m_ended.empty() &&
+                        m_clock.now() - Row.m_polledAt < Row.m_poll->m_maxWait))
+      return;
+    PollReply Reply;
+    Reply.m_outcome = OrderOutcome::Done;
+    Reply.m_snapshot.m_startedMs = 1;
+    Reply.m_snapshot.m_clock = workerClock();
+    for (const Run &Each : Row.m_runs)
+      Reply.m_snapshot.m_active.push_back(
+          {Each.m_order.m_task, Each.m_order.m_run, "", 50, 0});
+    Reply.m_snapshot.m_ended = std::move(Row.m_ended);
+    Row.m_ended.clear();
+    m_scheduler.onPoll(*Row.m_poll, Row.m_polledAt, Reply);
+    Row.m_poll.reset();
+  }
+
+  void carryOutStops() {
+    for (const StopOrder &Order : m_scheduler.control().m_stops) {
+      Worker &Row = m_busyWorkers[Order.m_worker];
+      if (Row.m_isSilent)
+        continue;
+      for (std::size_t Index = Row.m_runs.size(); Index-- > 0;)
+        if (Row.m_runs[Index].m_order.m_task == Order.m_task)
+          endRun(Row, Index, RunEnd::Stopped);
+      m_scheduler.onStop(Order, {OrderOutcome::Done, workerClock()});
+    }
+  }
+
+  void startTasks() {
+    const Decisions Next = m_scheduler.decide();
+    for (const StartOrder &Each : m_scheduler.release(Next, false)) {
+      Worker &Row = m_busyWorkers[Each.m_worker];
+      if (std::exchange(Row.m_losesStart, false)) {
+        m_shortTasks.erase(Each.m_task.m_job);
+        continue;
+      }
+      Row.m_runs.push_back({Each, m_clock.now()});
+      m_scheduler.onStart(Each, {OrderOutcome::Done, workerClock()});
+      const auto Short = m_shortTasks.find(Each.m_task.m_job);
+      if (Short == m_shortTasks.end())
+        continue;
+      m_longestShortWait =
+          std::max(m_longestShortWait,
+                   toMilliseconds(m_clock.now() - Short->second.m_submittedAt));
+      m_shortTasks.erase(Short);
+    }
+  }
+
+  void pass(Milliseconds Time) {
+    const TimePoint Until = m_clock.now() + Time;
+    while (m_clock.now() < Until) {
+      m_clock.advance(Milliseconds(10));
+      if (m_clock.now() >= m_nextShortAt)
+        submitShortTasks();
+      for (auto &[Name, Row] : m_busyWorkers) {
+        if (Row.m_isSilent)
+          continue;
+        endShortRuns(Row);
+        answerPolls(Name, Row);
+      }
+      carryOutStops();
+      startTasks();
+    }
+  }
+
+  /// The longest wait of a short task, whether it has started or not.
+  Milliseconds longestShortWait() const {
+    Milliseconds Longest = m_longestShortWait;
+    for (const auto &[Job, Task] : m_shortTasks)
+      Longest =
+          std::max(Longest, toMilliseconds(m_clock.now() - Task.m_submittedAt));
+    return Longest;
+  }
+
+  std::vector<std::string> workersOf(const std::string &Job) const {
+    std::vector<std::string> Found;
+    for (const auto &[Name, Row] : m_busyWorkers)
+      for (const Run &Each : Row.m_runs)
+        if (Each.m_order.m_task.m_job == Job && !Row.m_isSilent)
+          Found.push_back(Name);
+    return Found;
+  }
+
+  /// How long it takes until `Count` runs of the job are active.
+  Milliseconds timeUntilActive(const std::string &Job, std::size_t Count) {
+    const TimePoint Begin = m_clock.now();
+    while (workersOf(Job).size() < Count &&
+           m_clock.now() - Begin < Milliseconds(20000))
+      pass(Milliseconds(10));
+    return toMilliseconds(m_clock.now() - Begin);
+  }
+
+  /// Submits the job, and waits until it has just started.
+  void startJob(Submission Job) {
+    Job.m_policy.m_priority = 1;
+    m_scheduler.addJob(Job, nullptr);
+    BOOST_REQUIRE(timeUntilActive(Job.m_id, Job.m_spec.m_steps[0].m_count) <=
+                  MaxWait);
+    pass(Milliseconds(50));
+  }
+
+  void silence(const std::string &Name, OrderOutcome Outcome) {
+    Worker &Row = m_busyWorkers[Name];
+    Row.m_isSilent = true;
+    PollReply Reply;
+    Reply.m_outcome = Outcome;
+    if (!Row.m_poll)
+      Row.m_poll = m_scheduler.nextPoll(Name);
+    m_scheduler.onPoll(*Row.m_poll, Row.m_polledAt, Reply);
+  }
+
+  /// The worker is lost for good.
+  void crashWorker(const std::string &Name) {
+    silence(Name, OrderOutcome::OtherIncarnation);
+    m_scheduler.removeWorker(Name);
+    std::erase_if(m_shortTasks, [&](const auto &Each) {
+      if (Each.second.m_worker == Name)
+        m_scheduler.cancelJob(Each.first);
+      return Each.second.m_worker == Name;
+    });
+    m_busyWorkers.erase(Name);
+  }
+};
+
+Submission jobOf(std::uint32_t Tasks) {
+  return SchedulerFixture::makeJob(One, Tasks);
+}
+
+} // namespace
+
+// A task whose worker was lost right after the start never started again while
+// each worker started something every 200 ms or more often.
+BOOST_AUTO_TEST_CASE(SuspectStartsWhileAllWorkersKeepStarting) {
+  const LoadShape Shapes[] = {
+      {Milliseconds(20), Milliseconds(100), 300},
+      {Milliseconds(100), Milliseconds(300), 300},
+      {Milliseconds(190), Milliseconds(300), 300},
+      // Nothing ends for long, so that each status poll waits.
+      {Milliseconds(100), Milliseconds(20000), 10},
+      {Milliseconds(190), Milliseconds(20000), 10}};
+  for (const LoadShape &Shape : Shapes)
+    for (const bool IsService : {false, true})
+      for (const int Workers : {1, 2, 17})
+        for (const Milliseconds Before :
+             {Milliseconds(0), Milliseconds(350), Milliseconds(700),
+              Milliseconds(1050)}) {
+          SteadyLoad Load(Shape);
+          Load.addBusyWorkers(Workers + 1);
+          Load.pass(Before);
+          Submission Job = jobOf(1);
+          Job.m_spec.m_steps.front().m_isService = IsService;
+          Load.startJob(Job);
+          Load.crashWorker(Load.workersOf(One).front());
+          BOOST_TEST_CONTEXT("starts every "
+                             << Shape.m_interval.count() << " ms for "
+                             << Shape.m_runTime.count() << " ms, service "
+                             << IsService << ", " << Workers << " workers") {
+            BOOST_TEST(Load.timeUntilActive(One, 1).count() <= MaxWait.count());
+            Load.pass(MaxWait);
+            BOOST_TEST(Load.longestShortWait().count() <= MaxWait.count());
+          }
+        }
+}
+
+// The same for a gang, whose suspects need several workers at the same time.
+BOOST_AUTO_TEST_CASE(SuspectsOfGangStartWhileAllWorkersKeepStarting) {
+  for (const int Workers : {4, 8}) {
+    SteadyLoad Load;
+    Load.addBusyWorkers(Workers + 2);
+    Submission Job = jobOf(3);
+    Job.m_spec.m_steps.front().m_isGang = true;
+    Job.m_spec.m_steps.front().m_request = {2500, 1000, 0};
+    Load.startJob(Job);
+    const std::vector<std::string> Names = Load.workersOf(One);
+    Load.crashWorker(Names[0]);
+    Load.crashWorker(Names[1]);
+    BOOST_TEST_CONTEXT(Workers << " workers") {
+      BOOST_TEST(Load.timeUntilActive(One, 3).count() <= MaxWait.count());
+      Load.pass(MaxWait);
+      BOOST_TEST(Load.longestShortWait().count() <= MaxWait.count());
+    }
+  }
+}
+
+// Of two workers, the only one that allows a trial was given to the member that
+// needs none.
+BOOST_AUTO_TEST_CASE(SuspectOfGangGetsTheWorkerThatAllowsATrial) {
+  SteadyLoad Load;
+  Load.addBusyWorkers(2);
+  Submission Job = jobOf(2);
+  Job.m_spec.m_steps.front().m_isGang = true;
+  Job.m_spec.m_steps.front().m_request = {2500, 1000, 0};
+  Load.startJob(Job);
+  Load.addBusyWorker("quiet");
+  Load.m_busyWorkers["quiet"].m_hasShortTasks = false;
+  Submission Other = SchedulerFixture::makeJob("00000000000000a2", 1);
+  Other.m_spec.m_steps.front().m_isService = true;
+  Other.m_spec.m_steps.front().m_request = {1500, 1000, 0};
+  Other.m_spec.m_steps.front().m_requiredLabel = "quiet";
+  Load.m_scheduler.addJob(Other, nullptr);
+  Load.pass(Milliseconds(10));
+  for (const auto &[Name, Row] : Load.m_busyWorkers)
+    for (const SteadyLoad::Run &Each : Row.m_runs)
+      if (Each.m_order.m_task == TaskKey{One, 0, 0, 1}) {
+        Load.crashWorker(Name);
+        // The first reservation leads to the trial.
+        const TrialReservations::Options Values;
+        BOOST_TEST(Load.timeUntilActive(One, 2).count() <=
+                   (Values.m_patience + Values.m_maxLength).count());
+        return;
+      }
+  BOOST_TEST(false);
+}
+
+// The same for the copy of a task whose worker does not answer.
+BOOST_AUTO_TEST_CASE(CopyOfSuspectStartsWhileAllWorkersKeepStarting) {
+  SteadyLoad Load;
+  Load.addBusyWorkers(4);
+  Submission Job = jobOf(1);
+  Job.m_spec.m_steps.front().m_isSpeculative = true;
+  Load.startJob(Job);
+  Load.silence(Load.workersOf(One).front(), OrderOutcome::Unknown);
+  BOOST_TEST(Load.timeUntilActive(One, 1).count() <= MaxWait.count());
+}
+
+// No worker is kept for a gang that could not start even so.
+BOOST_AUTO_TEST_CASE(GangWithoutRoomReservesNothing) {
+  SteadyLoad Load;
+  Load.addBusyWorkers(4);
+  Submission Gang = jobOf(4);
+  Gang.m_spec.m_steps.front().m_isGang = true;
+  Gang.m_spec.m_steps.front().m_request = {2500, 1000, 0};
+  Load.startJob(Gang);
+  const std::string Two = "00000000000000a2";
+  Submission Service = SchedulerFixture::makeJob(Two, 1);
+  Service.m_spec.m_steps.front().m_isService = true;
+  Service.m_spec.m_steps.front().m_request = {100, 100, 0};
+  Load.startJob(Service);
+  Load.crashWorker(Load.workersOf(Two).front());
+  BOOST_TEST(Load.timeUntilActive(Two, 1).count() <= MaxWait.count());
+  for (int Round = 0; Round < 300; ++Round) {
+    Load.pass(Milliseconds(10));
+    for (const auto &[Name, Row] : Load.m_busyWorkers) {
+      const StepInfo *Reserved = Load.m_scheduler.findWorker(Name)->m_trialStep;
+      BOOST_TEST((!Reserved || !Reserved->m_spec->m_isGang));
+    }
+  }
+  BOOST_TEST(Load.workersOf(One).empty());
+}
+
+// A reserved worker stayed idle for as long as a status poll waits.
+BOOST_AUTO_TEST_CASE(ReservedWorkerIsPolledOften) {
+  constexpr Milliseconds SettlingTime{200};
+  SteadyLoad Load({Milliseconds(100), Milliseconds(20000), 10});
+  Load.addBusyWorkers(3);
+  Load.startJob(jobOf(1));
+  Load.crashWorker(Load.workersOf(One).front());
+  std::size_t Rounds = 0;
+  for (; Load.workersOf(One).empty(); Load.pass(Milliseconds(10)))
+    for (const auto &[Name, Row] : Load.m_busyWorkers)
+      if (Load.m_scheduler.findWorker(Name)->m_trialStep) {
+        ++Rounds;
+        BOOST_TEST(Load.m_scheduler.nextPoll(Name)->m_maxWait <= SettlingTime);
+      }
+  BOOST_TEST(Rounds > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(ReservedWorkerIsOpenToItsStepOnly) {
+  for (const bool IsGang : {false, true})
+    for (const bool IsSameStep : {false, true})
+      for (const bool IsSuspected : {false, true}) {
+        StepSpec Spec;
+        Spec.m_isGang = IsGang;
+        StepInfo Step;
+        Step.m_spec = &Spec;
+        StepInfo Other;
+        Other.m_spec = &Spec;
+        TaskInfo Task;
+        Task.m_step = &Step;
+        Task.m_lostWorkers = IsSuspected ? 1 : 0;
+        WorkerInfo Worker;
+        BOOST_TEST(!isBarredByTrial(Task, Worker));
+        Worker.m_trialStep = IsSameStep ? &Step : &Other;
+        BOOST_TEST(isBarredByTrial(Task, Worker) ==
+                   !(IsSameStep && (IsGang || IsSuspected)));
+      }
+}
+
+// However many suspects wait, other tasks for their workers start in time, and
+// no more than a quarter of the workers are kept for trials.
+BOOST_AUTO_TEST_CASE(SuspectsDoNotKeepOthersWaiting) {
+  for (const int Workers : {1, 3, 8, 16}) {
+    SteadyLoad Load;
+    Load.addBusyWorkers(Workers + 1);
+    Submission Job = jobOf(20 * static_cast<std::uint32_t>(Workers + 1));
+    Job.m_spec.m_steps.front().m_request = {10, 10, 0};
+    Job.m_spec.m_steps.front().m_isService = true;
+    Load.startJob(Job);
+    const std::size_t Tasks = Load.workersOf(One).size();
+    Load.crashWorker(Load.workersOf(One).front());
+    BOOST_TEST_CONTEXT(Workers << " workers") {
+      BOOST_TEST(Tasks - Load.workersOf(One).size() >= 10U);
+      int MostKept = 0;
+      for (int Round = 0; Round < 1000; ++Round) {
+        Load.pass(Milliseconds(10));
+        int Kept = 0;
+        for (const auto &[Name, Row] : Load.m_busyWorkers) {
+          const WorkerInfo *Worker = Load.m_scheduler.findWorker(Name);
+          Kept += Worker->m_trialStep || Worker->m_trials > 0;
+        }
+        MostKept = std::max(MostKept, Kept);
+      }
+      BOOST_TEST(MostKept >= 1);
+      BOOST_TEST(MostKept <= std::max(1, Workers / 4));
+      BOOST_TEST(Load.longestShortWait().count() <= MaxWait.count());
+      BOOST_TEST(Load.timeUntilActive(One, Tasks).count() < 20000);
+    }
+  }
+}
+
+// A worker that does not answer a start allows no trial until the reply is
+// given up, which takes longer than others may wait.
+BOOST_AUTO_TEST_CASE(MissingReplyDoesNotKeepOthersWaiting) {
+  SteadyLoad Load;
+  Load.addBusyWorkers(2);
+  Load.startJob(jobOf(1));
+  const std::string Lost = Load.workersOf(One).front();
+  const std::string Name = Lost == "w0" ? "w1" : "w0";
+  Load.m_busyWorkers[Name].m_losesStart = true;
+  Load.pass(Milliseconds(100));
+  Load.crashWorker(Lost);
+  Load.pass(Milliseconds(10000));
+  BOOST_TEST(Load.longestShortWait().count() <= MaxWait.count());
+}
+
+} // namespace catkinseam
