Let no suspect hold up the other tasks of its step

Callers saw tasks wait that need no trial: they were in the same step as a task that did.

Cause: placement leaves a step at the first task that fits nowhere, since its tasks are alike. A suspect differs: it needs a worker without young runs. The same for copies.

Evidence: SuspectDoesNotHoldUpItsStep and CopyOfSuspectDoesNotHoldUpItsStep fail without the change (no task at work in the place of 1, both times).

Change: a suspect that fits nowhere lets the search go on; further suspects of the step are passed over, and it ends at the first other task that fits nowhere.

Measured: the tests pass, and those of the scheduler.

--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -163,21 +163,32 @@
       placeGang(*Step, Next);
       continue;
     }
-    const std::vector<TaskInfo *> Waiting = Step->m_waitingTasks;
-    for (TaskInfo *Task : Waiting) {
-      if (Task->m_earliestStart > Now)
-        continue;
-      if (placeTask(*Task, Next))
-        continue;
-      // Jobs past their objective do not preempt others.
-      if (!hasMissedObjective(*Step, WallNow))
-        preemptFor(*Task);
-      Step->m_retryAt = Now + PlacementRetryInterval;
-      if (MayReserve)
-        reserveFor(*Step);
+    if (!placeStep(*Step, Next) && MayReserve)
+      reserveFor(*Step);
+  }
+}
+
+bool Scheduler::placeStep(StepInfo &Step, Decisions &Next) {
+  const TimePoint Now = m_clock.now();
+  const std::vector<TaskInfo *> Waiting = Step.m_waitingTasks;
+  bool HasFailed = false;
+  for (TaskInfo *Task : Waiting) {
+    if (Task->m_earliestStart > Now)
+      continue;
+    // Tasks of one step differ only in that suspects need a trial.
+    if (HasFailed && isSuspect(*Task))
+      continue;
+    if (placeTask(*Task, Next))
+      continue;
+    // Jobs past their objective do not preempt others.
+    if (!hasMissedObjective(Step, m_clock.wallNow()))
+      preemptFor(*Task);
+    Step.m_retryAt = Now + PlacementRetryInterval;
+    HasFailed = true;
+    if (!isSuspect(*Task))
       break;
-    }
   }
+  return !HasFailed;
 }
 
 void Scheduler::reserveFor(const StepInfo &Step) {
@@ -287,6 +298,9 @@
         continue;
       if (!placeTask(Task, Next)) {
         Step->m_retryAt = m_clock.now() + PlacementRetryInterval;
+        // Others may not need a trial.
+        if (isSuspect(Task))
+          continue;
         break;
       }
       logInfo("run.copied", {{"task", toString(keyOf(Task))},
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -303,6 +303,8 @@
   /// Reserves workers for the suspects that wait for a trial.
   void reserveForTrials();
   void placeWaitingTasks(Decisions &Next);
+  /// Places the waiting tasks of a step, as far as possible.
+  bool placeStep(StepInfo &Step, Decisions &Next);
   bool placeTask(TaskInfo &Task, Decisions &Next);
   /// Logs at intervals why a suspect could not be placed.
   void logTrialAwaited(TaskInfo &Task);
--- a/catkinseam/scheduler/trial_reservations_test.cc
+++ b/catkinseam/scheduler/trial_reservations_test.cc
@@ -343,6 +343,24 @@
   BOOST_TEST(Load.timeUntilActive(One, 1).count() <= MaxWait.count());
 }
 
+// A task that had failed waited behind a suspect of its step, although it needs
+// no trial.
+BOOST_AUTO_TEST_CASE(SuspectDoesNotHoldUpItsStep) {
+  SteadyLoad Load;
+  Load.addBusyWorkers(4);
+  Submission Job = jobOf(2);
+  Job.m_spec.m_steps.front().m_request = {2500, 1000, 0};
+  Load.startJob(Job);
+  const std::vector<std::string> Names = Load.workersOf(One);
+  BOOST_REQUIRE(Names.size() == 2U);
+  Load.crashWorker(Names[0]);
+  Load.pass(Milliseconds(20));
+  Load.endRunOf({One, 0, 0, 0}, RunEnd::Failed);
+  Load.endRunOf({One, 0, 0, 1}, RunEnd::Failed);
+  Load.pass(Milliseconds(50));
+  BOOST_TEST(Load.workersOf(One).size() == 1U);
+}
+
 // No worker is kept for a gang that could not start even so.
 BOOST_AUTO_TEST_CASE(GangWithoutRoomReservesNothing) {
   SteadyLoad Load;
@@ -406,6 +424,24 @@
       }
 }
 
+// The same for the copy of a task that needs no trial.
+BOOST_AUTO_TEST_CASE(CopyOfSuspectDoesNotHoldUpItsStep) {
+  SteadyLoad Load;
+  Load.addBusyWorkers(5);
+  Submission Job = jobOf(2);
+  Job.m_policy.m_maxAttempts = 4;
+  Job.m_spec.m_steps.front().m_isSpeculative = true;
+  Job.m_spec.m_steps.front().m_request = {2500, 1000, 0};
+  Load.startJob(Job);
+  Load.pass(Milliseconds(1000));
+  Load.endRunOf({One, 0, 0, 0}, RunEnd::Failed);
+  Load.pass(Milliseconds(100));
+  for (const std::string &Each : Load.workersOf(One))
+    Load.silence(Each, OrderOutcome::Unknown);
+  Load.pass(Milliseconds(50));
+  BOOST_TEST(Load.workersOf(One).size() == 1U);
+}
+
 // However many suspects wait, other tasks for their workers start in time, and
 // no more than a quarter of the workers are kept for trials.
 BOOST_AUTO_TEST_CASE(SuspectsDoNotKeepOthersWaiting) {
