Do not renew a quarantine for runs that started before it

Callers would wait for all workers at once while others send jobs that fail by their own fault: up to 7.4 s for a task with room on every worker (LOST allows 3 s).

Cause: each failure renewed the quarantine of 2.5 s, though nothing starts meanwhile, so that these runs had started before it. One that was left over closed the worker again as soon as it was open, before a waiting task could be placed.

Change: only a run that started after the last quarantine ended begins another.

--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -295,7 +295,9 @@
   /// Stops throttled or starved fillers that could run faster on another
   /// worker.
   void moveThrottledFillers();
-  void recordFailure(WorkerInfo &Worker, const std::string &Job);
+  /// Quarantines a worker on which runs of several jobs have failed.
+  void recordFailure(WorkerInfo &Worker, const std::string &Job,
+                     TimePoint StartedAt);
   void recordSuccess(WorkerInfo &Worker);
 
   // Decisions.
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -426,7 +426,7 @@
   }
   if (End == RunEnd::Failed) {
     clearSuspicion(Task);
-    recordFailure(Worker, Job.m_submission.m_id);
+    recordFailure(Worker, Job.m_submission.m_id, Run->m_since);
     Task.m_avoidedWorkers.push_back(Worker.m_registration.m_id);
   }
   discardRun(Task, Number, RestartDelay);
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -376,10 +376,14 @@
   }
 }
 
-void Scheduler::recordFailure(WorkerInfo &Worker, const std::string &Job) {
+void Scheduler::recordFailure(WorkerInfo &Worker, const std::string &Job,
+                              TimePoint StartedAt) {
   ++Worker.m_consecutiveFailures;
   Worker.m_failedJobs.insert(Job);
-  if (Worker.m_failedJobs.size() < QuarantineFailedJobs)
+  // No run starts during a quarantine, so this one did before. Renewing the
+  // quarantine for such runs could leave no worker to other tasks.
+  if (StartedAt < Worker.m_quarantinedUntil ||
+      Worker.m_failedJobs.size() < QuarantineFailedJobs)
     return;
   Worker.m_quarantinedUntil = m_clock.now() + QuarantineTime;
   logWarn("worker.shunned",
