Reserve no room behind a run that is long overdue

Cause: a run past its expected end was expected to end at any moment, so the reservation of the larger task was renewed in each round, whatever time passed.

Evidence: OverdueRunsDoNotKeepOthersWaiting of steady_load_test failed before (20 s, as a service and as a finite task).

Change: the end of a run that is overdue for more than 1.5 s is not waited for. expectedEnd() is as it was, and so is its test.

Measured: the test passes, and those of reservations, ranks and the scheduler.

--- a/catkinseam/scheduler/reservations.cc
+++ b/catkinseam/scheduler/reservations.cc
@@ -13,6 +13,9 @@
 
 /// Progress below this says little about the rate of a run.
 constexpr std::int64_t MinProgressPercent = 10;
+/// The end of a run that is overdue for longer is not waited for: it may run on
+/// for any time, and the reserved room be kept from others meanwhile.
+constexpr Milliseconds MaxOverdue{1500};
 
 struct ExpectedRelease {
   TimePoint m_at;
@@ -39,13 +42,26 @@
               : static_cast<double>(Spec.m_request.m_milliProcessors)};
 }
 
+/// By the progress of the run or the declared estimate; may have passed.
+TimePoint estimatedEnd(const StepSpec &Spec, const RunInfo &Run) {
+  const Duration Elapsed = Run.m_progressedAt - Run.m_since;
+  if (Run.m_percent >= MinProgressPercent && Elapsed > Duration::zero())
+    return Run.m_since + Elapsed * 100 / Run.m_percent;
+  return Run.m_since + Spec.m_estimate;
+}
+
+bool isLongOverdue(const StepSpec &Spec, const RunInfo &Run, TimePoint Now) {
+  return !Spec.m_isService && Run.m_phase != RunPhase::Stopping &&
+         Now - estimatedEnd(Spec, Run) > MaxOverdue;
+}
+
 std::vector<ExpectedRelease> releasesOf(const WorkerInfo &Worker,
                                         TimePoint Until, TimePoint Now) {
   std::vector<ExpectedRelease> Releases;
   for (const RunRef &Each : Worker.m_runs) {
     const StepSpec &Spec = *Each.m_task->m_step->m_spec;
     const RunInfo *Run = findReferencedRun(Each);
-    if (!Run)
+    if (!Run || isLongOverdue(Spec, *Run, Now))
       continue;
     const TimePoint End = expectedEnd(Spec, *Run, Now);
     if (End <= Until)
@@ -75,10 +91,7 @@
     return TimePoint::max();
   if (Run.m_phase == RunPhase::Stopping)
     return Now;
-  const Duration Elapsed = Run.m_progressedAt - Run.m_since;
-  if (Run.m_percent >= MinProgressPercent && Elapsed > Duration::zero())
-    return std::max(Now, Run.m_since + Elapsed * 100 / Run.m_percent);
-  return std::max<TimePoint>(Now, Run.m_since + Spec.m_estimate);
+  return std::max(Now, estimatedEnd(Spec, Run));
 }
 
 Claim claimOf(const StepSpec &Spec) {
