--- a/catkinseam/scheduler/placement.h
+++ b/catkinseam/scheduler/placement.h
@@ -39,7 +39,8 @@
 
 /// What a start of the task on the worker would lead to; nullopt if the worker
 /// is not available, or the task may not or should not start there. Ignores
-/// reservations and whether the worker allows a trial.
+/// room kept for waiting tasks (reservations.h) and whether the worker allows a
+/// trial.
 std::optional<InterferenceModel::FillerEstimate>
 estimateStart(const TaskInfo &Task, WorkerInfo &Worker,
               const InterferenceModel &Learned, TimePoint Now);
