--- a/catkinseam/scheduler/trial_reservations_test.cc
+++ b/catkinseam/scheduler/trial_reservations_test.cc
@@ -162,7 +162,7 @@
   Load.startJob(jobOf(1));
   Load.crashWorker(Load.workersOf(One).front());
   std::size_t Rounds = 0;
-  for (; Load.workersOf(One).empty(); Load.pass(Milliseconds(10)))
+  for (int Tick = 0; Tick < 300; ++Tick, Load.pass(Milliseconds(10)))
     for (const auto &[Name, Row] : Load.m_busyWorkers)
       if (Load.m_scheduler.findWorker(Name)->m_trialStep) {
         ++Rounds;
