Fail no job for crashes of workers that its tasks did not cause

Callers saw accepted jobs as `failed` though none of their runs had ended `failed`.

All by reason="workers_lost" with failures="0"; no end was counted twice and no record rejected.

Causes, by task.blamed: - A run whose start got no answer stays with its worker while it is in doubt, and was counted again at each restart of the worker: crashed_workers="2" with last_run="1". A harmless suspect is on trial for half a second, and its worker had to be heard from after that, which took up to 1.5 s more.

Change: a run counts once until the next incarnation lists it. Only workers that had begun a run count as crashed under it; a start that may have come after the loss is spared once, as in a mass loss. A trial begins on a worker that was heard from in the last 100 ms, which is polled when the trial ends. A task is given up after three certain crashes or four losses in a row while every lost worker had just started something of its job, otherwise after five, the spared one included.

Tests. crash_suspects_test: 13 cases failed on, among them RunInDoubtIsBlamedOnce, UnansweredStartAtSilentWorkerIsSparedOnce, FiveLossesGiveUpTaskWhileOthersAreLost.

--- a/catkinseam/scheduler/crash_suspects.cc
+++ b/catkinseam/scheduler/crash_suspects.cc
@@ -10,10 +10,14 @@
 
 namespace {
 
-/// A task is given up after this many workers that have certainly crashed.
-constexpr std::uint32_t MaxCrashedWorkers = 2;
-/// The same for lost workers, which may also have been partitioned.
-constexpr std::uint32_t MaxLostWorkers = 4;
+/// A task is given up after this many lost workers, a loss for which it was
+/// spared included.
+constexpr std::uint32_t MaxLosses = 5;
+/// The limits while no other workers are lost: for workers that have certainly
+/// crashed after they had begun the task, and for all, some of which may have
+/// been partitioned.
+constexpr std::uint32_t MaxCrashesAlone = 3;
+constexpr std::uint32_t MaxLossesAlone = 4;
 /// A run that its worker has survived for this time does not keep a trial off.
 constexpr Milliseconds SettlingTime{200};
 
@@ -59,12 +63,30 @@
                      });
 }
 
-bool isGivenUp(const TaskInfo &Task) {
-  return Task.m_crashedWorkers >= MaxCrashedWorkers ||
-         Task.m_lostWorkers >= MaxLostWorkers;
+bool hasArrived(const RunInfo &Run) {
+  return Run.m_phase != RunPhase::Adopted && Run.m_confirmedAt != TimePoint();
 }
 
-bool allowsTrial(const TaskInfo &Task, const WorkerInfo &Worker) {
+bool mayPrecedeStart(const RunInfo &Run) {
+  // Of an adopted run it is not known when the start was sent. A worker that
+  // was heard from later and did not list the run had not received it by then.
+  return !hasArrived(Run) &&
+         (Run.m_phase == RunPhase::Adopted ||
+          Run.m_silenceBeforeStart > MaxSilenceBeforeTrial ||
+          Run.m_worker->m_aliveUntil > Run.m_startSentAt);
+}
+
+bool isLossLimitReached(const TaskInfo &Task, bool HaveOthersBeenLost) {
+  if (Task.m_lostWorkers + (Task.m_wasSpared ? 1 : 0) >= MaxLosses)
+    return true;
+  return !HaveOthersBeenLost && (Task.m_crashedWorkers >= MaxCrashesAlone ||
+                                 Task.m_lostWorkers >= MaxLossesAlone);
+}
+
+bool allowsTrial(const TaskInfo &Task, const WorkerInfo &Worker,
+                 TimePoint Now) {
+  if (Now - Worker.m_aliveUntil > MaxSilenceBeforeTrial)
+    return false;
   return std::all_of(
       Worker.m_runs.begin(), Worker.m_runs.end(), [&](const RunRef &Each) {
         const RunInfo *Run = findReferencedRun(Each);
@@ -101,7 +123,7 @@
   std::vector<RunRef> Blamed;
   for (const RunRef &Each : Worker.m_runs) {
     const RunInfo *Run = findReferencedRun(Each);
-    if (!Run || !wasSent(*Run) || hasSurvivedTrial(*Run))
+    if (!Run || !wasSent(*Run) || Run->m_isBlamed || hasSurvivedTrial(*Run))
       continue;
     if (Worker.m_trials == 0 || Run->m_isOnTrial)
       Blamed.push_back(Each);
--- a/catkinseam/scheduler/crash_suspects.h
+++ b/catkinseam/scheduler/crash_suspects.h
@@ -11,9 +11,14 @@
 // suspect. Where all workers start something all the time, one is reserved for
 // the trial (trial_reservations.h).
 //
+// Workers also crash for other reasons, and again while a harmless suspect is
+// on trial. Several losses in a row are needed, and more of them where other
+// workers are lost that had started nothing of the job. A trial begins on a
+// worker that was heard from a moment ago.
+//
 // The loss of many workers at once has another cause, and so may the loss of a
-// worker while the owner changed. Each task is spared once for such a loss,
-// until it is cleared.
+// worker while the owner changed, or of one that was silent before the start
+// was sent. Each task is spared once for such a loss, until it is cleared.
 #ifndef CATKINSEAM_SCHEDULER_CRASH_SUSPECTS_H
 #define CATKINSEAM_SCHEDULER_CRASH_SUSPECTS_H
 
@@ -25,6 +30,8 @@
 
 /// How long a run must be active for its task to count as harmless.
 constexpr Milliseconds TrialTime{500};
+/// A worker that has been silent for longer may have been lost already.
+constexpr Milliseconds MaxSilenceBeforeTrial{100};
 
 /// Whether the worker is known to have been alive after the run had been active
 /// for TrialTime, or since before the owner changed.
@@ -33,13 +40,21 @@
 /// Whether the next run of the task has to start on trial.
 bool isSuspect(const TaskInfo &Task);
 
-/// Whether the task is not to be started again.
-bool isGivenUp(const TaskInfo &Task);
+/// Whether the worker is known to have begun the run.
+bool hasArrived(const RunInfo &Run);
+
+/// Whether the worker may have been lost before the start reached it.
+bool mayPrecedeStart(const RunInfo &Run);
+
+/// Whether enough workers were lost right after they had started the task for
+/// it to be the cause. `HaveOthersBeenLost`: workers that had started nothing
+/// of its job may have been lost lately, too.
+bool isLossLimitReached(const TaskInfo &Task, bool HaveOthersBeenLost);
 
-/// Whether a suspect may start on this worker: no other run there is so young
-/// that it could be the cause of a loss. Members of one gang share a trial, as
-/// they are given up together.
-bool allowsTrial(const TaskInfo &Task, const WorkerInfo &Worker);
+/// Whether a suspect may start on this worker: it was heard from a moment ago,
+/// and no other run there is so young that it could be the cause of a loss.
+/// Members of one gang share a trial, as they are given up together.
+bool allowsTrial(const TaskInfo &Task, const WorkerInfo &Worker, TimePoint Now);
 
 /// When a trial may begin on this worker if nothing else starts there and it is
 /// heard of; TimePoint::min() if one may begin now.
--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -219,7 +219,7 @@
   Placement Best;
   double BestCost = 0.0;
   for (WorkerInfo *Each : Candidates) {
-    if ((NeedsTrial && !allowsTrial(Task, *Each)) ||
+    if ((NeedsTrial && !allowsTrial(Task, *Each, Now)) ||
         Kept.delays(Task, *Each, Now))
       continue;
     const std::optional<InterferenceModel::FillerEstimate> Estimate =
@@ -253,7 +253,7 @@
       ++Found.m_infeasible;
     else if (Kept.delays(Task, *Each, Now))
       ++Found.m_reserved;
-    else if (NeedsTrial && !allowsTrial(Task, *Each))
+    else if (NeedsTrial && !allowsTrial(Task, *Each, Now))
       ++Found.m_unsettled;
   }
   return Found;
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -33,6 +33,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -276,6 +277,9 @@
                  const char *Reason) const;
   /// Number of workers lost of late.
   std::size_t countRecentLosses() const;
+  /// Whether workers that had started nothing of the job may have been lost of
+  /// late, which points to another cause than its tasks.
+  bool haveOthersBeenLost(const JobInfo &Job) const;
   /// Whether the next incarnation under the same id may carry out the run.
   static bool mayReachNextIncarnation(const RunInfo &Run);
   /// Treats the run as one whose start got no reply from this incarnation.
@@ -285,7 +289,7 @@
   static void expectRegistration(WorkerInfo &Worker, std::int64_t StartedMs);
   static bool hasStartInDoubt(const WorkerInfo &Worker);
   /// How long the next status poll may wait at a worker that is reserved for a
-  /// trial: until a sign of life permits the trial.
+  /// trial, or has one: until a sign of life permits the trial, or ends it.
   Milliseconds trialPollWait(const WorkerInfo &Worker) const;
   void updateClock(WorkerInfo &Worker, Milliseconds Clock);
   void extendLeaseEnd(WorkerInfo &Worker, Milliseconds Expires);
@@ -365,8 +369,16 @@
   /// Available workers by service; rebuilt by each decide() and control().
   std::map<std::string, std::vector<WorkerInfo *>> m_availableByService;
   std::set<std::string> m_dirtyJobs;
-  /// When workers were found lost, in ascending order.
-  std::deque<TimePoint> m_lossTimes;
+  /// A worker that was found lost, and the jobs of the runs that may be the
+  /// cause.
+  struct WorkerLoss {
+    TimePoint m_at;
+    std::set<std::string> m_jobs;
+  };
+  /// In the order of time.
+  std::deque<WorkerLoss> m_losses;
+  /// When the last job was taken over. Losses before that are not known.
+  std::optional<TimePoint> m_jobsRestoredAt;
   std::vector<Decisions::ObservedEnd> m_unstoredEnds;
   /// Stops for runs that workers report and this scheduler does not know.
   std::vector<StopOrder> m_unknownRunStops;
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -165,6 +165,7 @@
 }
 
 void Scheduler::restore(JobInfo &Job, const JobProgress &Recorded) {
+  m_jobsRestoredAt = m_clock.now();
   for (const OccurrenceRecord &Each : Recorded.m_occurrences) {
     const auto Found =
         std::find_if(Job.m_occurrences.begin(), Job.m_occurrences.end(),
@@ -236,6 +237,7 @@
       expectRegistration(Worker, Each.m_workerStartedMs);
     addRun(Task, Each.m_run, Worker, RunPhase::Adopted);
   }
+  Task.m_isGivenUp = isLossLimitReached(Task, true);
   if (Task.m_runs.empty())
     enqueueTask(Task, Duration::zero());
 }
@@ -404,7 +406,7 @@
   JobInfo &Job = *Task.m_step->m_occurrence->m_job;
   if (hasExhaustedAttempts(Task) && !isFinal(Job.m_state))
     failJobOf(Task, "attempts_exhausted");
-  else if (isGivenUp(Task) && !isFinal(Job.m_state))
+  else if (Task.m_isGivenUp && !isFinal(Job.m_state))
     failJobOf(Task, "workers_lost");
   else
     enqueueTask(Task, Delay);
--- a/catkinseam/scheduler/scheduler_losses.cc
+++ b/catkinseam/scheduler/scheduler_losses.cc
@@ -95,24 +95,39 @@
 
 void Scheduler::recordLoss(WorkerInfo &Worker) {
   Worker.m_lostAt = m_clock.now();
-  while (!m_lossTimes.empty() &&
-         m_clock.now() - m_lossTimes.front() > LossMemory)
-    m_lossTimes.pop_front();
-  m_lossTimes.push_back(m_clock.now());
+  while (!m_losses.empty() &&
+         m_clock.now() - m_losses.front().m_at > LossMemory)
+    m_losses.pop_front();
+  WorkerLoss &Loss = m_losses.emplace_back();
+  Loss.m_at = m_clock.now();
+  for (const RunRef &Each : blamedRuns(Worker))
+    Loss.m_jobs.insert(keyOf(*Each.m_task).m_job);
 }
 
 bool Scheduler::isMassLoss(TimePoint LostAt) const {
   const auto Losses = static_cast<std::size_t>(std::count_if(
-      m_lossTimes.begin(), m_lossTimes.end(), [LostAt](TimePoint Each) {
-        return std::chrono::abs(Each - LostAt) <= MassLossWindow;
+      m_losses.begin(), m_losses.end(), [LostAt](const WorkerLoss &Each) {
+        return std::chrono::abs(Each.m_at - LostAt) <= MassLossWindow;
       }));
   return Losses > std::max(MinMassLoss, m_workers.size() / MassLossDivisor);
 }
 
 std::size_t Scheduler::countRecentLosses() const {
   return static_cast<std::size_t>(std::count_if(
-      m_lossTimes.begin(), m_lossTimes.end(),
-      [this](TimePoint Each) { return m_clock.now() - Each <= LossMemory; }));
+      m_losses.begin(), m_losses.end(), [this](const WorkerLoss &Each) {
+        return m_clock.now() - Each.m_at <= LossMemory;
+      }));
+}
+
+bool Scheduler::haveOthersBeenLost(const JobInfo &Job) const {
+  const TimePoint Now = m_clock.now();
+  if (m_jobsRestoredAt && Now - *m_jobsRestoredAt <= LossMemory)
+    return true;
+  return std::any_of(m_losses.begin(), m_losses.end(),
+                     [&](const WorkerLoss &Each) {
+                       return Now - Each.m_at <= LossMemory &&
+                              !Each.m_jobs.contains(Job.m_submission.m_id);
+                     });
 }
 
 void Scheduler::logBlamed(const TaskInfo &Task, const RunInfo &Run,
@@ -147,24 +162,26 @@
     TaskInfo &Task = *Each.m_task;
     // The age of an adopted run is unknown. Tasks that crash their workers may
     // do so all at once, and again after each restart.
-    const RunInfo &Run = *findRun(Task, Each.m_run);
-    const bool IsDoubtful =
-        Cause == Loss::Mass || Run.m_phase == RunPhase::Adopted;
-    markDirty(*Task.m_step->m_occurrence->m_job);
+    RunInfo &Run = *findRun(Task, Each.m_run);
+    Run.m_isBlamed = true;
+    const bool IsDoubtful = Cause == Loss::Mass || mayPrecedeStart(Run);
+    JobInfo &Job = *Task.m_step->m_occurrence->m_job;
+    markDirty(Job);
     if (IsDoubtful && !Task.m_wasSpared) {
       Task.m_wasSpared = true;
-      logBlamed(Task, Run, Cause == Loss::Mass ? "mass_loss" : Reason);
-      continue;
+    } else {
+      ++Task.m_lostWorkers;
+      if (IsCrash && hasArrived(Run))
+        ++Task.m_crashedWorkers;
     }
-    ++Task.m_lostWorkers;
-    if (IsCrash)
-      ++Task.m_crashedWorkers;
     logBlamed(Task, Run, Cause == Loss::Mass ? "mass_loss" : Reason);
-    if (isGivenUp(Task))
-      logWarn("task.given_up",
-              {{"task", toString(keyOf(Task))},
-               {"lost_workers", std::to_string(Task.m_lostWorkers)},
-               {"crashed_workers", std::to_string(Task.m_crashedWorkers)}});
+    if (!isLossLimitReached(Task, haveOthersBeenLost(Job)))
+      continue;
+    Task.m_isGivenUp = true;
+    logWarn("task.given_up",
+            {{"task", toString(keyOf(Task))},
+             {"lost_workers", std::to_string(Task.m_lostWorkers)},
+             {"crashed_workers", std::to_string(Task.m_crashedWorkers)}});
   }
 }
 
@@ -178,6 +195,7 @@
   Task.m_lostWorkers = 0;
   Task.m_crashedWorkers = 0;
   Task.m_wasSpared = false;
+  Task.m_isGivenUp = false;
   markDirty(*Task.m_step->m_occurrence->m_job);
 }
 
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -163,16 +163,23 @@
     return Order;
   Order.m_maxWait = Worker.m_services > 0 ? m_options.m_servicePollWait
                                           : m_options.m_pollWait;
-  if (Worker.m_trialStep)
+  if (Worker.m_trialStep || Worker.m_trials > 0)
     Order.m_maxWait = std::min(Order.m_maxWait, trialPollWait(Worker));
   return Order;
 }
 
 Milliseconds Scheduler::trialPollWait(const WorkerInfo &Worker) const {
   const TimePoint Now = m_clock.now();
-  const TimePoint At = trialTime(Worker, Now);
-  if (At == TimePoint::min())
-    return m_options.m_pollWait;
+  const TimePoint Soon = Now + MaxSilenceBeforeTrial;
+  TimePoint At = TimePoint::max();
+  if (Worker.m_trialStep)
+    At = std::max<TimePoint>(Soon, trialTime(Worker, Now));
+  for (const RunRef &Each : Worker.m_runs) {
+    const RunInfo *Run = findReferencedRun(Each);
+    if (Run && Run->m_isOnTrial)
+      At = std::min<TimePoint>(
+          At, hasArrived(*Run) ? Run->m_confirmedAt + TrialTime : Soon);
+  }
   return std::chrono::ceil<Milliseconds>(
       std::max<Duration>(Duration::zero(), At - Now));
 }
@@ -286,6 +293,7 @@
     }
     Run->m_isStartInDoubt = false;
     Run->m_isListed = true;
+    Run->m_isBlamed = false;
     if (hasSurvivedTrial(*Run))
       clearSuspicion(*Task);
     if (!Each.m_checkpoint.empty())
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -53,6 +53,9 @@
   /// The start was sent to a worker that starts nothing else meanwhile; see
   /// crash_suspects.h.
   bool m_isOnTrial = false;
+  /// The task was blamed for the loss of the worker under this run, which its
+  /// next incarnation has not listed.
+  bool m_isBlamed = false;
   /// An earlier owner started the run, and the worker still lists it.
   bool m_hasOutlivedOwner = false;
   /// While stopping: when the stop was last sent and when it was acknowledged.
@@ -92,12 +95,15 @@
   bool m_isDone = false;
   std::uint32_t m_failures = 0;
   /// Workers that were lost when they had just started the task, and those of
-  /// them that have certainly crashed; zero once a run has survived its trial.
+  /// them that have certainly begun it and crashed; zero once a run has
+  /// survived its trial.
   std::uint32_t m_lostWorkers = 0;
   std::uint32_t m_crashedWorkers = 0;
   /// A loss of a worker was not counted because it may have had another cause,
   /// and no run has survived its trial since. The next one counts.
   bool m_wasSpared = false;
+  /// Not to be started again, as it seems to crash its workers.
+  bool m_isGivenUp = false;
   RunNumber m_lastRun = 0;
   std::string m_checkpoint;
   std::vector<RunInfo> m_runs;
