Count the first acknowledgement of a stop, not its last repetition

Cause: a run in doubt is over once a status poll that was sent after its stop had been acknowledged does not list it. The stop is repeated every 2 s, and each acknowledgement moved that time, so a poll that waits 1.5 s fell before it again.

Change: the first acknowledgement counts; it already bars the run for this incarnation of the worker. The next poll does not wait.

--- a/catkinseam/scheduler/run_end_test.cc
+++ b/catkinseam/scheduler/run_end_test.cc
@@ -49,6 +49,47 @@
   BOOST_TEST(scheduleOnce() == 0U);
 }
 
+// A start without an answer kept its task from starting again for 6 to 8 s:
+// each repetition of the acknowledged stop moved the time after which a status
+// poll has to begin.
+BOOST_FIXTURE_TEST_CASE(RepeatedStopDoesNotDelayNextRun, Fixture) {
+  addWorker("w1");
+  m_scheduler.addJob(makeJob(Id, 1), nullptr);
+  const Decisions Next = m_scheduler.decide();
+  const std::vector<StartOrder> Starts = m_scheduler.release(Next, false);
+  BOOST_REQUIRE(Starts.size() == 1U);
+  m_scheduler.onStart(Starts.front(), {OrderOutcome::Unknown, std::nullopt});
+  // Not listed, so it is stopped.
+  answerPoll("w1", {}, {});
+  const auto Stop = [&] {
+    const ImmediateOrders Orders = m_scheduler.control();
+    for (const StopOrder &Each : Orders.m_stops)
+      m_scheduler.onStop(Each, {OrderOutcome::Done, Milliseconds(1000)});
+    return Orders.m_stops.size();
+  };
+  const auto First = m_scheduler.nextPoll("w1");
+  const TimePoint FirstSentAt = m_clock.now();
+  m_clock.advance(Milliseconds(10));
+  BOOST_REQUIRE(Stop() == 1U);
+  PollReply Empty;
+  Empty.m_outcome = OrderOutcome::Done;
+  Empty.m_snapshot.m_startedMs = 1;
+  Empty.m_snapshot.m_clock = Milliseconds(1000);
+  m_clock.advance(Milliseconds(1500));
+  m_scheduler.onPoll(*First, FirstSentAt, Empty);
+  BOOST_TEST(m_scheduler.summarize().m_runs == 1U);
+  const auto Second = m_scheduler.nextPoll("w1");
+  // Sent after the acknowledgement, it resolves the doubt and need not wait.
+  BOOST_TEST(Second->m_maxWait.count() == 0);
+  const TimePoint SecondSentAt = m_clock.now();
+  m_clock.advance(Milliseconds(600));
+  BOOST_REQUIRE(Stop() == 1U);
+  m_clock.advance(Milliseconds(10));
+  m_scheduler.onPoll(*Second, SecondSentAt, Empty);
+  BOOST_TEST(m_scheduler.summarize().m_runs == 0U);
+  BOOST_TEST(scheduleOnce() == 1U);
+}
+
 // A job failed although its task had completed: the only attempt that the queue
 // allows completed on a worker that was given up, and a second run then failed.
 BOOST_FIXTURE_TEST_CASE(FailureAfterLateSuccessDoesNotFailJob, Fixture) {
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -582,8 +582,10 @@
   if (!Run || Run->m_phase != RunPhase::Stopping)
     return;
   if (Reply.m_outcome == OrderOutcome::Done) {
+    // A stop is repeated. The first acknowledgement already bars the run.
+    if (!Run->m_isStopAnswered)
+      Run->m_stopAnsweredAt = m_clock.now();
     Run->m_isStopAnswered = true;
-    Run->m_stopAnsweredAt = m_clock.now();
   } else if (Reply.m_outcome == OrderOutcome::OtherIncarnation) {
     discardRun(*Task, Order.m_run, Duration::zero());
   }
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -157,7 +157,7 @@
   Order.m_expires = leaseExpiry(Worker);
   extendLeaseEnd(Worker, *Order.m_expires);
   // Do not wait at the worker: unstored ends would make it reply at once, and a
-  // start in doubt is resolved by the reply.
+  // start in doubt, stopped or not, is resolved by the reply.
   if (Worker.m_lastObservedEnd > Worker.m_lastStoredEnd ||
       hasStartInDoubt(Worker))
     return Order;
@@ -185,11 +185,13 @@
 }
 
 bool Scheduler::hasStartInDoubt(const WorkerInfo &Worker) {
-  return std::any_of(Worker.m_runs.begin(), Worker.m_runs.end(),
-                     [](const RunRef &Each) {
-                       const RunInfo *Run = findReferencedRun(Each);
-                       return Run && Run->m_isStartInDoubt;
-                     });
+  return std::any_of(
+      Worker.m_runs.begin(), Worker.m_runs.end(), [](const RunRef &Each) {
+        const RunInfo *Run = findReferencedRun(Each);
+        return Run && (Run->m_isStartInDoubt ||
+                       (Run->m_phase == RunPhase::Stopping &&
+                        Run->m_isStopAnswered && !Run->m_isListed));
+      });
 }
 
 std::vector<std::string> Scheduler::workersToPoll() const {
