--- a/catkinseam/scheduler/crash_suspects_test.cc
+++ b/catkinseam/scheduler/crash_suspects_test.cc
@@ -510,6 +510,27 @@
   BOOST_TEST(start().size() == 1U);
 }
 
+// A run and its copy counted as two crashes: the copy was sent to a worker that
+// had been lost in the same event and was not known to be silent (cierres-red,
+// scale-1 seed 7).
+BOOST_FIXTURE_TEST_CASE(CopyOfSuspectStartsOnWorkerHeardFromJustNow, Fixture) {
+  addWorker("w1", SmallWorker);
+  m_scheduler.addJob(speculativeOf(makeJob(One, 1)), nullptr);
+  BOOST_REQUIRE(start().size() == 1U);
+  addWorker("w2", SmallWorker);
+  wait(Milliseconds(300));
+  answerPollWith("w1", OrderOutcome::Unknown);
+  BOOST_TEST(start().empty());
+  wait(PlacementRetry);
+  hearFrom("w2");
+  startUnanswered("w2");
+  replaceWorker("w1");
+  replaceWorker("w2");
+  BOOST_TEST(taskOf(One).m_lostWorkers == 2U);
+  BOOST_TEST(taskOf(One).m_crashedWorkers == 1U);
+  BOOST_TEST((stateOf(One) == JobState::InProgress));
+}
+
 // A trial was lost with its worker long after it had been passed, as no status
 // poll had returned since.
 BOOST_FIXTURE_TEST_CASE(WorkerOnTrialIsPolledWhenTheTrialEnds, Fixture) {
