Take no reply of the next incarnation for a sign of life of the earlier one

A task that crashed its worker passed for harmless and was started a sixth time.

Cause: a worker that starts again under its id answers orders that were meant for the life before, and the reply does not tell the incarnation. It moved the time until which the earlier one was certainly alive (by 3.2 s in the trace), so the run on trial seemed to have survived.

Change: the clock of an incarnation starts anew, so a reply to an order with a lower clock than before is no sign of life. Status polls, which tell the incarnation, set the clock as before.

ReplyOfNextIncarnationIsNoSignOfLife failed before.

--- a/catkinseam/scheduler/crash_suspects_test.cc
+++ b/catkinseam/scheduler/crash_suspects_test.cc
@@ -447,6 +447,22 @@
   BOOST_TEST(taskOf(One).m_lostWorkers == 0U);
 }
 
+// A task that crashed its worker passed for harmless: the next incarnation
+// under the same id had answered another order.
+BOOST_FIXTURE_TEST_CASE(ReplyOfNextIncarnationIsNoSignOfLife, Fixture) {
+  addWorker("w1");
+  m_scheduler.addJob(makeJob(One, 1), nullptr);
+  BOOST_REQUIRE(start().size() == 1U);
+  wait(Milliseconds(600));
+  m_scheduler.onStop({"w1", {Two, 0, 0, 0}, 1},
+                     {OrderOutcome::Done, Milliseconds(10)});
+  WorkerRegistration Next = registrationOf("w1");
+  Next.m_startedMs = 2;
+  m_scheduler.updateWorker(Next);
+  BOOST_TEST(taskOf(One).m_lostWorkers == 1U);
+  BOOST_TEST(taskOf(One).m_crashedWorkers == 1U);
+}
+
 // A start that its worker had never received was counted as a crash that the
 // task caused: the worker had been silent before it was sent (review/3).
 BOOST_FIXTURE_TEST_CASE(UnansweredStartAtSilentWorkerIsSparedOnce, Fixture) {
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -525,8 +525,7 @@
 
 void Scheduler::onStart(const StartOrder &Order, const OrderReply &Reply) {
   WorkerInfo &Worker = workerRow(Order.m_worker);
-  if (Reply.m_clock)
-    updateClock(Worker, *Reply.m_clock);
+  onOrderReply(Worker, Reply);
   if (Reply.m_outcome != OrderOutcome::Done)
     logInfo("run.not_started",
             {{"task", toString(Order.m_task)},
@@ -575,8 +574,7 @@
 
 void Scheduler::onStop(const StopOrder &Order, const OrderReply &Reply) {
   WorkerInfo &Worker = workerRow(Order.m_worker);
-  if (Reply.m_clock)
-    updateClock(Worker, *Reply.m_clock);
+  onOrderReply(Worker, Reply);
   TaskInfo *Task = findTask(Order.m_task);
   RunInfo *Run = Task ? findRun(*Task, Order.m_run) : nullptr;
   if (!Run || Run->m_phase != RunPhase::Stopping)
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -291,6 +291,9 @@
   /// How long the next status poll may wait at a worker that is reserved for a
   /// trial, or has one: until a sign of life permits the trial, or ends it.
   Milliseconds trialPollWait(const WorkerInfo &Worker) const;
+  /// Takes a reply to an order, which does not tell the incarnation, for a sign
+  /// of life of the worker.
+  void onOrderReply(WorkerInfo &Worker, const OrderReply &Reply);
   void updateClock(WorkerInfo &Worker, Milliseconds Clock);
   void extendLeaseEnd(WorkerInfo &Worker, Milliseconds Expires);
   Milliseconds leaseExpiry(const WorkerInfo &Worker) const;
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -118,6 +118,14 @@
   Worker.m_registration = std::move(Expected);
 }
 
+void Scheduler::onOrderReply(WorkerInfo &Worker, const OrderReply &Reply) {
+  // A lower clock is that of the next incarnation under the same id, or of a
+  // late reply. Neither says that this incarnation is alive.
+  if (Reply.m_clock &&
+      (!Worker.m_isClockKnown || *Reply.m_clock >= Worker.m_clock))
+    updateClock(Worker, *Reply.m_clock);
+}
+
 void Scheduler::updateClock(WorkerInfo &Worker, Milliseconds Clock) {
   Worker.m_clock = Clock;
   Worker.m_clockReadAt = m_clock.now();
