Start no trial on a worker under which the suspect was lost before

Callers saw a job as failed though none of its runs had failed.

Cause: a trial needs a worker without young runs. A worker that has just crashed has none, so one that crashes by itself again and again gets each trial.

Change: a worker that was lost under a task is one that the task avoids, and a suspect waits up to 2 s for another one, if another is available.

StartInFlightMayReachNextIncarnation now lets its second worker answer a poll before the task is started there: it had been silent for 110 ms, and a trial begins only where a worker was just heard from.

--- a/catkinseam/scheduler/crash_suspects.h
+++ b/catkinseam/scheduler/crash_suspects.h
@@ -14,7 +14,7 @@
 // Workers also crash for other reasons, and again while a harmless suspect is
 // on trial. Several losses in a row are needed, and more of them where other
 // workers are lost that had started nothing of the job. A trial begins on a
-// worker that was heard from a moment ago.
+// worker that was heard from a moment ago, and on another one than before.
 //
 // The loss of many workers at once has another cause, and so may the loss of a
 // worker while the owner changed, or of one that was silent before the start
--- a/catkinseam/scheduler/crash_suspects_test.cc
+++ b/catkinseam/scheduler/crash_suspects_test.cc
@@ -526,6 +526,52 @@
   BOOST_TEST(start().size() == 1U);
 }
 
+// A worker that crashed by itself again and again got each trial of a harmless
+// suspect, as nothing else had just started there.
+BOOST_FIXTURE_TEST_CASE(SuspectWaitsForAnotherWorker, Fixture) {
+  struct Case {
+    const char *m_name;
+    bool m_hasAnother;
+    /// When the other worker is heard from.
+    Milliseconds m_heardAt;
+    const char *m_chosen;
+    Milliseconds m_startsAt;
+  };
+  constexpr Milliseconds Never{100000};
+  for (const Case &Each :
+       {Case{"alone", false, Never, "w1", Milliseconds(0)},
+        Case{"other", true, Milliseconds(1000), "w2", Milliseconds(1000)},
+        Case{"silent other", true, Never, "w1", Milliseconds(2000)}}) {
+    Fixture Plan;
+    Plan.addWorker("w1");
+    Plan.m_scheduler.addJob(makeJob(One, 1), nullptr);
+    BOOST_REQUIRE(Plan.start().size() == 1U);
+    Plan.listRuns("w1");
+    if (Each.m_hasAnother)
+      Plan.addWorker("w2");
+    Plan.wait(Milliseconds(150));
+    WorkerRegistration Next = Plan.registrationOf("w1");
+    Next.m_startedMs = 2;
+    Plan.m_scheduler.updateWorker(Next);
+    Milliseconds Waited{0};
+    std::vector<StartOrder> Starts;
+    for (; Waited < Milliseconds(3000); Waited += PlacementRetry) {
+      Plan.answerPollAs("w1", 2, {});
+      if (Waited == Each.m_heardAt)
+        Plan.hearFrom("w2");
+      Starts = Plan.start();
+      if (!Starts.empty())
+        break;
+      Plan.wait(PlacementRetry);
+    }
+    BOOST_TEST_CONTEXT(Each.m_name) {
+      BOOST_REQUIRE(Starts.size() == 1U);
+      BOOST_TEST(Starts.front().m_worker == Each.m_chosen);
+      BOOST_TEST(Waited.count() == Each.m_startsAt.count());
+    }
+  }
+}
+
 // A run and its copy counted as two crashes: the copy was sent to a worker that
 // had been lost in the same event and was not known to be silent (cierres-red,
 // scale-1 seed 7).
--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -31,6 +31,9 @@
 constexpr Milliseconds StarvationTime{1000};
 /// Cost of a worker on which the task has failed or that refused it.
 constexpr double AvoidedWorkerCost = 100.0;
+/// How long a suspect waits for other workers than those. A worker that crashes
+/// by itself again and again has no young runs, and would get each trial.
+constexpr Milliseconds AvoidanceTime{2000};
 /// Load headroom of an affected service beyond this does not lower the cost.
 constexpr double MaxUsefulLoadHeadroom = 0.2;
 /// Cost, for a task that has failed, of a worker without a recent success or
@@ -74,8 +77,7 @@
 double riskCost(const TaskInfo &Task, const WorkerInfo &Worker, TimePoint Now) {
   constexpr Milliseconds ProvenFor{10000};
   double Cost = 0.0;
-  if (std::find(Task.m_avoidedWorkers.begin(), Task.m_avoidedWorkers.end(),
-                Worker.m_registration.m_id) != Task.m_avoidedWorkers.end())
+  if (isAvoided(Task, Worker))
     Cost += AvoidedWorkerCost;
   Cost += static_cast<double>(Worker.m_consecutiveFailures);
   const bool IsProven =
@@ -145,6 +147,11 @@
 
 } // namespace
 
+bool isAvoided(const TaskInfo &Task, const WorkerInfo &Worker) {
+  return std::find(Task.m_avoidedWorkers.begin(), Task.m_avoidedWorkers.end(),
+                   Worker.m_registration.m_id) != Task.m_avoidedWorkers.end();
+}
+
 bool isAvailable(const WorkerInfo &Worker, TimePoint Now) {
   return Worker.m_isListed && Worker.m_hasAcceptedToken &&
          Worker.m_isReachable && !Worker.m_registration.m_isDraining &&
@@ -199,6 +206,9 @@
               const InterferenceModel &Learned, TimePoint Now) {
   if (!isAvailable(Worker, Now) || !isFeasible(Task, Worker))
     return std::nullopt;
+  if (Task.m_hasOtherWorkers && isSuspect(Task) && isAvoided(Task, Worker) &&
+      Now - Task.m_earliestStart < AvoidanceTime)
+    return std::nullopt;
   const StepSpec &Spec = *Task.m_step->m_spec;
   if (!Spec.m_isFiller)
     return InterferenceModel::FillerEstimate();
--- a/catkinseam/scheduler/placement.h
+++ b/catkinseam/scheduler/placement.h
@@ -20,6 +20,9 @@
 /// Minimum share of its processor request that a filler must get.
 constexpr double MinFillerShare = 0.5;
 
+/// Whether the worker is one of the task's m_avoidedWorkers.
+bool isAvoided(const TaskInfo &Task, const WorkerInfo &Worker);
+
 /// Whether new runs may be started on the worker.
 bool isAvailable(const WorkerInfo &Worker, TimePoint Now);
 
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -122,8 +122,14 @@
     Waiting[Task.m_step->m_occurrence->m_job->policy().m_service].push_back(
         {&Task, Since});
   };
-  for (const TaskInfo *Each : m_waitingSuspects)
+  for (TaskInfo *Each : m_waitingSuspects) {
+    const std::vector<WorkerInfo *> &Available =
+        availableWorkers(Each->m_step->m_occurrence->m_job->policy().m_service);
+    Each->m_hasOtherWorkers = std::any_of(
+        Available.begin(), Available.end(),
+        [&](const WorkerInfo *Worker) { return !isAvoided(*Each, *Worker); });
     Add(*Each, Each->m_earliestStart);
+  }
   for (const StepInfo *Step : m_speculativeSteps)
     for (const TaskInfo &Each : Step->m_tasks)
       if (isSuspect(Each) && needsCopy(Each))
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -265,6 +265,7 @@
     Mass,        ///< Many other workers were lost at the same time.
   };
   void recordLoss(WorkerInfo &Worker);
+  void forgetOldLosses();
   /// Whether many other workers were lost at the same time.
   bool isMassLoss(TimePoint LostAt) const;
   /// Blames the runs that may have caused the loss, and discards those that are
@@ -275,8 +276,6 @@
   /// Logs what is known of a run that may have caused the loss of its worker.
   void logBlamed(const TaskInfo &Task, const RunInfo &Run,
                  const char *Reason) const;
-  /// Number of workers lost of late.
-  std::size_t countRecentLosses() const;
   /// Whether workers that had started nothing of the job may have been lost of
   /// late, which points to another cause than its tasks.
   bool haveOthersBeenLost(const JobInfo &Job) const;
--- a/catkinseam/scheduler/scheduler_losses.cc
+++ b/catkinseam/scheduler/scheduler_losses.cc
@@ -43,6 +43,7 @@
 void Scheduler::loseRunsOf(WorkerInfo &Worker, Loss Cause, const char *Reason) {
   if (Worker.m_isReachable)
     recordLoss(Worker);
+  forgetOldLosses();
   blame(Worker, isMassLoss(Worker.m_lostAt) ? Loss::Mass : Cause, Reason);
   const std::vector<RunRef> Runs = Worker.m_runs;
   for (const RunRef &Each : Runs) {
@@ -93,11 +94,15 @@
   }
 }
 
-void Scheduler::recordLoss(WorkerInfo &Worker) {
-  Worker.m_lostAt = m_clock.now();
+void Scheduler::forgetOldLosses() {
   while (!m_losses.empty() &&
          m_clock.now() - m_losses.front().m_at > LossMemory)
     m_losses.pop_front();
+}
+
+void Scheduler::recordLoss(WorkerInfo &Worker) {
+  Worker.m_lostAt = m_clock.now();
+  forgetOldLosses();
   WorkerLoss &Loss = m_losses.emplace_back();
   Loss.m_at = m_clock.now();
   for (const RunRef &Each : blamedRuns(Worker))
@@ -112,21 +117,12 @@
   return Losses > std::max(MinMassLoss, m_workers.size() / MassLossDivisor);
 }
 
-std::size_t Scheduler::countRecentLosses() const {
-  return static_cast<std::size_t>(std::count_if(
-      m_losses.begin(), m_losses.end(), [this](const WorkerLoss &Each) {
-        return m_clock.now() - Each.m_at <= LossMemory;
-      }));
-}
-
 bool Scheduler::haveOthersBeenLost(const JobInfo &Job) const {
-  const TimePoint Now = m_clock.now();
-  if (m_jobsRestoredAt && Now - *m_jobsRestoredAt <= LossMemory)
+  if (m_jobsRestoredAt && m_clock.now() - *m_jobsRestoredAt <= LossMemory)
     return true;
   return std::any_of(m_losses.begin(), m_losses.end(),
                      [&](const WorkerLoss &Each) {
-                       return Now - Each.m_at <= LossMemory &&
-                              !Each.m_jobs.contains(Job.m_submission.m_id);
+                       return !Each.m_jobs.contains(Job.m_submission.m_id);
                      });
 }
 
@@ -147,7 +143,7 @@
            {"heard_ms",
             IsAdopted ? "" : Count(Worker.m_aliveUntil - Run.m_startSentAt)},
            {"on_trial", Run.m_isOnTrial ? "1" : "0"},
-           {"recent_losses", std::to_string(countRecentLosses())},
+           {"recent_losses", std::to_string(m_losses.size())},
            {"spared", Task.m_wasSpared ? "1" : "0"},
            {"lost_workers", std::to_string(Task.m_lostWorkers)},
            {"crashed_workers", std::to_string(Task.m_crashedWorkers)}});
@@ -164,6 +160,7 @@
     // do so all at once, and again after each restart.
     RunInfo &Run = *findRun(Task, Each.m_run);
     Run.m_isBlamed = true;
+    Task.m_avoidedWorkers.push_back(Worker.m_registration.m_id);
     const bool IsDoubtful = Cause == Loss::Mass || mayPrecedeStart(Run);
     JobInfo &Job = *Task.m_step->m_occurrence->m_job;
     markDirty(Job);
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -107,8 +107,11 @@
   RunNumber m_lastRun = 0;
   std::string m_checkpoint;
   std::vector<RunInfo> m_runs;
-  /// Workers on which the task failed or that refused it, newest last.
+  /// Workers on which the task failed, that refused it, or that were lost when
+  /// they had just started it, newest last.
   std::vector<std::string> m_avoidedWorkers;
+  /// Whether others are available; of a suspect that waits for its trial.
+  bool m_hasOtherWorkers = false;
   TimePoint m_earliestStart;
   /// When the log last told that the task waits for a trial.
   TimePoint m_waitLoggedAt;
--- a/catkinseam/scheduler/worker_restart_test.cc
+++ b/catkinseam/scheduler/worker_restart_test.cc
@@ -74,6 +74,8 @@
   BOOST_TEST(sendStops() == 1U);
   m_clock.advance(Milliseconds(10));
   answerAfterRestart("w1", {});
+  // The task is a suspect, which starts where a worker was just heard from.
+  answerPoll("w2", {}, {});
   BOOST_TEST(scheduleOnce() == 1U);
 }
 
