--- a/catkinseam/scheduler/crash_suspects_test.cc
+++ b/catkinseam/scheduler/crash_suspects_test.cc
@@ -730,7 +730,7 @@
     const std::string Name = "w" + std::to_string(Crash);
     Successor.addWorker(Name);
     Successor.wait(PlacementRetry);
-    BOOST_REQUIRE(Successor.start().size() >= 1U);
+    BOOST_REQUIRE(!Successor.start().empty());
     Successor.replaceWorker(Name);
   }
   BOOST_TEST((Successor.stateOf(One) == JobState::Failed));
