Take no reply on a kept connection for the reply to another call

Callers: a call to the store or to a worker could be given the reply of another call, and so could every later call on that connection, shifted by one. A 400 that belongs to no append fails a job that has not failed (progress_rejected); a 200 says that an append is stored which is not. Cause: AsyncHttpClient reused a connection on which bytes were left over: a second reply, one that arrives while the connection is idle (a 408 before the server closes it), or the reply to a body that the server refused by its head alone and then took for a request. A connection that the server had closed was reused too, which made the outcome of the call unknown. Evidence: async_http_client_test, four cases, all of which failed before (400, 408, 400 and no reply in place of the second call's). Change: such a connection is closed; before it is reused it must be open and have nothing to read.

--- a/catkinseam/aio/async_http_client.cc
+++ b/catkinseam/aio/async_http_client.cc
@@ -23,6 +23,17 @@
 /// base64, and a read of 2 MB of records.
 constexpr std::uint64_t MaxReplyBytes = 4ULL << 20;
 
+/// Whether a server may reply with this status before it has read the body of
+/// the request. It may take the rest of the body for another request, and
+/// reply to that too.
+bool mayPrecedeBody(int Status) {
+  constexpr int FirstError = 400;
+  constexpr int Conflict = 409;
+  constexpr int PreconditionFailed = 412;
+  return Status >= FirstError && Status != Conflict &&
+         Status != PreconditionFailed;
+}
+
 std::string requestText(const HttpCall &Call, const std::string &Host) {
   std::string Text;
   Text.reserve(192 + Call.m_body.size());
@@ -62,6 +73,7 @@
     m_handler = std::move(Handler);
     m_requestText = requestText(Call, toString(m_client->m_server));
     m_isHeadRequest = Call.m_method == "HEAD";
+    m_hasRequestBody = !Call.m_body.empty();
     m_outcome = CallOutcome::NotSent;
     armDeadline(Deadline);
     if (m_socket.is_open())
@@ -85,7 +97,17 @@
   }
 
   TimePoint idleSince() const { return m_idleSince; }
-  bool isOpen() const { return m_socket.is_open(); }
+
+  /// Whether an idle connection can carry another call: the server has neither
+  /// closed it nor sent anything that would be taken for the reply.
+  bool isReusable() {
+    error_code Ec;
+    m_socket.non_blocking(true, Ec);
+    char Byte = 0;
+    m_socket.receive(asio::buffer(&Byte, 1),
+                     asio::ip::tcp::socket::message_peek, Ec);
+    return Ec == asio::error::would_block;
+  }
 
 private:
   void armDeadline(TimePoint Deadline) {
@@ -154,7 +176,9 @@
     Reply.m_outcome = CallOutcome::Answered;
     Reply.m_status = static_cast<int>(m_parser->get().result_int());
     Reply.m_body = std::move(m_parser->get().body());
-    const bool IsReusable = m_parser->get().keep_alive();
+    const bool IsReusable =
+        m_parser->get().keep_alive() && m_buffer.size() == 0 &&
+        !(m_hasRequestBody && mayPrecedeBody(Reply.m_status));
     if (!IsReusable)
       close();
     m_idleSince = m_loop.now();
@@ -193,6 +217,7 @@
   /// handler can detect that its call is over.
   std::uint64_t m_callGeneration = 0;
   bool m_isHeadRequest = false;
+  bool m_hasRequestBody = false;
 };
 
 AsyncHttpClient::AsyncHttpClient(EventLoop &Loop, Endpoint Server,
@@ -221,7 +246,8 @@
     while (!m_idle.empty() && !Chosen) {
       std::shared_ptr<Connection> Candidate = m_idle.back();
       m_idle.pop_back();
-      if (m_loop.now() - Candidate->idleSince() < m_options.m_maxIdleTime)
+      if (m_loop.now() - Candidate->idleSince() < m_options.m_maxIdleTime &&
+          Candidate->isReusable())
         Chosen = std::move(Candidate);
       else
         Candidate->close();
--- a/catkinseam/aio/async_http_client.h
+++ b/catkinseam/aio/async_http_client.h
@@ -5,7 +5,10 @@
 //              [](const HttpReply &Reply) { ... });
 //
 // A connection carries one call at a time, so a reply always belongs to the
-// call in progress. A call that times out closes its connection.
+// call in progress. A call that times out closes its connection, and so do
+// bytes that follow the reply, and a refusal that the server may have sent
+// before it read the request's body. A connection that the server has closed or
+// written to while it was idle carries no further call.
 #ifndef CATKINSEAM_AIO_ASYNC_HTTP_CLIENT_H
 #define CATKINSEAM_AIO_ASYNC_HTTP_CLIENT_H
 
