Log what a failed job's failure was counted from

Cause: a job fails for three reasons, which the users' record could not tell apart. job.failed gave counts without the runs, and said nothing of a job whose record the store rejected; an end in run.ended had no incarnation and no sequence number, so an end that was counted twice or for another run could not be seen. Change, none of it in the logic: - job.failed names the epoch that decided, the counts that it had taken over, and the newest eight runs that it counted, each with worker, incarnation and sequence number; it is logged for progress_rejected too. - run.ended has the worker that reported the end, its incarnation, the sequence number and the epoch; run.end_unmatched shows an end `failed` that didn't count. - job.restored shows the counts of its tasks at a takeover, where not zero. - owner.record_invalid has the store's status and reply, and the limit. - catkinseam_jobs_failed_total{reason}. The lists are bounded; logging doesn't block, as before.

--- a/catkinseam/ledger/fenced_appender.cc
+++ b/catkinseam/ledger/fenced_appender.cc
@@ -68,7 +68,7 @@
   case LogOutcome::Fenced:
     return reject("fenced_by_log");
   case LogOutcome::Invalid:
-    return onInvalid();
+    return onInvalid(Reply);
   case LogOutcome::OutOfOrder:
     logError("owner.append_out_of_order",
              {{"topic", logTopicName(m_options.m_topic)},
@@ -87,7 +87,7 @@
   m_callbacks.m_onRepeat();
 }
 
-void FencedAppender::onInvalid() {
+void FencedAppender::onInvalid(const AppendReply &Reply) {
   // A rejected append leaves no trace in the log, so its sequence number is
   // used again.
   if (m_queue.divide())
@@ -98,7 +98,11 @@
             {"epoch", std::to_string(m_options.m_epoch)},
             {"key", Rejected.m_records.front().m_key},
             {"bytes", std::to_string(appendBytes(Rejected.m_records.front()))},
-            {"job", Rejected.m_job}});
+            {"limit", std::to_string(m_options.m_limits.m_maxRecordBytes)},
+            {"job", Rejected.m_job},
+            {"sequence", std::to_string(m_sequence)},
+            {"status", std::to_string(Reply.m_status)},
+            {"reply", Reply.m_reply}});
   std::optional<RecordGroup> Replacement = m_callbacks.m_onInvalid(Rejected);
   if (!Replacement)
     return reject("append_invalid");
--- a/catkinseam/ledger/fenced_appender.h
+++ b/catkinseam/ledger/fenced_appender.h
@@ -74,7 +74,7 @@
 private:
   void send();
   void onReply(const AppendReply &Reply);
-  void onInvalid();
+  void onInvalid(const AppendReply &Reply);
   void reject(const char *Reason);
 
   Runtime &m_host;
--- a/catkinseam/ledger/keyed_log.h
+++ b/catkinseam/ledger/keyed_log.h
@@ -72,6 +72,10 @@
 struct AppendReply {
   LogOutcome m_outcome = LogOutcome::Unknown;
   std::int64_t m_offset = 0;
+  /// If the outcome is Invalid: status code and start of the log's reply, for
+  /// the log of this process.
+  int m_status = 0;
+  std::string m_reply{};
 };
 
 struct ReadReply {
--- a/catkinseam/node/node.cc
+++ b/catkinseam/node/node.cc
@@ -43,7 +43,8 @@
   return {std::max(Bound - StartMargin, StartMargin)};
 }
 
-Candidate::Options candidateOptions(const NodeSettings &Values) {
+Candidate::Options candidateOptions(const NodeSettings &Values,
+                                    Metrics &Counters) {
   Candidate::Options Opts;
   Opts.m_node = Values.m_name;
   Opts.m_bootId = randomId();
@@ -66,6 +67,9 @@
   // 30 s only delays the deletion.
   Scheduling.m_jobRetention =
       toMilliseconds(Values.m_jobRetention) + Milliseconds(30000);
+  Scheduling.m_onJobFailed = [&Counters](const char *Reason) {
+    Counters.countFailedJob(Reason);
+  };
   return Opts;
 }
 
@@ -86,7 +90,7 @@
             return std::make_unique<HttpWorkerLink>(
                 Loop, Registration.m_address, Registration.m_id);
           },
-          parseWorkerRegistration, candidateOptions(Values)),
+          parseWorkerRegistration, candidateOptions(Values, m_metrics)),
       m_operatorReader(
           Loop, m_store,
           {.m_topic = LogTopic::Operator, .m_wait = Milliseconds(2000)},
--- a/catkinseam/ownership/owner.cc
+++ b/catkinseam/ownership/owner.cc
@@ -6,6 +6,16 @@
 
 namespace catkinseam {
 
+namespace {
+
+Scheduler::Options schedulerOptions(const Owner::Options &Values) {
+  Scheduler::Options Opts = Values.m_scheduler;
+  Opts.m_epoch = Values.m_epoch;
+  return Opts;
+}
+
+} // namespace
+
 Owner::Owner(Runtime &Host, KeyedLog &Log, Ledger &Jobs,
              const Evacuations &EvacuationRequests, WorkerLinkFactory MakeLink,
              WorkerRegistrationParser ParseRegistration, const Options &Values,
@@ -18,7 +28,7 @@
       m_isCurrent(std::move(IsCurrent)),
       m_coveredUntil(std::move(CoveredUntil)),
       m_onOwnershipLost(std::move(OnOwnershipLost)),
-      m_scheduler(Host.clock(), Values.m_scheduler),
+      m_scheduler(Host.clock(), schedulerOptions(Values)),
       m_workerReader(
           Host, Log,
           {.m_topic = LogTopic::Workers,
--- a/catkinseam/ownership/owner.h
+++ b/catkinseam/ownership/owner.h
@@ -75,6 +75,7 @@
     /// Delay before the next status poll of a worker whose ended runs are not
     /// stored yet.
     Milliseconds m_unstoredEndPollDelay{300};
+    /// Its epoch is ignored; the owner sets it.
     Scheduler::Options m_scheduler;
   };
 
--- a/catkinseam/platform/http_keyed_log.cc
+++ b/catkinseam/platform/http_keyed_log.cc
@@ -15,6 +15,7 @@
 constexpr std::size_t OffsetBytes = 8;
 /// Maximum size of the reply to one read, in KB.
 constexpr const char *MaxReadKb = "512";
+constexpr std::size_t MaxLoggedReplyBytes = 120;
 
 const char *topicName(LogTopic Topic) {
   switch (Topic) {
@@ -106,6 +107,10 @@
   Read.m_outcome = logOutcomeOf(Reply);
   if (Reply.m_outcome != CallOutcome::Answered)
     return Read;
+  if (Read.m_outcome == LogOutcome::Invalid) {
+    Read.m_status = Reply.m_status;
+    Read.m_reply = Reply.m_body.substr(0, MaxLoggedReplyBytes);
+  }
   auto Body = attempt([&] { return parseJsonBody(Reply.m_body); });
   if (Reply.m_status == 409) {
     std::string Reason;
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -31,6 +31,7 @@
 #include "catkinseam/scheduler/trial_reservations.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -98,6 +99,10 @@
     std::size_t m_maxReservations = 0;
     /// How long ended jobs are kept.
     Milliseconds m_jobRetention{180000};
+    /// Epoch of the owner, for the log.
+    std::uint64_t m_epoch = 0;
+    /// Called with the reason when a job fails; null for none.
+    std::function<void(const char *Reason)> m_onJobFailed{};
   };
 
   Scheduler(const Clock &Time, const Options &Values);
@@ -211,13 +216,14 @@
   void beginStep(StepInfo &Step);
   void restore(JobInfo &Job, const JobProgress &Recorded);
   void restoreTask(TaskInfo &Task, const TaskRecord &Recorded);
-  static void logRestored(const JobInfo &Job);
+  void logRestored(const JobInfo &Job) const;
   void markDirty(JobInfo &Job);
   void completeTask(TaskInfo &Task);
   /// `Reason` is for the log.
   void endJob(JobInfo &Job, JobState State, const char *Reason);
   /// Ends the job of a task that is not to be started again.
   void failJobOf(const TaskInfo &Task, const char *Reason);
+  void countFailedJob(const char *Reason) const;
   /// Shows the job as queued again if its planned runs came to nothing before
   /// any of its tasks has run.
   void returnToQueue(JobInfo &Job);
@@ -234,8 +240,11 @@
   RunInfo &addRun(TaskInfo &Task, RunNumber Number, WorkerInfo &Worker,
                   RunPhase Phase);
   void removeRun(TaskInfo &Task, RunNumber Number);
-  void applyRunEnd(TaskInfo &Task, RunNumber Number, RunEnd End,
-                   const std::string &Checkpoint);
+  /// `Reporter` is the worker that listed the end.
+  void applyRunEnd(TaskInfo &Task, const EndedRun &Ended,
+                   const WorkerInfo &Reporter);
+  /// Logs the end of a run that has no more effect.
+  void logUnmatchedEnd(const EndedRun &Ended, const WorkerInfo &Reporter) const;
   /// Completes a task by a run that was discarded, because its worker seemed
   /// lost, before the worker reported that it had completed the task.
   void applyDiscardedSuccess(TaskInfo &Task, WorkerInfo &Worker,
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -2,6 +2,7 @@
 #include "catkinseam/scheduler/scheduler.h"
 
 #include "catkinseam/scheduler/crash_suspects.h"
+#include "catkinseam/scheduler/failure_causes.h"
 #include "catkinseam/telemetry/log.h"
 
 #include <algorithm>
@@ -201,14 +202,16 @@
   }
 }
 
-void Scheduler::logRestored(const JobInfo &Job) {
+void Scheduler::logRestored(const JobInfo &Job) const {
   std::uint32_t Done = 0;
   for (const OccurrenceInfo &Occurrence : Job.m_occurrences)
     for (const StepInfo &Step : Occurrence.m_steps)
       Done += Step.m_doneCount;
   logInfo("job.restored", {{"job", Job.m_submission.m_id},
                            {"done", std::to_string(Done)},
-                           {"runs", std::to_string(Job.m_activeRunCount)}});
+                           {"runs", std::to_string(Job.m_activeRunCount)},
+                           {"counts", restoredCounts(Job)},
+                           {"epoch", std::to_string(m_options.m_epoch)}});
 }
 
 void Scheduler::restoreTask(TaskInfo &Task, const TaskRecord &Recorded) {
@@ -217,6 +220,8 @@
   Task.m_lostWorkers = Recorded.m_lostWorkers;
   Task.m_crashedWorkers = Recorded.m_crashedWorkers;
   Task.m_wasSpared = Recorded.m_wasSpared;
+  Task.m_restoredFailures = Recorded.m_failures;
+  Task.m_restoredLostWorkers = Recorded.m_lostWorkers;
   Task.m_lastRun = Recorded.m_lastRun;
   Task.m_checkpoint = Recorded.m_checkpoint;
   if (Task.m_isDone || Task.m_failures > 0 || !Task.m_checkpoint.empty())
@@ -229,8 +234,13 @@
     WorkerInfo &Worker = workerRow(Each.m_worker);
     // The worker may have restarted since, and carry out the start even so.
     if (Worker.m_registration.m_startedMs > Each.m_workerStartedMs) {
-      if (Task.m_wasSpared)
+      if (Task.m_wasSpared) {
         ++Task.m_lostWorkers;
+        noteCountedRun(Task, {.m_run = Each.m_run,
+                              .m_worker = Each.m_worker,
+                              .m_workerStartedMs = Each.m_workerStartedMs,
+                              .m_cause = "new_life_at_takeover"});
+      }
       Task.m_wasSpared = true;
     }
     if (Worker.m_registration.m_startedMs < Each.m_workerStartedMs)
@@ -251,8 +261,19 @@
 
 void Scheduler::failJob(const std::string &Id) {
   const auto Found = m_jobs.find(Id);
-  if (Found != m_jobs.end() && !isFinal(Found->second->m_state))
-    endJob(*Found->second, JobState::Failed, "progress_rejected");
+  if (Found == m_jobs.end() || isFinal(Found->second->m_state))
+    return;
+  constexpr const char *Reason = "progress_rejected";
+  logWarn("job.failed", {{"job", Id},
+                         {"reason", Reason},
+                         {"epoch", std::to_string(m_options.m_epoch)}});
+  countFailedJob(Reason);
+  endJob(*Found->second, JobState::Failed, Reason);
+}
+
+void Scheduler::countFailedJob(const char *Reason) const {
+  if (m_options.m_onJobFailed)
+    m_options.m_onJobFailed(Reason);
 }
 
 void Scheduler::returnToQueue(JobInfo &Job) {
@@ -284,14 +305,20 @@
 
 void Scheduler::failJobOf(const TaskInfo &Task, const char *Reason) {
   JobInfo &Job = *Task.m_step->m_occurrence->m_job;
-  logWarn("job.failed",
-          {{"task", toString(keyOf(Task))},
-           {"reason", Reason},
-           {"last_run", std::to_string(Task.m_lastRun)},
-           {"failures", std::to_string(Task.m_failures)},
-           {"max_attempts", std::to_string(Job.policy().m_maxAttempts)},
-           {"lost_workers", std::to_string(Task.m_lostWorkers)},
-           {"crashed_workers", std::to_string(Task.m_crashedWorkers)}});
+  logWarn(
+      "job.failed",
+      {{"task", toString(keyOf(Task))},
+       {"reason", Reason},
+       {"epoch", std::to_string(m_options.m_epoch)},
+       {"last_run", std::to_string(Task.m_lastRun)},
+       {"failures", std::to_string(Task.m_failures)},
+       {"max_attempts", std::to_string(Job.policy().m_maxAttempts)},
+       {"lost_workers", std::to_string(Task.m_lostWorkers)},
+       {"crashed_workers", std::to_string(Task.m_crashedWorkers)},
+       {"restored_failures", std::to_string(Task.m_restoredFailures)},
+       {"restored_lost_workers", std::to_string(Task.m_restoredLostWorkers)},
+       {"counted", countedRuns(Task)}});
+  countFailedJob(Reason);
   endJob(Job, JobState::Failed, Reason);
 }
 
@@ -419,23 +446,37 @@
              Task.m_step->m_occurrence->m_job->policy().m_maxAttempts;
 }
 
-void Scheduler::applyRunEnd(TaskInfo &Task, RunNumber Number, RunEnd End,
-                            const std::string &Checkpoint) {
+void Scheduler::applyRunEnd(TaskInfo &Task, const EndedRun &Ended,
+                            const WorkerInfo &Reporter) {
+  const RunNumber Number = Ended.m_run;
+  const RunEnd End = Ended.m_end;
   StepInfo &Step = *Task.m_step;
   JobInfo &Job = *Step.m_occurrence->m_job;
   RunInfo *Run = findRun(Task, Number);
   WorkerInfo &Worker = *Run->m_worker;
   const Duration RanFor = m_clock.now() - Run->m_since;
   Job.m_hasBegun = true;
-  if (!Checkpoint.empty())
-    Task.m_checkpoint = Checkpoint;
-  if (End == RunEnd::Failed)
+  if (!Ended.m_checkpoint.empty())
+    Task.m_checkpoint = Ended.m_checkpoint;
+  if (End == RunEnd::Failed) {
     ++Task.m_failures;
-  logInfo("run.ended", {{"task", toString(keyOf(Task))},
-                        {"run", std::to_string(Number)},
-                        {"worker", Worker.m_registration.m_id},
-                        {"end", runEndName(End)},
-                        {"failures", std::to_string(Task.m_failures)}});
+    noteCountedRun(Task,
+                   {.m_run = Number,
+                    .m_worker = Reporter.m_registration.m_id,
+                    .m_workerStartedMs = Reporter.m_registration.m_startedMs,
+                    .m_sequence = Ended.m_sequence,
+                    .m_cause = runEndName(End)});
+  }
+  logInfo("run.ended",
+          {{"task", toString(keyOf(Task))},
+           {"run", std::to_string(Number)},
+           {"worker", Worker.m_registration.m_id},
+           {"reported_by", Reporter.m_registration.m_id},
+           {"born", std::to_string(Reporter.m_registration.m_startedMs)},
+           {"sequence", std::to_string(Ended.m_sequence)},
+           {"end", runEndName(End)},
+           {"failures", std::to_string(Task.m_failures)},
+           {"epoch", std::to_string(m_options.m_epoch)}});
   if (End == RunEnd::Done) {
     removeRun(Task, Number);
     recordSuccess(Worker);
@@ -450,6 +491,18 @@
   discardRun(Task, Number, RestartDelay);
 }
 
+void Scheduler::logUnmatchedEnd(const EndedRun &Ended,
+                                const WorkerInfo &Reporter) const {
+  logInfo("run.end_unmatched",
+          {{"task", toString(Ended.m_task)},
+           {"run", std::to_string(Ended.m_run)},
+           {"worker", Reporter.m_registration.m_id},
+           {"born", std::to_string(Reporter.m_registration.m_startedMs)},
+           {"sequence", std::to_string(Ended.m_sequence)},
+           {"end", runEndName(Ended.m_end)},
+           {"epoch", std::to_string(m_options.m_epoch)}});
+}
+
 void Scheduler::applyDiscardedSuccess(TaskInfo &Task, WorkerInfo &Worker,
                                       RunNumber Number) {
   // A service has to run on.
--- a/catkinseam/scheduler/scheduler_losses.cc
+++ b/catkinseam/scheduler/scheduler_losses.cc
@@ -2,6 +2,7 @@
 #include "catkinseam/scheduler/scheduler.h"
 
 #include "catkinseam/scheduler/crash_suspects.h"
+#include "catkinseam/scheduler/failure_causes.h"
 #include "catkinseam/telemetry/log.h"
 
 #include <algorithm>
@@ -154,6 +155,7 @@
   // A worker that drains may leave at any time.
   const bool IsCrash = (Cause == Loss::Restart || Cause == Loss::Replacement) &&
                        !Worker.m_registration.m_isDraining;
+  const char *LoggedReason = Cause == Loss::Mass ? "mass_loss" : Reason;
   for (const RunRef &Each : blamedRuns(Worker)) {
     TaskInfo &Task = *Each.m_task;
     // The age of an adopted run is unknown. Tasks that crash their workers may
@@ -170,8 +172,13 @@
       ++Task.m_lostWorkers;
       if (IsCrash && hasArrived(Run))
         ++Task.m_crashedWorkers;
+      noteCountedRun(Task,
+                     {.m_run = Run.m_number,
+                      .m_worker = Worker.m_registration.m_id,
+                      .m_workerStartedMs = Worker.m_registration.m_startedMs,
+                      .m_cause = LoggedReason});
     }
-    logBlamed(Task, Run, Cause == Loss::Mass ? "mass_loss" : Reason);
+    logBlamed(Task, Run, LoggedReason);
     if (!isLossLimitReached(Task, haveOthersBeenLost(Job)))
       continue;
     Task.m_isGivenUp = true;
@@ -193,6 +200,9 @@
   Task.m_crashedWorkers = 0;
   Task.m_wasSpared = false;
   Task.m_isGivenUp = false;
+  Task.m_restoredLostWorkers = 0;
+  std::erase_if(Task.m_countedRuns,
+                [](const CountedRun &Each) { return Each.m_sequence == 0; });
   markDirty(*Task.m_step->m_occurrence->m_job);
 }
 
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -266,9 +266,11 @@
     if (!Task)
       continue;
     if (findRun(*Task, Each.m_run))
-      applyRunEnd(*Task, Each.m_run, Each.m_end, Each.m_checkpoint);
+      applyRunEnd(*Task, Each, Worker);
     else if (Each.m_end == RunEnd::Done)
       applyDiscardedSuccess(*Task, Worker, Each.m_run);
+    else if (Each.m_end == RunEnd::Failed)
+      logUnmatchedEnd(Each, Worker);
   }
   if (Worker.m_lastObservedEnd > Worker.m_lastStoredEnd)
     m_unstoredEnds.push_back({Worker.m_registration.m_id,
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -87,6 +87,16 @@
   TimePoint m_progressedAt;
 };
 
+/// A run that counted towards the failure of its task, for the log.
+struct CountedRun {
+  RunNumber m_run = 0;
+  std::string m_worker;
+  std::int64_t m_workerStartedMs = 0;
+  /// Sequence number of its end; zero if its worker was lost.
+  std::uint64_t m_sequence = 0;
+  const char *m_cause = "";
+};
+
 struct TaskInfo {
   StepInfo *m_step = nullptr;
   std::uint32_t m_index = 0;
@@ -104,6 +114,11 @@
   bool m_wasSpared = false;
   /// Not to be started again, as it seems to crash its workers.
   bool m_isGivenUp = false;
+  /// The newest runs in these counts, as far as this owner has counted them,
+  /// and the counts that it has taken over.
+  std::vector<CountedRun> m_countedRuns;
+  std::uint32_t m_restoredFailures = 0;
+  std::uint32_t m_restoredLostWorkers = 0;
   RunNumber m_lastRun = 0;
   std::string m_checkpoint;
   std::vector<RunInfo> m_runs;
--- a/catkinseam/telemetry/metrics.cc
+++ b/catkinseam/telemetry/metrics.cc
@@ -34,7 +34,11 @@
       m_batchEvents(prometheus::BuildCounter()
                         .Name("catkinseam_batch_events_total")
                         .Help("Batch task events seen by this entry.")
-                        .Register(*m_registry)) {}
+                        .Register(*m_registry)),
+      m_failedJobs(prometheus::BuildCounter()
+                       .Name("catkinseam_jobs_failed_total")
+                       .Help("Jobs that failed under this owner, by reason.")
+                       .Register(*m_registry)) {}
 
 void Metrics::countRequest(const std::string &Kind, const std::string &Outcome,
                            Duration Latency) {
@@ -52,6 +56,10 @@
   m_batchEvents.Add({{"event", Event}}).Increment();
 }
 
+void Metrics::countFailedJob(const std::string &Reason) {
+  m_failedJobs.Add({{"reason", Reason}}).Increment();
+}
+
 void Metrics::setGauge(const std::string &Name, double Value) {
   // Registering a family again under the same name returns the existing one.
   prometheus::BuildGauge()
--- a/catkinseam/telemetry/metrics.h
+++ b/catkinseam/telemetry/metrics.h
@@ -35,6 +35,9 @@
   /// Counts a batch event: "claimed", "started", "finished" or "evicted".
   void countBatchEvent(const std::string &Event);
 
+  /// Counts a job that failed, by the reason that the log gives.
+  void countFailedJob(const std::string &Reason);
+
   /// Sets a gauge by its full name, such as "catkinseam_config_version".
   void setGauge(const std::string &Name, double Value);
 
@@ -47,6 +50,7 @@
   prometheus::Family<prometheus::Histogram> &m_latency;
   prometheus::Family<prometheus::Histogram> &m_queueWait;
   prometheus::Family<prometheus::Counter> &m_batchEvents;
+  prometheus::Family<prometheus::Counter> &m_failedJobs;
 };
 
 } // namespace catkinseam
--- a/catkinseam/telemetry/telemetry_test.cc
+++ b/catkinseam/telemetry/telemetry_test.cc
@@ -96,8 +96,11 @@
   Metrics Counters;
   Counters.countRequest("bill", "answered", std::chrono::milliseconds(3));
   Counters.setGauge("catkinseam_config_version", 7);
+  Counters.countFailedJob("workers_lost");
   const std::string Text = Counters.text();
   BOOST_TEST(Text.find("catkinseam_requests_total{kind=\"bill\",outcome="
                        "\"answered\"} 1") != std::string::npos);
   BOOST_TEST(Text.find("catkinseam_config_version 7") != std::string::npos);
+  BOOST_TEST(Text.find("catkinseam_jobs_failed_total{reason=\"workers_lost\"} "
+                       "1") != std::string::npos);
 }
