--- a/catkinseam/ownership/testing/fake_log.cc
+++ b/catkinseam/ownership/testing/fake_log.cc
@@ -16,6 +16,13 @@
   return std::uniform_real_distribution<double>(0, 1)(m_random) < Probability;
 }
 
+Milliseconds FakeLog::delay() {
+  if (m_faults.m_minDelay == m_faults.m_maxDelay)
+    return m_faults.m_minDelay;
+  return Milliseconds(std::uniform_int_distribution<std::int64_t>(
+      m_faults.m_minDelay.count(), m_faults.m_maxDelay.count())(m_random));
+}
+
 void FakeLog::put(LogTopic TopicId, const std::string &Key,
                   std::optional<std::string> Value) {
   execute(TopicId, {{Key, std::move(Value)}}, std::nullopt);
@@ -73,6 +80,8 @@
     else
       Target.m_newest.erase(Each.m_key);
     Target.m_records.push_back(Each);
+    if (m_onStored)
+      m_onStored(TopicId, Each);
   }
   return {LogOutcome::Done, Offset};
 }
@@ -137,9 +146,8 @@
   const bool IsDelayed = m_log.chance(m_log.m_faults.m_delayedRate);
   const bool IsReplyLost =
       IsDelayed || m_log.chance(m_log.m_faults.m_lostReplyRate);
-  constexpr Milliseconds DelayedBy{3000};
-  const Duration Delay =
-      IsDelayed ? Duration(DelayedBy) : *Occupied + m_log.m_faults.m_latency;
+  const Duration Delay = IsDelayed ? Duration(m_log.delay())
+                                   : *Occupied + m_log.m_faults.m_latency;
   const bool IsTooLate = Delay > Timeout;
   Host.schedule(Delay, [Log = &m_log, Topic, Records, Id,
                         IsReplyLost = IsReplyLost || IsTooLate, Done] {
@@ -176,14 +184,14 @@
   }
   Host.schedule(m_log.m_faults.m_latency, [Log = &m_log, Topic, AfterKey,
                                            Done = counted(std::move(Done))] {
-    constexpr std::size_t PageSize = 20;
     FakeLog::Topic &Source = Log->m_topics[Topic];
     NewestReply Reply;
     Reply.m_outcome = LogOutcome::Done;
     Reply.m_endOffset = static_cast<std::int64_t>(Source.m_records.size());
     auto At = AfterKey.empty() ? Source.m_newest.begin()
                                : Source.m_newest.upper_bound(AfterKey);
-    for (; At != Source.m_newest.end() && Reply.m_records.size() < PageSize;
+    for (; At != Source.m_newest.end() &&
+           Reply.m_records.size() < Log->m_faults.m_pageRecords;
          ++At)
       Reply.m_records.push_back(
           {At->second, Source.m_records[static_cast<std::size_t>(At->second)]});
--- a/catkinseam/ownership/testing/fake_log.h
+++ b/catkinseam/ownership/testing/fake_log.h
@@ -24,10 +24,15 @@
     Milliseconds m_replyLatency{0};
     /// Probability that an append is applied and its reply lost.
     double m_lostReplyRate = 0.0;
-    /// Probability that an append is applied 3 s later and its reply lost.
+    /// Probability that an append is applied later and its reply lost.
     double m_delayedRate = 0.0;
+    /// Bounds of that delay.
+    Milliseconds m_minDelay{3000};
+    Milliseconds m_maxDelay{3000};
     /// Maximum number of records returned by one read.
     std::size_t m_maxReadRecords = 10000;
+    /// Maximum number of records on one page of the newest records.
+    std::size_t m_pageRecords = 20;
     /// Time for which an append occupies its topic. An append is refused when
     /// more than 2 s of others are waiting.
     Milliseconds m_appendTime{0};
@@ -98,6 +103,8 @@
   AppendLimits m_limits;
   /// Number of appends that have reached the log.
   std::size_t m_appends = 0;
+  /// Called for each record that is stored; null for none.
+  std::function<void(LogTopic, const KeyedRecord &)> m_onStored;
 
 private:
   friend class View;
@@ -118,6 +125,7 @@
   void readOnce(LogTopic TopicId, std::int64_t From, TimePoint Deadline,
                 std::function<void(const ReadReply &)> Done);
   bool chance(double Probability);
+  Milliseconds delay();
 
   Runtime &m_host;
   std::mt19937_64 &m_random;
--- a/catkinseam/ownership/testing/fake_worker.cc
+++ b/catkinseam/ownership/testing/fake_worker.cc
@@ -2,6 +2,7 @@
 #include "catkinseam/ownership/testing/fake_worker.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace catkinseam {
 
@@ -15,6 +16,14 @@
 /// Rate of the worker's clock, the slowest that the design permits.
 constexpr double ClockRate = 0.98;
 
+/// Returns the work that a checkpoint stands for; zero if it is empty.
+Milliseconds workOf(const std::string &Checkpoint) {
+  std::int64_t Count = 0;
+  std::from_chars(Checkpoint.data(), Checkpoint.data() + Checkpoint.size(),
+                  Count);
+  return Milliseconds(Count);
+}
+
 } // namespace
 
 /// One process's connection to the worker.
@@ -205,11 +214,7 @@
   if (HighestClosed != m_highestClosedRun.end() &&
       Order.m_run <= HighestClosed->second)
     return OrderOutcome::StaleRun;
-  Running Run;
-  Run.m_endsAt = Order.m_payload == "service" ? TimePoint::max()
-                                              : m_host.now() + m_runTime;
-  Run.m_willFail = chance(m_failureRate);
-  m_runs[{Order.m_task, Order.m_run}] = Run;
+  m_runs[{Order.m_task, Order.m_run}] = makeRun(Order);
   m_history.started(m_id, Order.m_task, Order.m_run, m_host.now(),
                     m_host.now() - SentAt > DelayedStartThreshold);
   if (m_onStart)
@@ -217,6 +222,28 @@
   return OrderOutcome::Done;
 }
 
+FakeWorker::Running FakeWorker::makeRun(const StartOrder &Order) {
+  RunPlan Plan;
+  if (m_plan) {
+    Plan = m_plan(Order);
+  } else {
+    Plan.m_work = m_runTime;
+    Plan.m_isService = Order.m_payload == "service";
+    Plan.m_willFail = chance(m_failureRate) && !Plan.m_isService;
+  }
+  Running Run;
+  Run.m_checkpointInterval = Plan.m_checkpointInterval;
+  if (Plan.m_checkpointInterval > Milliseconds::zero())
+    Run.m_resumedWork = workOf(Order.m_checkpoint);
+  Run.m_startedAt = m_host.now();
+  Run.m_willFail = Plan.m_willFail;
+  const Milliseconds Rest =
+      std::max(Plan.m_work - Run.m_resumedWork, Milliseconds::zero());
+  Run.m_endsAt = Plan.m_isService && !Plan.m_willFail ? TimePoint::max()
+                                                      : m_host.now() + Rest;
+  return Run;
+}
+
 OrderOutcome FakeWorker::stop(const StopOrder &Order, std::uint64_t Token) {
   if (!checkToken(Token))
     return OrderOutcome::Fenced;
@@ -257,17 +284,33 @@
     ActiveRun Active;
     Active.m_task = Which.first;
     Active.m_run = Which.second;
+    Active.m_checkpoint = checkpointOf(Run, false);
     Active.m_percent = 100;
     Seen.m_active.push_back(Active);
   }
   return Seen;
 }
 
+std::string FakeWorker::checkpointOf(const Running &Run, bool IsStop) const {
+  if (Run.m_checkpointInterval == Milliseconds::zero())
+    return "";
+  const Milliseconds Work =
+      Run.m_resumedWork +
+      std::chrono::duration_cast<Milliseconds>(m_host.now() - Run.m_startedAt);
+  const Milliseconds Saved = Work - Work % Run.m_checkpointInterval;
+  const Milliseconds Newest =
+      std::max(Run.m_resumedWork, IsStop ? Work : Saved);
+  return Newest == Milliseconds::zero() ? "" : std::to_string(Newest.count());
+}
+
 void FakeWorker::endRun(const RunKey &Which, RunEnd How) {
+  const std::string Checkpoint =
+      checkpointOf(m_runs.at(Which), How == RunEnd::Stopped);
   m_runs.erase(Which);
   RunNumber &HighestClosed = m_highestClosedRun[Which.first];
   HighestClosed = std::max(HighestClosed, Which.second);
-  m_ended.push_back({++m_lastObservedEnd, Which.first, Which.second, How, ""});
+  m_ended.push_back(
+      {++m_lastObservedEnd, Which.first, Which.second, How, Checkpoint});
   m_history.ended(m_id, Which.first, Which.second, How, m_host.now());
 }
 
--- a/catkinseam/ownership/testing/fake_worker.h
+++ b/catkinseam/ownership/testing/fake_worker.h
@@ -19,6 +19,18 @@
 
 class FakeWorker {
 public:
+  /// What a run does, unless it is stopped.
+  struct RunPlan {
+    /// Work of the whole task; a run that resumes does the rest of it.
+    Milliseconds m_work{300};
+    /// Fails at its end.
+    bool m_willFail = false;
+    /// Ends only if it fails.
+    bool m_isService = false;
+    /// Work between two checkpoints; zero for a task that saves none.
+    Milliseconds m_checkpointInterval{0};
+  };
+
   struct Network {
     bool m_isPartitioned = false;
     Milliseconds m_delay{1};
@@ -60,13 +72,18 @@
   /// A crash ends the life of the id; the next incarnation has another one at
   /// the same address.
   bool m_changesId = false;
+  /// Decides what a run does; null for m_runTime and m_failureRate.
+  std::function<RunPlan(const StartOrder &)> m_plan;
   /// Called when a run starts; null for none.
   std::function<void(const TaskKey &)> m_onStart;
 
 private:
   class Link;
   struct Running {
-    std::string m_checkpoint;
+    /// Work that the checkpoint of its start stands for.
+    Milliseconds m_resumedWork{0};
+    Milliseconds m_checkpointInterval{0};
+    TimePoint m_startedAt;
     TimePoint m_endsAt;
     bool m_willFail = false;
     bool m_isStopping = false;
@@ -78,6 +95,10 @@
                      TimePoint SentAt);
   OrderOutcome stop(const StopOrder &Order, std::uint64_t Token);
   OrderOutcome poll(const PollOrder &Order, std::uint64_t Token);
+  Running makeRun(const StartOrder &Order);
+  /// Returns a run's newest checkpoint; empty if there is none. A stop saves
+  /// one.
+  std::string checkpointOf(const Running &Run, bool IsStop) const;
   WorkerSnapshot snapshot() const;
   bool checkToken(std::uint64_t Token);
   void extendLease(Milliseconds Expires);
--- a/catkinseam/ownership/testing/run_history.cc
+++ b/catkinseam/ownership/testing/run_history.cc
@@ -9,18 +9,16 @@
 
 using Violations = std::vector<std::string>;
 using RunsByTask = std::map<TaskKey, std::vector<const RecordedRun *>>;
+using JobsById = std::map<std::string, const SubmittedJob *>;
 
 std::string describe(const RecordedRun &Run) {
   return "task \"" + toString(Run.m_task) + "\" run " +
          std::to_string(Run.m_run) + " on worker \"" + Run.m_worker + "\"";
 }
 
-const SubmittedJob *jobOf(const std::vector<SubmittedJob> &Jobs,
-                          const TaskKey &Task) {
-  for (const SubmittedJob &Each : Jobs)
-    if (Each.m_job.m_id == Task.m_job)
-      return &Each;
-  return nullptr;
+const SubmittedJob *jobOf(const JobsById &Jobs, const TaskKey &Task) {
+  const auto Found = Jobs.find(Task.m_job);
+  return Found == Jobs.end() ? nullptr : Found->second;
 }
 
 const StepSpec &stepOf(const SubmittedJob &Job, const TaskKey &Task) {
@@ -34,8 +32,7 @@
   return Grouped;
 }
 
-void checkNoConcurrentRuns(const RunsByTask &Runs,
-                           const std::vector<SubmittedJob> &Jobs,
+void checkNoConcurrentRuns(const RunsByTask &Runs, const JobsById &Jobs,
                            Violations &Found) {
   for (const auto &[Task, List] : Runs) {
     const SubmittedJob *Job = jobOf(Jobs, Task);
@@ -62,8 +59,7 @@
 }
 
 void checkNoRunAfterDone(const RunHistory &History, const RunsByTask &Runs,
-                         const std::vector<SubmittedJob> &Jobs,
-                         Violations &Found) {
+                         const JobsById &Jobs, Violations &Found) {
   for (const auto &[Task, List] : Runs) {
     const SubmittedJob *Job = jobOf(Jobs, Task);
     if (Job && stepOf(*Job, Task).m_isService)
@@ -78,8 +74,8 @@
   }
 }
 
-void checkAttempts(const RunsByTask &Runs,
-                   const std::vector<SubmittedJob> &Jobs, Violations &Found) {
+void checkAttempts(const RunsByTask &Runs, const JobsById &Jobs,
+                   Violations &Found) {
   for (const auto &[Task, List] : Runs) {
     const SubmittedJob *Job = jobOf(Jobs, Task);
     if (!Job || stepOf(*Job, Task).m_isService)
@@ -98,8 +94,8 @@
   }
 }
 
-void checkStepOrder(const RunsByTask &Runs,
-                    const std::vector<SubmittedJob> &Jobs, Violations &Found) {
+void checkStepOrder(const RunsByTask &Runs, const JobsById &Jobs,
+                    Violations &Found) {
   for (const auto &[Task, List] : Runs) {
     const SubmittedJob *Job = jobOf(Jobs, Task);
     if (!Job)
@@ -126,8 +122,7 @@
   }
 }
 
-void checkSubmitted(const RunHistory &History,
-                    const std::vector<SubmittedJob> &Jobs,
+void checkSubmitted(const RunHistory &History, const JobsById &Jobs,
                     const HistoryBounds &Bounds, Violations &Found) {
   for (const RecordedRun &Each : History.m_runs) {
     const SubmittedJob *Job = jobOf(Jobs, Each.m_task);
@@ -162,25 +157,52 @@
   return Largest;
 }
 
-void checkCapacity(const RunHistory &History,
-                   const std::vector<SubmittedJob> &Jobs,
+/// A run, and all runs that its worker had when it started.
+using RunAtStart =
+    std::pair<const RecordedRun *, std::vector<const RecordedRun *>>;
+
+std::vector<RunAtStart> runsAtStarts(const RunHistory &History) {
+  std::map<std::string, std::vector<const RecordedRun *>> ByWorker;
+  for (const RecordedRun &Each : History.m_runs)
+    ByWorker[Each.m_worker].push_back(&Each);
+  std::vector<RunAtStart> Found;
+  for (auto &[Worker, Runs] : ByWorker) {
+    std::stable_sort(Runs.begin(), Runs.end(),
+                     [](const RecordedRun *Left, const RecordedRun *Right) {
+                       return Left->m_startedAt < Right->m_startedAt;
+                     });
+    std::vector<const RecordedRun *> Present;
+    auto Next = Runs.begin();
+    for (const RecordedRun *Started : Runs) {
+      for (; Next != Runs.end() && (*Next)->m_startedAt <= Started->m_startedAt;
+           ++Next)
+        Present.push_back(*Next);
+      std::erase_if(Present, [&](const RecordedRun *Each) {
+        return Each->m_endedAt <= Started->m_startedAt;
+      });
+      Found.emplace_back(Started, Present);
+    }
+  }
+  return Found;
+}
+
+void checkCapacity(const RunHistory &History, const JobsById &Jobs,
                    const HistoryBounds &Bounds, Violations &Found) {
-  for (const RecordedRun &Started : History.m_runs) {
+  for (const auto &[Each, Present] : runsAtStarts(History)) {
+    const RecordedRun &Started = *Each;
     Resources Used;
     std::uint32_t OfStep = 0;
-    for (const RecordedRun &Each : History.m_runs) {
-      const SubmittedJob *Job = jobOf(Jobs, Each.m_task);
-      if (!Job || Each.m_worker != Started.m_worker ||
-          Each.m_startedAt > Started.m_startedAt ||
-          Each.m_endedAt <= Started.m_startedAt)
+    for (const RecordedRun *Other : Present) {
+      const SubmittedJob *Job = jobOf(Jobs, Other->m_task);
+      if (!Job)
         continue;
-      const StepSpec &Step = stepOf(*Job, Each.m_task);
+      const StepSpec &Step = stepOf(*Job, Other->m_task);
       Resources Request = Step.m_request;
       if (Step.m_isFiller)
         Request.m_milliProcessors = 0;
       Used += Request;
-      if (Each.m_task.m_job == Started.m_task.m_job &&
-          Each.m_task.m_step == Started.m_task.m_step)
+      if (Other->m_task.m_job == Started.m_task.m_job &&
+          Other->m_task.m_step == Started.m_task.m_step)
         ++OfStep;
     }
     const auto Capacity = Bounds.m_capacities.find(Started.m_worker);
@@ -281,12 +303,15 @@
                                       const HistoryBounds &Bounds) {
   Violations Found;
   const RunsByTask Runs = byTask(History);
-  checkSubmitted(History, Jobs, Bounds, Found);
-  checkNoConcurrentRuns(Runs, Jobs, Found);
-  checkNoRunAfterDone(History, Runs, Jobs, Found);
-  checkAttempts(Runs, Jobs, Found);
-  checkStepOrder(Runs, Jobs, Found);
-  checkCapacity(History, Jobs, Bounds, Found);
+  JobsById ById;
+  for (const SubmittedJob &Each : Jobs)
+    ById.emplace(Each.m_job.m_id, &Each);
+  checkSubmitted(History, ById, Bounds, Found);
+  checkNoConcurrentRuns(Runs, ById, Found);
+  checkNoRunAfterDone(History, Runs, ById, Found);
+  checkAttempts(Runs, ById, Found);
+  checkStepOrder(Runs, ById, Found);
+  checkCapacity(History, ById, Bounds, Found);
   checkEvacuations(History, Bounds, Found);
   return Found;
 }
