--- a/scripts/lib/nodes.sh
+++ b/scripts/lib/nodes.sh
@@ -29,7 +29,7 @@
 # platform_control JSON: injects a fault into the stand-in platform.
 platform_control() {
   curl -s --max-time 5 -o /dev/null -X POST -d "$1" \
-    "http://127.0.0.1:$node_base/control"
+    "http://127.0.0.1:$((node_base + 99))/control"
 }
 
 # node_start NUMBER: starts a node with its own settings file and log.
