--- a/catkinseam/scheduler/run_end_test.cc
+++ b/catkinseam/scheduler/run_end_test.cc
@@ -162,4 +162,26 @@
   BOOST_TEST((Taken.m_progress[0].second.m_state == JobState::Queued));
 }
 
+// An end is listed until it is acknowledged, and a copy of it may be listed by
+// the worker's successor at the address. It counts once, for its own run.
+BOOST_FIXTURE_TEST_CASE(EndIsCountedOnceForItsRun, Fixture) {
+  addWorker("w1");
+  m_scheduler.addJob(makeJob(Id, 1), nullptr);
+  BOOST_REQUIRE(scheduleOnce() == 1U);
+  const StartOrder First = m_sentStarts["w1"].front();
+  endRun("w1", First, RunEnd::Failed);
+  BOOST_REQUIRE(scheduleOnce() == 1U);
+  const StartOrder Second = m_sentStarts["w1"].front();
+  const ActiveRun Active{Second.m_task, Second.m_run, "", 50, 0};
+  const EndedRun End{1, First.m_task, First.m_run, RunEnd::Failed, ""};
+  // Listed again, as it is not acknowledged; by another worker, too.
+  answerPoll("w1", {Active}, {End});
+  addWorker("w2");
+  answerPoll("w2", {}, {End});
+  BOOST_TEST(m_scheduler.liveJobs() == 1U);
+  BOOST_TEST(m_scheduler.summarize().m_runs == 1U);
+  endRun("w1", Second, RunEnd::Done);
+  BOOST_TEST(m_scheduler.liveJobs() == 0U);
+}
+
 } // namespace catkinseam
