--- a/catkinseam/ownership/testing/fake_log.cc
+++ b/catkinseam/ownership/testing/fake_log.cc
@@ -50,7 +50,12 @@
 AppendReply FakeLog::execute(LogTopic TopicId,
                              const std::vector<KeyedRecord> &Records,
                              const std::optional<AppendId> &Id) {
-  if (m_faults.m_rejectedTopic == TopicId || !isWithinLimits(Records))
+  if (m_faults.m_rejectedTopic == TopicId) {
+    if (m_faults.m_rejections > 0 && --m_faults.m_rejections == 0)
+      m_faults.m_rejectedTopic.reset();
+    return {LogOutcome::Invalid, 0};
+  }
+  if (!isWithinLimits(Records))
     return {LogOutcome::Invalid, 0};
   Topic &Target = m_topics[TopicId];
   const auto Offset = static_cast<std::int64_t>(Target.m_records.size());
--- a/catkinseam/ownership/testing/fake_log.h
+++ b/catkinseam/ownership/testing/fake_log.h
@@ -33,6 +33,8 @@
     Milliseconds m_appendTime{0};
     /// Appends to this topic are rejected as invalid.
     std::optional<LogTopic> m_rejectedTopic;
+    /// Number of appends after which that ends; zero for no end.
+    std::size_t m_rejections = 0;
     /// Reads of this topic get no reply.
     std::optional<LogTopic> m_unreadableTopic;
   };
