Count a lost worker once, whichever owners learn of it

Callers: a job was shown as failed after a single start, and no run had failed (workers_lost): its worker restarted under its id out of the owner's reach, and owners changed meanwhile. Cause: that a run had been counted as a lost worker was known in memory only. A new owner counted it again when it found the worker restarted, and once more at the next restart. Evidence: takeover_losses_test got 2 and 3 lost workers in place of 1; repeated_takeover_test showed the job as failed after one start and eight takeovers. Both failed before. Change: the mark on the run is stored with it, and set where a takeover counts the run. The fixture's record is now the one last stored or taken over: with the fix the second owner has nothing to store.

--- a/catkinseam/ledger/records.h
+++ b/catkinseam/ledger/records.h
@@ -10,6 +10,7 @@
 #include "catkinseam/base/error.h"
 #include "catkinseam/scheduler/model.h"
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,8 @@
   RunNumber m_run = 0;
   std::string m_worker;
   std::int64_t m_workerStartedMs = 0;
+  /// See RunInfo. Stored by TaskRecord.
+  bool m_isBlamed = false;
 
   template <class Archive> void save(Archive &Target) const {
     saveVarint(Target, m_run);
@@ -48,9 +51,13 @@
   // Compact encoding, because a new owner reads the progress of all jobs.
   template <class Archive> void save(Archive &Target) const {
     const bool HasLosses = !m_isDone && m_lostWorkers > 0;
-    const std::uint8_t Flags = (m_isDone ? DoneFlag : 0U) |
-                               (HasLosses ? LossesFlag : 0U) |
-                               (m_wasSpared ? SparedFlag : 0U);
+    const bool HasBlamedRuns =
+        !m_isDone &&
+        std::any_of(m_runs.begin(), m_runs.end(),
+                    [](const RunRecord &Run) { return Run.m_isBlamed; });
+    const std::uint8_t Flags =
+        (m_isDone ? DoneFlag : 0U) | (HasLosses ? LossesFlag : 0U) |
+        (m_wasSpared ? SparedFlag : 0U) | (HasBlamedRuns ? BlamedRunsFlag : 0U);
     Target(Flags);
     saveVarint(Target, m_failures);
     saveVarint(Target, m_lastRun);
@@ -62,8 +69,11 @@
     }
     saveVarint(Target, m_checkpoint);
     saveVarint(Target, m_runs.size());
-    for (const RunRecord &Run : m_runs)
+    for (const RunRecord &Run : m_runs) {
       Target(Run);
+      if (HasBlamedRuns)
+        Target(Run.m_isBlamed);
+    }
   }
   template <class Archive> void load(Archive &Source) {
     std::uint8_t Flags = 0;
@@ -79,8 +89,12 @@
       m_crashedWorkers = static_cast<std::uint32_t>(loadVarint(Source));
     }
     m_checkpoint = loadVarintString(Source);
-    for (std::uint64_t Left = loadVarint(Source); Left > 0; --Left)
-      Source(m_runs.emplace_back());
+    for (std::uint64_t Left = loadVarint(Source); Left > 0; --Left) {
+      RunRecord &Run = m_runs.emplace_back();
+      Source(Run);
+      if ((Flags & BlamedRunsFlag) != 0)
+        Source(Run.m_isBlamed);
+    }
   }
 
 private:
@@ -88,6 +102,8 @@
   /// Workers were lost; without it, no numbers of lost workers follow.
   static constexpr std::uint8_t LossesFlag = 2;
   static constexpr std::uint8_t SparedFlag = 4;
+  /// Each run is followed by whether it is blamed; without it, none is.
+  static constexpr std::uint8_t BlamedRunsFlag = 8;
 };
 
 /// Progress of one step. A step without tasks has not started.
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -216,6 +216,8 @@
   void beginStep(StepInfo &Step);
   void restore(JobInfo &Job, const JobProgress &Recorded);
   void restoreTask(TaskInfo &Task, const TaskRecord &Recorded);
+  /// Counts the loss of a recorded run's worker, which has restarted since.
+  void countRestart(TaskInfo &Task, const RunRecord &Run);
   void logRestored(const JobInfo &Job) const;
   void markDirty(JobInfo &Job);
   void completeTask(TaskInfo &Task);
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -233,25 +233,32 @@
   for (const RunRecord &Each : Recorded.m_runs) {
     WorkerInfo &Worker = workerRow(Each.m_worker);
     // The worker may have restarted since, and carry out the start even so.
-    if (Worker.m_registration.m_startedMs > Each.m_workerStartedMs) {
-      if (Task.m_wasSpared) {
-        ++Task.m_lostWorkers;
-        noteCountedRun(Task, {.m_run = Each.m_run,
-                              .m_worker = Each.m_worker,
-                              .m_workerStartedMs = Each.m_workerStartedMs,
-                              .m_cause = "new_life_at_takeover"});
-      }
-      Task.m_wasSpared = true;
-    }
+    const bool HasRestarted =
+        Worker.m_registration.m_startedMs > Each.m_workerStartedMs;
+    if (HasRestarted && !Each.m_isBlamed)
+      countRestart(Task, Each);
     if (Worker.m_registration.m_startedMs < Each.m_workerStartedMs)
       expectRegistration(Worker, Each.m_workerStartedMs);
-    addRun(Task, Each.m_run, Worker, RunPhase::Adopted);
+    addRun(Task, Each.m_run, Worker, RunPhase::Adopted).m_isBlamed =
+        HasRestarted || Each.m_isBlamed;
   }
   Task.m_isGivenUp = isLossLimitReached(Task, true);
   if (Task.m_runs.empty())
     enqueueTask(Task, Duration::zero());
 }
 
+void Scheduler::countRestart(TaskInfo &Task, const RunRecord &Run) {
+  if (Task.m_wasSpared) {
+    ++Task.m_lostWorkers;
+    noteCountedRun(Task, {.m_run = Run.m_run,
+                          .m_worker = Run.m_worker,
+                          .m_workerStartedMs = Run.m_workerStartedMs,
+                          .m_cause = "new_life_at_takeover"});
+  }
+  Task.m_wasSpared = true;
+  markDirty(*Task.m_step->m_occurrence->m_job);
+}
+
 void Scheduler::cancelJob(const std::string &Id) {
   const auto Found = m_jobs.find(Id);
   if (Found == m_jobs.end() || isFinal(Found->second->m_state))
@@ -590,7 +597,8 @@
         To.m_checkpoint = Task.m_checkpoint;
         for (const RunInfo &Run : Task.m_runs)
           To.m_runs.push_back({Run.m_number, Run.m_worker->m_registration.m_id,
-                               Run.m_worker->m_registration.m_startedMs});
+                               Run.m_worker->m_registration.m_startedMs,
+                               Run.m_isBlamed});
       }
     }
   }
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -5,6 +5,7 @@
 #include "catkinseam/telemetry/log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace catkinseam {
 
@@ -305,7 +306,8 @@
     }
     Run->m_isStartInDoubt = false;
     Run->m_isListed = true;
-    Run->m_isBlamed = false;
+    if (std::exchange(Run->m_isBlamed, false))
+      markDirty(*Task->m_step->m_occurrence->m_job);
     if (hasSurvivedTrial(*Run))
       clearSuspicion(*Task);
     if (!Each.m_checkpoint.empty())
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -54,7 +54,8 @@
   /// crash_suspects.h.
   bool m_isOnTrial = false;
   /// The task was blamed for the loss of the worker under this run, which its
-  /// next incarnation has not listed.
+  /// next incarnation has not listed. Stored, so that no later owner counts the
+  /// run again.
   bool m_isBlamed = false;
   /// An earlier owner started the run, and the worker still lists it.
   bool m_hasOutlivedOwner = false;
--- a/catkinseam/scheduler/takeover_losses_test.cc
+++ b/catkinseam/scheduler/takeover_losses_test.cc
@@ -26,6 +26,7 @@
     Progress.m_state = JobState::InProgress;
     Progress.m_occurrences.push_back({0, {StepRecord{{Task}}}});
     m_scheduler.addJob(makeJob(Id, 1), &Progress);
+    m_stored = Progress;
   }
 
   std::vector<StartOrder> start() {
@@ -35,7 +36,7 @@
     return m_scheduler.release(Next, false);
   }
 
-  /// The task's record after the changes so far.
+  /// The task's record after the changes so far, as the next owner reads it.
   TaskRecord task() {
     start();
     BOOST_REQUIRE(m_stored.m_occurrences.size() == 1U);
