Repeat an append within the limits that the log rejects

Callers: one 400 or 413 to a record far below recordBytes failed its job for good (progress_rejected), or, to an announcement, ended the owner's term. Cause: FencedAppender::onInvalid() took the first rejection of a lone group for the log's judgement of its records, although the reply may be another call's. Change: a lone group within AppendLimits is repeated like a refused append (retry delay, WARN owner.append_repeated with the outcome), at most 5 times in a row; only then, or at once over the limits, is it invalid. Several groups are repeated once before they are divided: had the log stored them all the same, it would take the first half under the same sequence number for a repeat.

--- a/catkinseam/ledger/append_queue.cc
+++ b/catkinseam/ledger/append_queue.cc
@@ -28,6 +28,18 @@
   return !m_current.empty();
 }
 
+bool AppendQueue::isWithinLimits() const {
+  std::size_t Total = 0;
+  for (const RecordGroup &Group : m_current)
+    for (const KeyedRecord &Each : Group.m_records) {
+      const std::size_t Bytes = appendBytes(Each);
+      if (Bytes > m_limits.m_maxRecordBytes)
+        return false;
+      Total += Bytes;
+    }
+  return Total <= m_limits.m_maxTotalBytes;
+}
+
 bool AppendQueue::divide() {
   if (m_current.size() < 2)
     return false;
--- a/catkinseam/ledger/append_queue.h
+++ b/catkinseam/ledger/append_queue.h
@@ -38,6 +38,9 @@
   /// the limits by itself is returned alone.
   bool next();
 
+  /// Whether the log should accept the current groups in one append.
+  bool isWithinLimits() const;
+
   /// Divides the current groups into halves, of which the first stays current.
   /// Returns false when there is only one group.
   bool divide();
--- a/catkinseam/ledger/fenced_appender.cc
+++ b/catkinseam/ledger/fenced_appender.cc
@@ -7,6 +7,15 @@
 
 const char *const OwnerProducer = "owner";
 
+namespace {
+
+/// How often in a row an append within the limits is repeated after the log has
+/// rejected it: that of one group, and that of several, which is then divided.
+constexpr std::uint32_t MaxRepeatsOfOneGroup = 5;
+constexpr std::uint32_t MaxRepeatsOfSeveral = 1;
+
+} // namespace
+
 FencedAppender::FencedAppender(Runtime &Host, KeyedLog &Log,
                                const Options &Values, Callbacks Handlers)
     : m_host(Host), m_log(Log), m_options(Values),
@@ -57,6 +66,8 @@
     m_timeout.onTimeout();
   else
     m_timeout.onReply(m_host.now() - m_attemptStartedAt);
+  if (Reply.m_outcome != LogOutcome::Invalid)
+    m_rejections = 0;
   switch (Reply.m_outcome) {
   case LogOutcome::Done:
     if (!m_queue.next()) {
@@ -76,8 +87,11 @@
               {"sequence", std::to_string(m_sequence)}});
     return reject("append_out_of_order");
   default:
-    break;
+    return repeat(Reply);
   }
+}
+
+void FencedAppender::repeat(const AppendReply &Reply) {
   logWarn("owner.append_repeated",
           {{"topic", logTopicName(m_options.m_topic)},
            {"epoch", std::to_string(m_options.m_epoch)},
@@ -88,6 +102,15 @@
 }
 
 void FencedAppender::onInvalid(const AppendReply &Reply) {
+  // The rejection may be that of another call. Several groups are repeated too:
+  // had the log stored them, it would take their first half for a repeat.
+  const std::uint32_t MaxRepeats =
+      m_queue.groups().size() > 1 ? MaxRepeatsOfSeveral : MaxRepeatsOfOneGroup;
+  if (m_queue.isWithinLimits() && m_rejections < MaxRepeats) {
+    ++m_rejections;
+    return repeat(Reply);
+  }
+  m_rejections = 0;
   // A rejected append leaves no trace in the log, so its sequence number is
   // used again.
   if (m_queue.divide())
--- a/catkinseam/ledger/fenced_appender.h
+++ b/catkinseam/ledger/fenced_appender.h
@@ -44,10 +44,11 @@
     /// The log rejected the epoch, or a record that has no replacement. Nothing
     /// more is appended. `Reason` is for the log.
     std::function<void(const char *Reason)> m_onRejected;
-    /// Returns the records to append instead of a group that the log rejected
-    /// as invalid, or none if it must not be left out.
+    /// Returns the records to append instead of a group that the log rejects as
+    /// invalid, or none if it must not be left out. Groups within the limits
+    /// are repeated first.
     std::function<std::optional<RecordGroup>(const RecordGroup &)> m_onInvalid;
-    /// An attempt was refused or not answered, and will be repeated.
+    /// An attempt was refused, rejected or not answered, and will be repeated.
     std::function<void()> m_onRepeat;
   };
 
@@ -74,6 +75,7 @@
 private:
   void send();
   void onReply(const AppendReply &Reply);
+  void repeat(const AppendReply &Reply);
   void onInvalid(const AppendReply &Reply);
   void reject(const char *Reason);
 
@@ -88,6 +90,9 @@
   std::uint64_t m_sequence;
   /// Number of attempts; replies to earlier ones are ignored.
   std::uint64_t m_attempt = 0;
+  /// Attempts in a row that the log has rejected as invalid and that were
+  /// repeated unchanged.
+  std::uint32_t m_rejections = 0;
   bool m_isBusy = false;
   bool m_isStopped = false;
   TimePoint m_startedAt;
--- a/catkinseam/ownership/rejected_record_test.cc
+++ b/catkinseam/ownership/rejected_record_test.cc
@@ -31,6 +31,23 @@
   BOOST_TEST(Cluster.violations().empty());
 }
 
+// A record that the log rejects every time must not be repeated for good, as
+// the progress of all other jobs would wait behind it.
+BOOST_AUTO_TEST_CASE(RecordThatStaysRejectedFailsOnlyItsJob) {
+  SimulatedCluster Cluster({.m_seed = 6});
+  // The cluster's owner does not know of this limit, so to it the record is
+  // within the limits.
+  Cluster.m_log.m_limits.m_maxRecordBytes = 400;
+  Cluster.run(2 * Second);
+  Cluster.submit(batchJob(jobId(1), 60));
+  Cluster.submit(batchJob(jobId(2), 3));
+  Cluster.run(10 * Second);
+  BOOST_TEST(epochOf(Cluster) == 1U);
+  BOOST_TEST((Cluster.stateOf(jobId(1)) == JobState::Failed));
+  BOOST_TEST((Cluster.stateOf(jobId(2)) == JobState::Completed));
+  BOOST_TEST(Cluster.violations().empty());
+}
+
 // One such reply to an announcement ended the owner's term.
 BOOST_AUTO_TEST_CASE(OneRejectedAnnouncementDoesNotEndATerm) {
   SimulatedCluster Cluster({.m_seed = 5});
