Apply an end only to a run of the worker that lists it

Callers: a failed run of one worker could be counted for another worker's run of the same number, which went on unwatched. Cause: applyStatus() found the run of an end by task and number, whatever worker listed the end. Change: such an end is treated like that of a discarded run: `done` completes the task, `failed` is logged as run.end_unmatched.

--- a/catkinseam/scheduler/foreign_reply_test.cc
+++ b/catkinseam/scheduler/foreign_reply_test.cc
@@ -41,4 +41,16 @@
   BOOST_TEST(m_scheduler.summarize().m_runs == 1U);
 }
 
+// The same end still counts if it says that the task is done, as that of a
+// discarded run does.
+BOOST_FIXTURE_TEST_CASE(SuccessOfAnotherWorkersRunCounts, SchedulerFixture) {
+  addWorker("w1");
+  m_scheduler.addJob(makeJob(Id, 1), nullptr);
+  BOOST_REQUIRE(scheduleOnce() == 1U);
+  const StartOrder Run = m_sentStarts["w1"].front();
+  addWorker("w2");
+  answerPoll("w2", {}, {{1, Run.m_task, Run.m_run, RunEnd::Done, ""}});
+  BOOST_TEST(m_scheduler.liveJobs() == 0U);
+}
+
 } // namespace catkinseam
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -265,7 +265,9 @@
     TaskInfo *Task = findTask(Each.m_task);
     if (!Task)
       continue;
-    if (findRun(*Task, Each.m_run))
+    // Another owner may have started a run of the same number on this worker.
+    const RunInfo *Run = findRun(*Task, Each.m_run);
+    if (Run && Run->m_worker == &Worker)
       applyRunEnd(*Task, Each, Worker);
     else if (Each.m_end == RunEnd::Done)
       applyDiscardedSuccess(*Task, Worker, Each.m_run);
