Clear a task whose run outlived its trial before the worker was lost

Callers: a job was shown as failed for losses of workers with a passed trial between them (workers_lost). Cause: a lost worker's run that had survived its trial was not blamed, but the task's earlier losses stayed unless a status poll had listed the run since. TrialThatWorkerOutlivedClearsTask failed before (1 lost worker in place of 0). Change: such tasks are cleared when their worker is lost.

--- a/catkinseam/scheduler/crash_suspects_test.cc
+++ b/catkinseam/scheduler/crash_suspects_test.cc
@@ -711,6 +711,23 @@
     BOOST_TEST(!taskOf(One, Index).m_wasSpared);
 }
 
+// A task kept its lost workers although it had passed its trial, if the worker
+// was lost before it listed the run once more. Losses with a passed trial
+// between them counted as losses in a row.
+BOOST_FIXTURE_TEST_CASE(TrialThatWorkerOutlivedClearsTask, Fixture) {
+  addWorker("w1");
+  makeSuspect(makeJob(One, 1));
+  addWorker("w2");
+  BOOST_REQUIRE(start().size() == 1U);
+  wait(Milliseconds(600));
+  // The worker answers an order, and no status poll.
+  m_scheduler.addJob(makeJob(Two, 1), nullptr);
+  BOOST_REQUIRE(start().size() == 1U);
+  replaceWorker("w2");
+  BOOST_TEST(taskOf(One).m_lostWorkers == 0U);
+  BOOST_TEST(taskOf(Two).m_lostWorkers == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(CountsSurviveChangeOfOwner, Fixture) {
   addWorker("w1");
   makeSuspect(makeJob(One, 1));
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -282,6 +282,8 @@
   /// Blames the runs that may have caused the loss, and discards those that are
   /// over.
   void loseRunsOf(WorkerInfo &Worker, Loss Cause, const char *Reason);
+  /// Clears the tasks whose runs on a lost worker had survived their trials.
+  void clearSurvivors(const WorkerInfo &Worker);
   /// `Reason` is for the log.
   void blame(const WorkerInfo &Worker, Loss Cause, const char *Reason);
   /// Logs what is known of a run that may have caused the loss of its worker.
--- a/catkinseam/scheduler/scheduler_losses.cc
+++ b/catkinseam/scheduler/scheduler_losses.cc
@@ -44,6 +44,7 @@
 void Scheduler::loseRunsOf(WorkerInfo &Worker, Loss Cause, const char *Reason) {
   if (Worker.m_isReachable)
     recordLoss(Worker);
+  clearSurvivors(Worker);
   forgetOldLosses();
   blame(Worker, isMassLoss(Worker.m_lostAt) ? Loss::Mass : Cause, Reason);
   const std::vector<RunRef> Runs = Worker.m_runs;
@@ -67,6 +68,13 @@
   }
 }
 
+void Scheduler::clearSurvivors(const WorkerInfo &Worker) {
+  for (const RunRef &Each : Worker.m_runs)
+    if (const RunInfo *Run = findRun(*Each.m_task, Each.m_run);
+        Run && hasSurvivedTrial(*Run))
+      clearSuspicion(*Each.m_task);
+}
+
 bool Scheduler::mayReachNextIncarnation(const RunInfo &Run) {
   return Run.m_phase != RunPhase::Recording && !Run.m_isListed;
 }
