--- a/standin/fault_injection.cc
+++ b/standin/fault_injection.cc
@@ -20,6 +20,12 @@
   return Milliseconds(Count);
 }
 
+Result<double> share(const JsonValue &Body) {
+  if (!findMember(Body, "share"))
+    return 1.0;
+  return doubleMember(Body, "share");
+}
+
 /// A fault of the worker whose index is the member `Name`.
 Result<Fault> workerFault(const JsonValue &Body, const char *Name,
                           std::function<void(PlatformWorker &)> Inject) {
@@ -89,13 +95,16 @@
 Result<Fault> storeDown(const JsonValue &Body) {
   BOOST_LEAF_AUTO(Time, time(Body, "store_down_ms"));
   BOOST_LEAF_AUTO(Mode, storeMode(Body, StoreListener::Mode::Closed));
-  return Fault(
-      [=](NodePlatform &Platform) { Platform.setStoreModeFor(Mode, Time); });
+  BOOST_LEAF_AUTO(Share, share(Body));
+  return Fault([=](NodePlatform &Platform) {
+    Platform.setStoreModeFor(Mode, Time, Share);
+  });
 }
 
 Result<Fault> storeRefuse(const JsonValue &Body) {
   BOOST_LEAF_AUTO(Time, time(Body, "for_ms"));
   BOOST_LEAF_AUTO(Mode, storeMode(Body, StoreListener::Mode::Reset));
+  BOOST_LEAF_AUTO(Share, share(Body));
   const JsonValue *List = findMember(Body, "store_refuse");
   if (!List || !List->is_array())
     return unknown("store_refuse");
@@ -105,7 +114,7 @@
       Nodes.push_back(*Node);
   return Fault([=](NodePlatform &Platform) {
     for (const std::int64_t Each : Nodes)
-      Platform.setStoreModeFor(Each, Mode, Time);
+      Platform.setStoreModeFor(Each, Mode, Time, Share);
   });
 }
 
--- a/standin/fault_injection.h
+++ b/standin/fault_injection.h
@@ -23,7 +23,8 @@
 // {"store_refuse":[1,3],"for_ms":4000,"how":"reset"}
 //     The same for some nodes. reset: connections are accepted and reset.
 //     closed: they are refused. busy: 503. many: 429. silent: calls get no
-//     response. early: see RawListener::Kind::Early.
+//     response. early: see RawListener::Kind::Early; "share":0.3 serves the
+//     others.
 // {"store_lost":0.3,"for_ms":4000,"late":0}
 //     This share of appends is carried out without a response, with late after
 //     1 to 6 s.
--- a/standin/node_platform.cc
+++ b/standin/node_platform.cc
@@ -113,15 +113,16 @@
   return m_workers[static_cast<std::size_t>(Index)].get();
 }
 
-void NodePlatform::setStoreModeFor(StoreListener::Mode How, Milliseconds Time) {
+void NodePlatform::setStoreModeFor(StoreListener::Mode How, Milliseconds Time,
+                                   double Share) {
   for (const auto &Each : m_stores)
-    Each->setModeFor(How, Time);
+    Each->setModeFor(How, Time, Share);
 }
 
 void NodePlatform::setStoreModeFor(std::int64_t Node, StoreListener::Mode How,
-                                   Milliseconds Time) {
+                                   Milliseconds Time, double Share) {
   if (Node > 0 && Node < static_cast<std::int64_t>(m_stores.size()))
-    m_stores[static_cast<std::size_t>(Node)]->setModeFor(How, Time);
+    m_stores[static_cast<std::size_t>(Node)]->setModeFor(How, Time, Share);
 }
 
 void NodePlatform::loseAppendReplies(double Share, bool AreLate,
--- a/standin/node_platform.h
+++ b/standin/node_platform.h
@@ -39,10 +39,11 @@
   PlatformWorker *worker(std::int64_t Index);
 
   /// Applies to all nodes and to the address that they share.
-  void setStoreModeFor(StoreListener::Mode How, Milliseconds Time);
+  void setStoreModeFor(StoreListener::Mode How, Milliseconds Time,
+                       double Share);
   /// Applies to one node, numbered from 1.
   void setStoreModeFor(std::int64_t Node, StoreListener::Mode How,
-                       Milliseconds Time);
+                       Milliseconds Time, double Share);
   void loseAppendReplies(double Share, bool AreLate, Milliseconds Time);
   void slowStore(Milliseconds Latency, Milliseconds Time);
   void delayOrders(double Share, Milliseconds Time);
--- a/standin/raw_listener.h
+++ b/standin/raw_listener.h
@@ -1,13 +1,12 @@
 // A server that violates HTTP: it resets connections, or answers before it has
 // read the request.
 //
-//   auto Server = RawListener::open(Loop, Address, RawListener::Kind::Early);
+//   auto Server = RawListener::open(
+//       Loop, Address, {RawListener::Kind::Early, 0.3}, Handler);
 #ifndef CATKINSEAM_STANDIN_RAW_LISTENER_H
 #define CATKINSEAM_STANDIN_RAW_LISTENER_H
 
-#include "catkinseam/aio/event_loop.h"
-#include "catkinseam/base/error.h"
-#include "catkinseam/net/endpoint.h"
+#include "catkinseam/aio/http_listener.h"
 
 #include <memory>
 
@@ -22,9 +21,17 @@
            ///< and answers 400 to the body as if it were a request.
   };
 
+  struct Options {
+    Kind m_kind = Kind::Reset;
+    /// Share of requests that Early refuses; the others are served.
+    double m_share = 1.0;
+  };
+
   /// Binds and listens. Returns Unavailable, naming the address, on failure.
-  static Result<std::unique_ptr<RawListener>>
-  open(EventLoop &Loop, const Endpoint &Address, Kind How);
+  static Result<std::unique_ptr<RawListener>> open(EventLoop &Loop,
+                                                   const Endpoint &Address,
+                                                   const Options &Values,
+                                                   AsyncHttpHandler Handler);
   /// Closes all connections.
   ~RawListener();
 
--- a/standin/store_listener.h
+++ b/standin/store_listener.h
@@ -30,16 +30,17 @@
 
   StoreListener(EventLoop &Loop, std::uint16_t Port, AsyncHttpHandler Handler);
 
-  /// Returns Unavailable if the address is in use.
-  Result<void> setMode(Mode How);
+  /// Returns Unavailable if the address is in use. `Share` is the share of
+  /// calls that Early refuses.
+  Result<void> setMode(Mode How, double Share = 1.0);
   /// Serves again after `Time`, unless another mode was set in the meantime.
-  void setModeFor(Mode How, Milliseconds Time);
+  void setModeFor(Mode How, Milliseconds Time, double Share = 1.0);
 
 private:
   Result<void> listen();
   void onCall(const HttpRequest &Request, const HttpResponder &Respond);
   /// Prints an error.
-  void change(Mode How);
+  void change(Mode How, double Share = 1.0);
 
   EventLoop &m_loop;
   const Endpoint m_address;
