Let a caller of AsyncHttpClient set the Host header

Cause: a Host in HttpCall::m_headers was sent beside the one that names the server's address; customers' requests need the host of their route. Change: the address is sent only if the call has no Host. Result: async_http_client_test passes. Product code sets no Host, so what nodes send is unchanged.

--- a/catkinseam/aio/async_http_client.cc
+++ b/catkinseam/aio/async_http_client.cc
@@ -40,9 +40,12 @@
   Text += Call.m_method;
   Text += ' ';
   Text += Call.m_target;
-  Text += " HTTP/1.1\r\nHost: ";
-  Text += Host;
-  Text += "\r\n";
+  Text += " HTTP/1.1\r\n";
+  if (!findHeader(Call.m_headers, "Host")) {
+    Text += "Host: ";
+    Text += Host;
+    Text += "\r\n";
+  }
   for (const auto &[Name, Value] : Call.m_headers) {
     Text += Name;
     Text += ": ";
--- a/catkinseam/aio/async_http_client.h
+++ b/catkinseam/aio/async_http_client.h
@@ -29,6 +29,7 @@
   std::string m_method = "GET";
   /// Path and query.
   std::string m_target = "/";
+  /// A Host field replaces the server's address.
   HttpHeaders m_headers;
   std::string m_body;
   /// From call() to the complete reply, including the time in the queue.
--- a/catkinseam/aio/async_http_client_test.cc
+++ b/catkinseam/aio/async_http_client_test.cc
@@ -2,6 +2,7 @@
 #define BOOST_TEST_MODULE async_http_client
 #include "catkinseam/aio/async_http_client.h"
 
+#include <boost/asio/buffers_iterator.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
@@ -45,6 +46,8 @@
   Endpoint endpoint() const {
     return {"127.0.0.1", m_acceptor.local_endpoint().port()};
   }
+  /// Request line and headers of the newest request.
+  const std::string &lastHead() const { return m_lastHead; }
 
 private:
   struct Session {
@@ -68,6 +71,8 @@
         [this, Peer](const error_code &Ec, std::size_t Bytes) {
           if (Ec)
             return;
+          const auto Start = asio::buffers_begin(Peer->m_request.data());
+          m_lastHead.assign(Start, Start + static_cast<std::ptrdiff_t>(Bytes));
           Peer->m_request.consume(Bytes);
           answer(Peer);
         });
@@ -97,6 +102,7 @@
   tcp::acceptor m_acceptor;
   std::vector<Answer> m_answers;
   std::size_t m_next = 0;
+  std::string m_lastHead;
 };
 
 /// Makes two calls, the second after the connection has been idle, and returns
@@ -174,4 +180,17 @@
   BOOST_TEST(Reply.m_body == "second");
 }
 
+// Guards against two Host fields, which a server rejects.
+BOOST_AUTO_TEST_CASE(HostHeaderReplacesAddress) {
+  EventLoop Loop;
+  ScriptedServer Server(Loop, {{.m_reply = replyText(200, "")}});
+  AsyncHttpClient Client(Loop, Server.endpoint(), {.m_maxConnections = 1});
+  Client.call({.m_headers = {{"Host", "tally.example"}}, .m_body = ""},
+              [&](const HttpReply &) { Loop.stop(); });
+  Loop.schedule(TestTimeout, [&] { Loop.stop(); });
+  Loop.run();
+  BOOST_TEST(Server.lastHead() ==
+             "GET / HTTP/1.1\r\nHost: tally.example\r\n\r\n");
+}
+
 } // namespace catkinseam
