--- a/standin/node_callers_main.cc
+++ b/standin/node_callers_main.cc
@@ -10,9 +10,9 @@
 #include "catkinseam/aio/async_http_client.h"
 #include "catkinseam/aio/event_loop.h"
 #include "catkinseam/platform/boost_json.h"
+#include "standin/caller_jobs.h"
 
 #include <boost/asio/signal_set.hpp>
-#include <boost/json/serialize.hpp>
 #include <boost/program_options.hpp>
 #include <cmath>
 #include <ctime>
@@ -26,7 +26,6 @@
 
 namespace {
 
-namespace json = boost::json;
 namespace po = boost::program_options;
 
 constexpr const char *HostName = "tally.example";
@@ -38,132 +37,6 @@
 constexpr int MaxSubmitAttempts = 12;
 constexpr std::size_t ConnectionsPerNode = 24;
 
-enum class JobKind { Recon, Counts, Sync, Deadly };
-constexpr std::size_t JobKinds = 4;
-constexpr const char *KindNames[JobKinds] = {"recon", "counts", "sync",
-                                             "deadly"};
-
-struct Job {
-  std::string m_id;
-  JobKind m_kind = JobKind::Counts;
-  std::string m_body;
-  Milliseconds m_cancelAfter{0};
-  int m_attempts = 0;
-  /// An attempt had no answer, so the job may be stored all the same.
-  bool m_isInDoubt = false;
-  /// Nobody accepted it, and a node has said so again since.
-  bool m_isDenied = false;
-  std::optional<TimePoint> m_acceptedAt;
-  std::string m_finalState;
-  bool m_isAsked = false;
-  bool m_isCancelSent = false;
-  bool m_isCancelled = false;
-
-  bool isLasting() const { return m_kind == JobKind::Sync; }
-  std::string target() const {
-    const char *Queue = isLasting()                ? "/sync/"
-                        : m_kind == JobKind::Recon ? "/recon/"
-                                                   : "/counts/";
-    return Queue + m_id;
-  }
-};
-
-/// Draws jobs. Not thread-safe.
-class JobSource {
-public:
-  JobSource(std::uint64_t Seed, double DeadlyShare)
-      : m_random(Seed), m_deadlyShare(DeadlyShare) {}
-
-  Job next() {
-    Job Drawn;
-    const double Draw = uniform();
-    if (Draw < m_deadlyShare)
-      Drawn.m_kind = JobKind::Deadly;
-    else if (Draw < 0.45)
-      Drawn.m_kind = JobKind::Recon;
-    else if (Draw < 0.94)
-      Drawn.m_kind = JobKind::Counts;
-    else
-      Drawn.m_kind = JobKind::Sync;
-    Drawn.m_id = drawId(Drawn.m_kind);
-    Drawn.m_body = json::serialize(describe(Drawn.m_kind));
-    Drawn.m_cancelAfter = Milliseconds(between(3000, 10000));
-    return Drawn;
-  }
-
-  double uniform() {
-    return std::uniform_real_distribution<double>(0, 1)(m_random);
-  }
-  std::int64_t between(std::int64_t Low, std::int64_t High) {
-    return std::uniform_int_distribution<std::int64_t>(Low, High)(m_random);
-  }
-
-private:
-  std::string drawId(JobKind Kind) {
-    static constexpr const char *Digits = "0123456789abcdef";
-    constexpr std::size_t IdSize = 16;
-    // The platform crashes the workers of these ids.
-    std::string Id = Kind == JobKind::Deadly ? "dead" : "";
-    while (Id.size() < IdSize)
-      Id.push_back(Digits[between(0, 15)]);
-    if (Kind != JobKind::Deadly && Id.starts_with("dead"))
-      Id[0] = '0';
-    return Id;
-  }
-
-  json::object describe(JobKind Kind) {
-    switch (Kind) {
-    case JobKind::Recon:
-      return describeRecon();
-    case JobKind::Counts: {
-      const std::int64_t RunMs = between(80, 500);
-      json::object Step = step(between(2, 6), between(100, 400), RunMs);
-      if (uniform() < 0.3)
-        Step["speculative"] = true;
-      return {{"spec", "run_ms=" + std::to_string(RunMs) + " fail=0.02"},
-              {"steps", json::array{Step}}};
-    }
-    case JobKind::Sync: {
-      json::object Step = step(between(2, 6), between(200, 500), 0);
-      Step["longRunning"] = true;
-      return {{"spec", "run_ms=0"}, {"steps", json::array{Step}}};
-    }
-    case JobKind::Deadly:
-      return {{"spec", "run_ms=300 deadly"},
-              {"steps", json::array{step(2, 200, 300)}}};
-    }
-    return {};
-  }
-
-  json::object describeRecon() {
-    const std::int64_t RunMs = between(200, 2600);
-    const std::int64_t Steps = between(1, 3);
-    json::array All;
-    for (std::int64_t Each = 0; Each < Steps; ++Each) {
-      json::object Step = step(between(4, 16), between(100, 300), RunMs);
-      if (Each > 0)
-        Step["after"] = json::array{Each - 1};
-      Step["checkpointing"] = true;
-      All.push_back(Step);
-    }
-    // With fail_first every task is one failed run away from failing its job.
-    const char *Failures = uniform() < 0.4 ? " fail_first=1" : " fail=0.05";
-    return {{"spec", "run_ms=" + std::to_string(RunMs) + Failures},
-            {"steps", All}};
-  }
-
-  static json::object step(std::int64_t Count, std::int64_t Processors,
-                           std::int64_t EstimatedMs) {
-    json::object Step{{"count", Count}, {"cpu", Processors}, {"memMb", 100}};
-    if (EstimatedMs > 0)
-      Step["estimatedMs"] = EstimatedMs;
-    return Step;
-  }
-
-  std::mt19937_64 m_random;
-  const double m_deadlyShare;
-};
-
 std::string timeText() {
   const auto Now = std::chrono::system_clock::now();
   const std::time_t Seconds = std::chrono::system_clock::to_time_t(Now);
@@ -216,8 +89,8 @@
       }
       const std::string &State = Each.m_finalState;
       ++Totals["accepted"];
-      ++Totals[std::string(KindNames[static_cast<std::size_t>(Each.m_kind)]) +
-               "." + (State.empty() ? "not_final" : State)];
+      ++Totals[std::string(jobKindName(Each.m_kind)) + "." +
+               (State.empty() ? "not_final" : State)];
       if (State.empty())
         violation("job " + Id + " is not final at the end; last state \"" +
                   m_lastStates[Id] + "\"");
@@ -449,8 +322,7 @@
     Asked.m_finalState = Shown;
     if (Shown == "failed")
       std::cout << timeText() << " failed: job " << Asked.m_id << " kind "
-                << KindNames[static_cast<std::size_t>(Asked.m_kind)] << At
-                << std::endl;
+                << jobKindName(Asked.m_kind) << At << std::endl;
     if (Shown == "cancelled" && !Asked.m_isCancelSent)
       violation("job " + Asked.m_id + " is cancelled without a request" + At);
     if (Shown == "completed" && Asked.isLasting())
