--- a/standin/caller_jobs.h
+++ b/standin/caller_jobs.h
@@ -26,9 +26,12 @@
   int m_attempts = 0;
   /// An attempt had no answer, so the job may be stored all the same.
   bool m_isInDoubt = false;
-  /// Nobody accepted it, and a node has said so again since.
+  /// A node has said that there is no such job, in spite of an acceptance or
+  /// after the last attempt.
   bool m_isDenied = false;
   std::optional<TimePoint> m_acceptedAt;
+  /// Which node accepted it and when, for messages.
+  std::string m_acceptance;
   std::string m_finalState;
   bool m_isAsked = false;
   bool m_isCancelSent = false;
--- a/standin/node_callers_main.cc
+++ b/standin/node_callers_main.cc
@@ -21,6 +21,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <utility>
 
 namespace catkinseam {
 
@@ -197,7 +198,7 @@
     Job &Submitted = m_jobs[Id];
     if (Reply.m_outcome == CallOutcome::Answered) {
       if (Reply.m_status >= 200 && Reply.m_status < 300)
-        return onAccepted(Submitted);
+        return onAccepted(Submitted, Node);
       static const std::set<int> Retried = {429, 502, 503, 504};
       Submitted.m_isInDoubt |= Reply.m_status == 502 || Reply.m_status == 504;
       if (!Retried.contains(Reply.m_status)) {
@@ -216,10 +217,12 @@
                     [this, Id, Node] { submit(Id, Node); });
   }
 
-  void onAccepted(Job &Accepted) {
+  void onAccepted(Job &Accepted, std::size_t Node) {
     if (Accepted.m_acceptedAt)
       return;
     Accepted.m_acceptedAt = m_loop.now();
+    Accepted.m_acceptance =
+        "by node " + std::to_string(Node + 1) + " at " + timeText();
     if (!Accepted.m_isAsked)
       scheduleAsk(Accepted.m_id);
     if (Accepted.isLasting())
@@ -274,7 +277,7 @@
              onState(Asked, Node, Reply.m_body);
            else if (Reply.isAnswered(410))
              checkDenial(Asked, Node, SentAt);
-           if (!Asked.m_isDenied)
+           if (Asked.m_acceptedAt || !Asked.m_isDenied)
              scheduleAsk(Id);
          });
   }
@@ -289,8 +292,10 @@
       ++m_deniedWhileNotReady;
       return;
     }
-    violation("job " + Denied.m_id + " was accepted, and node " +
-              std::to_string(Node + 1) + " answers 410");
+    if (std::exchange(Denied.m_isDenied, true))
+      return;
+    violation("job " + Denied.m_id + " was accepted " + Denied.m_acceptance +
+              ", and node " + std::to_string(Node + 1) + " answers 410");
   }
 
   void onState(Job &Asked, std::size_t Node, const std::string &Body) {
@@ -306,7 +311,7 @@
       if (!Asked.m_isInDoubt)
         violation("job " + Asked.m_id + " was refused by all, and is " + Shown +
                   At);
-      onAccepted(Asked);
+      onAccepted(Asked, Node);
     }
     m_lastStates[Asked.m_id] = Shown;
     if (!Asked.m_finalState.empty()) {
