--- a/scripts/lib/nodes.sh
+++ b/scripts/lib/nodes.sh
@@ -1,6 +1,11 @@
 # Runs nodes and the stand-in for their platform as processes on loopback.
 # To be sourced. Creates a temporary directory, node_dir; the caller traps EXIT with
-# nodes_stop.
+# nodes_stop. CATKINSEAM_NODE names the program to run as a node, by default that of
+# the build.
+
+# Overridable by the caller: number of nodes, whether each node reaches the store at
+# a port of its own (PORT + 500 + NUMBER), and further lines of the settings files.
+: "${node_count:=3}" "${node_own_store_port:=}" "${node_settings:=}"
 
 node_bin=${CATKINSEAM_BIN:-$(dirname "${BASH_SOURCE[0]}")/../../build/bin}
 node_dir=$(mktemp -d)
@@ -17,11 +22,11 @@
 # node_port N: prints the port on which node N serves customers.
 node_port() { echo $((node_base + 100 + 10 * $1)); }
 
-# platform_start PORT [WORKERS]: starts the stand-in platform, by default with 6
-# workers.
+# platform_start PORT [WORKERS [ARGUMENT...]]: starts the stand-in platform, by
+# default with 6 workers.
 platform_start() {
   node_base=$1
-  "$node_bin/node-platform" --port "$node_base" --workers "${2:-6}" \
+  "$node_bin/node-platform" --port "$node_base" --workers "${2:-6}" "${@:3}" \
     >"$node_dir/platform.log" 2>&1 &
   node_pids[platform]=$!
 }
@@ -34,8 +39,9 @@
 
 # node_start NUMBER: starts a node with its own settings file and log.
 node_start() {
-  local number=$1 port
+  local number=$1 port store=$node_base
   port=$(node_port "$number")
+  [ -n "$node_own_store_port" ] && store=$((node_base + 500 + number))
   cat >"$node_dir/node-$number.toml" <<TOML
 [node]
 name = "node-$number"
@@ -45,9 +51,10 @@
 metrics = "127.0.0.1:$((port + 2))"
 peers = "127.0.0.1:$((port + 3))"
 [platform]
-store = "127.0.0.1:$node_base"
+store = "127.0.0.1:$store"
+$node_settings
 TOML
-  "$node_bin/catkinseam" node --settings "$node_dir/node-$number.toml" \
+  "${CATKINSEAM_NODE:-$node_bin/catkinseam}" node --settings "$node_dir/node-$number.toml" \
     >>"$node_dir/node-$number.log" 2>&1 &
   node_pids[node-$number]=$!
 }
@@ -78,8 +85,8 @@
 # there is none.
 node_owner() {
   local number
-  for number in 1 2 3; do
-    if curl -s --max-time 2 "http://127.0.0.1:$(($(node_port "$number") + 2))/" |
+  for ((number = 1; number <= node_count; ++number)); do
+    if curl -s --max-time "${node_owner_timeout:-2}" "http://127.0.0.1:$(($(node_port "$number") + 2))/" |
       grep -q '^catkinseam_is_owner 1'; then
       echo "$number"
       return
