Print the schedule's file with the command that repeats a soak

Cause: the command of a failed run with SOAK_PLAN named no schedule. Change: it names the schedule that was kept with the logs.

--- a/tests/process/fault_soak.sh
+++ b/tests/process/fault_soak.sh
@@ -35,7 +35,7 @@
     cp "$node_dir"/* "$kept" || true
     echo "soak seed $seed ended with $code; logs: $kept; again with:" >&2
     echo "  SOAK_SEED=$seed SOAK_SECONDS=$seconds SOAK_NODES=$node_count" \
-      "SOAK_WORKERS=$workers SOAK_RATE=$rate ${CATKINSEAM_NODE:+CATKINSEAM_NODE=$CATKINSEAM_NODE }$0 $base" >&2
+      "SOAK_WORKERS=$workers SOAK_RATE=$rate ${SOAK_PLAN:+SOAK_PLAN=$kept/plan.log }${CATKINSEAM_NODE:+CATKINSEAM_NODE=$CATKINSEAM_NODE }$0 $base" >&2
   fi
   nodes_stop
 }
