Reuse no connection to the store after a conflict that may precede the body

Callers: none known. A reply to the body of a fenced append could be taken for the reply to the next append on the connection, whose record would be rejected. Cause: AsyncHttpClient reused a connection after 409 and 412 also where the server, as the log service may, decides by the query alone and then reads the body as a request. Change: Options::m_mayConflictPrecedeBody, set by the client for appends; links to workers keep their connections.

--- a/catkinseam/aio/async_http_client.cc
+++ b/catkinseam/aio/async_http_client.cc
@@ -26,12 +26,13 @@
 /// Whether a server may reply with this status before it has read the body of
 /// the request. It may take the rest of the body for another request, and
 /// reply to that too.
-bool mayPrecedeBody(int Status) {
+bool mayPrecedeBody(int Status, bool MayConflict) {
   constexpr int FirstError = 400;
   constexpr int Conflict = 409;
   constexpr int PreconditionFailed = 412;
-  return Status >= FirstError && Status != Conflict &&
-         Status != PreconditionFailed;
+  if (Status == Conflict || Status == PreconditionFailed)
+    return MayConflict;
+  return Status >= FirstError;
 }
 
 std::string requestText(const HttpCall &Call, const std::string &Host) {
@@ -74,6 +75,7 @@
     m_requestText = requestText(Call, toString(m_client->m_server));
     m_isHeadRequest = Call.m_method == "HEAD";
     m_hasRequestBody = !Call.m_body.empty();
+    m_mayConflictPrecedeBody = m_client->m_options.m_mayConflictPrecedeBody;
     m_outcome = CallOutcome::NotSent;
     armDeadline(Deadline);
     if (m_socket.is_open())
@@ -178,7 +180,8 @@
     Reply.m_body = std::move(m_parser->get().body());
     const bool IsReusable =
         m_parser->get().keep_alive() && m_buffer.size() == 0 &&
-        !(m_hasRequestBody && mayPrecedeBody(Reply.m_status));
+        !(m_hasRequestBody &&
+          mayPrecedeBody(Reply.m_status, m_mayConflictPrecedeBody));
     if (!IsReusable)
       close();
     m_idleSince = m_loop.now();
@@ -218,6 +221,7 @@
   std::uint64_t m_callGeneration = 0;
   bool m_isHeadRequest = false;
   bool m_hasRequestBody = false;
+  bool m_mayConflictPrecedeBody = false;
 };
 
 AsyncHttpClient::AsyncHttpClient(EventLoop &Loop, Endpoint Server,
--- a/catkinseam/aio/async_http_client.h
+++ b/catkinseam/aio/async_http_client.h
@@ -64,6 +64,9 @@
     /// because a middlebox may have dropped its state.
     Milliseconds m_maxIdleTime{8000};
     Milliseconds m_connectTimeout{500};
+    /// The server decides on a 409 or 412 by the head of the request, and may
+    /// send it before it has read the body, like other refusals.
+    bool m_mayConflictPrecedeBody = false;
   };
 
   AsyncHttpClient(EventLoop &Loop, Endpoint Server, const Options &Limits);
--- a/catkinseam/platform/http_keyed_log.cc
+++ b/catkinseam/platform/http_keyed_log.cc
@@ -216,7 +216,9 @@
 
 HttpKeyedLog::HttpKeyedLog(EventLoop &Loop, const Endpoint &Address,
                            const Options &Limits)
-    : m_appendClient(Loop, Address, {.m_maxConnections = Limits.m_connections}),
+    : m_appendClient(Loop, Address,
+                     {.m_maxConnections = Limits.m_connections,
+                      .m_mayConflictPrecedeBody = true}),
       m_readClient(Loop, Address, {.m_maxConnections = Limits.m_connections}) {}
 
 void HttpKeyedLog::append(LogTopic Topic,
