Reuse no upstream connection on which more than the response was read

Cause: isUsable() asks the socket, and the session may have read a surplus response into its buffer together with the one before it. Change: a session with bytes left over is not usable. Measured: http_client_test passes.

--- a/catkinseam/net/http_client.cc
+++ b/catkinseam/net/http_client.cc
@@ -60,6 +60,9 @@
   bool hasWritten() const { return m_hasWritten; }
   void startRequest() { m_hasWritten = false; }
 
+  /// Whether the session has read more than the response.
+  bool hasSurplusInput() const { return buffered() > 0; }
+
   bool hasNoPendingInput() {
     return !socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
   }
@@ -103,7 +106,8 @@
 
 bool HttpConnection::isUsable() const {
   try {
-    return m_session && m_session->isOpen() && m_session->hasNoPendingInput();
+    return m_session && m_session->isOpen() && !m_session->hasSurplusInput() &&
+           m_session->hasNoPendingInput();
   } catch (const Poco::Exception &) {
     return false;
   }
--- a/catkinseam/net/http_client_test.cc
+++ b/catkinseam/net/http_client_test.cc
@@ -187,3 +187,13 @@
   }
   BOOST_TEST(IsClosed);
 }
+
+// Guards against a surplus response, read together with the one that it
+// follows, that would be taken for the response to the next call.
+BOOST_AUTO_TEST_CASE(ConnectionWithSurplusResponseIsNotUsable) {
+  SingleResponseServer Server(
+      CompleteResponse + "HTTP/1.1 400 X\r\nContent-Length: 7\r\n\r\nsurplus",
+      waitForClose);
+  BOOST_TEST(Server.call().m_response->m_body == "hello");
+  BOOST_TEST(!Server.isUsableAfter());
+}
