Log losses counted at a takeover, and say what the HTTP client cannot tell

The client's head comment promised more than holds: a surplus reply that arrives once the next call is on its way is taken for its reply. No logic is changed.

--- a/catkinseam/aio/async_http_client.h
+++ b/catkinseam/aio/async_http_client.h
@@ -4,11 +4,13 @@
 //   Store.call({.m_target = "/records", .m_timeout = Milliseconds(800)},
 //              [](const HttpReply &Reply) { ... });
 //
-// A connection carries one call at a time, so a reply always belongs to the
-// call in progress. A call that times out closes its connection, and so do
-// bytes that follow the reply, and a refusal that the server may have sent
+// A connection carries one call at a time, and a reply is taken for that to the
+// call in progress. So that a server that sends more than one reply to a call
+// is not misunderstood, a connection is closed after a timeout, after bytes
+// that follow the reply, and after a refusal that the server may have sent
 // before it read the request's body. A connection that the server has closed or
-// written to while it was idle carries no further call.
+// written to while it was idle carries no further call. A surplus reply that
+// arrives once the next call is on its way cannot be told.
 #ifndef CATKINSEAM_AIO_ASYNC_HTTP_CLIENT_H
 #define CATKINSEAM_AIO_ASYNC_HTTP_CLIENT_H
 
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -255,6 +255,14 @@
                           .m_workerStartedMs = Run.m_workerStartedMs,
                           .m_cause = "new_life_at_takeover"});
   }
+  logInfo("task.blamed",
+          {{"task", toString(keyOf(Task))},
+           {"run", std::to_string(Run.m_run)},
+           {"worker", Run.m_worker},
+           {"reason", "new_life_at_takeover"},
+           {"spared", Task.m_wasSpared ? "0" : "1"},
+           {"lost_workers", std::to_string(Task.m_lostWorkers)},
+           {"crashed_workers", std::to_string(Task.m_crashedWorkers)}});
   Task.m_wasSpared = true;
   markDirty(*Task.m_step->m_occurrence->m_job);
 }
