Build the release of the deploy file again

Cause: failure_causes.cc joined strings in a way that g++ 12 takes for an overlapping copy at -O3 (-Wrestrict, an error here). Change: append() in place of operator+. The build of deploy/system.toml passes.

--- a/catkinseam/scheduler/failure_causes.cc
+++ b/catkinseam/scheduler/failure_causes.cc
@@ -28,8 +28,9 @@
     std::string Item = std::to_string(Each.m_run) + "@" + Each.m_worker + "/" +
                        std::to_string(Each.m_workerStartedMs);
     if (Each.m_sequence > 0)
-      Item += "#" + std::to_string(Each.m_sequence);
-    appendItem(Text, Item + ":" + Each.m_cause);
+      Item.append("#").append(std::to_string(Each.m_sequence));
+    Item.append(":").append(Each.m_cause);
+    appendItem(Text, Item);
   }
   return Text;
 }
