Wait for the processes of a test before its ports are used again

Change: nodes_stop waits. That this was the cause is not proved: the holder of the port was not recorded.

--- a/scripts/lib/nodes.sh
+++ b/scripts/lib/nodes.sh
@@ -16,6 +16,8 @@
   for name in "${!node_pids[@]}"; do
     kill -KILL "${node_pids[$name]}" 2>/dev/null || true
   done
+  # Until they have exited they hold their ports, which the next run may use.
+  wait "${node_pids[@]}" 2>/dev/null || true
   rm -rf "$node_dir"
 }
 
