--- a/scripts/lib/nodes.sh
+++ b/scripts/lib/nodes.sh
@@ -17,7 +17,7 @@
     kill -KILL "${node_pids[$name]}" 2>/dev/null || true
   done
   # Until they have exited they hold their ports, which the next run may use.
-  wait "${node_pids[@]}" 2>/dev/null || true
+  [ "${#node_pids[@]}" -eq 0 ] || wait "${node_pids[@]}" 2>/dev/null || true
   rm -rf "$node_dir"
 }
 
