--- a/review/10/case-2.cc
+++ b/review/9/case-2.cc
@@ -9,7 +9,7 @@
 
 namespace {
 
-int runCase10(Record &Log) {
+int runCase9(Record &Log) {
   Store &Platform = *new Store;
   Platform.put("keyed.op", "config", config(1, {"/lohu930/"}));
   // Worker 0 is the only one of kind b.
@@ -89,4 +89,4 @@
 
 } // namespace
 
-int main(int, char **Args) { runCase(Args, runCase10); }
+int main(int, char **Args) { runCase(Args, runCase9); }
