--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,4 +4,7 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 [ -x target/bin/catkinseam ] && [ -x target/review-2/case-9 ] || exit 2
-exec timeout -k 2 118 target/review-2/case-9 review/9/record.txt
+timeout -k 2 118 target/review-2/case-9 review/9/record.txt
+result=$?
+[ "$result" -le 1 ] && exit "$result"
+exit 2
