Keep the client of a relayed call until it has ended

Cause: HttpRecordRelay destroyed its client when the owner's address had changed. A client that is destroyed drops the handlers of its calls in flight. The submission that waited for the old owner never ended, so that JobService took the log for unresponsive from then on.

CallInFlightOutlivesChangeOfPeer fails before (one of three calls is answered) and passes now.

Change: a client with calls in flight is kept until they have ended. The other clients that are replaced with calls in flight are the links to workers; the owner takes their replies for lost (Scheduler::onLinkReplaced), repeats stops and polls, so they need no change.

--- a/catkinseam/aio/async_http_client.h
+++ b/catkinseam/aio/async_http_client.h
@@ -81,6 +81,10 @@
 
   const Endpoint &server() const { return m_server; }
 
+  /// Whether no call is queued or in progress. While this is false, destroying
+  /// the client would drop handlers.
+  bool isIdle() const { return m_queue.empty() && m_busy.empty(); }
+
   /// Number of connection attempts since construction.
   std::uint64_t connectionsOpened() const { return m_connectionsOpened; }
 
--- a/catkinseam/node/record_relay.cc
+++ b/catkinseam/node/record_relay.cc
@@ -55,26 +55,38 @@
 
 } // namespace
 
+AsyncHttpClient &HttpRecordRelay::clientFor(const Endpoint &Peer) {
+  std::erase_if(m_earlierClients,
+                [](const auto &Each) { return Each->isIdle(); });
+  if (m_client && m_client->server() == Peer)
+    return *m_client;
+  // A client that is destroyed drops its handlers, and the callers of the calls
+  // in flight would wait for ever.
+  if (m_client && !m_client->isIdle())
+    m_earlierClients.push_back(std::move(m_client));
+  m_client = std::make_unique<AsyncHttpClient>(m_loop, Peer,
+                                               AsyncHttpClient::Options{});
+  return *m_client;
+}
+
 void HttpRecordRelay::append(const Endpoint &Peer,
                              const std::vector<KeyedRecord> &Records,
                              Milliseconds Timeout,
                              std::function<void(const Reply &)> Done) {
-  if (!m_client || m_client->server() != Peer)
-    m_client = std::make_unique<AsyncHttpClient>(m_loop, Peer,
-                                                 AsyncHttpClient::Options{});
+  AsyncHttpClient &Client = clientFor(Peer);
   RelayedRecords Body;
   for (const KeyedRecord &Each : Records)
     Body.emplace_back(Each.m_key, Each.m_value.value_or(""));
   const Milliseconds Budget = std::max(Timeout - ReplyMargin, ReplyMargin);
-  m_client->call({.m_method = "POST",
-                  .m_target = std::string(RelayPath) + "?" + TimeoutParameter +
-                              "=" + std::to_string(Budget.count()),
-                  .m_headers = {},
-                  .m_body = encode(Body),
-                  .m_timeout = Timeout},
-                 [Done = std::move(Done)](const HttpReply &Answer) {
-                   Done(decodeReply(Answer));
-                 });
+  Client.call({.m_method = "POST",
+               .m_target = std::string(RelayPath) + "?" + TimeoutParameter +
+                           "=" + std::to_string(Budget.count()),
+               .m_headers = {},
+               .m_body = encode(Body),
+               .m_timeout = Timeout},
+              [Done = std::move(Done)](const HttpReply &Answer) {
+                Done(decodeReply(Answer));
+              });
 }
 
 void handleRelayedRecords(const HttpRequest &Request,
--- a/catkinseam/node/record_relay.h
+++ b/catkinseam/node/record_relay.h
@@ -14,6 +14,7 @@
 #include "catkinseam/front/relayed_log.h"
 
 #include <memory>
+#include <vector>
 
 namespace catkinseam {
 
@@ -27,9 +28,13 @@
               std::function<void(const Reply &)> Done) override;
 
 private:
+  AsyncHttpClient &clientFor(const Endpoint &Peer);
+
   EventLoop &m_loop;
-  /// Connections to the last peer.
+  /// Connections to the last peer, and to earlier ones that have not replied to
+  /// all calls.
   std::unique_ptr<AsyncHttpClient> m_client;
+  std::vector<std::unique_ptr<AsyncHttpClient>> m_earlierClients;
 };
 
 /// Stores the records of a relayed request. Refuses all but submissions and
--- a/catkinseam/node/record_relay_test.cc
+++ b/catkinseam/node/record_relay_test.cc
@@ -1,8 +1,9 @@
-// The handler of relayed records with well-formed, foreign and malformed
-// bodies.
+// Relayed records: calls to peers that change, and the handler with
+// well-formed, foreign and malformed bodies.
 #define BOOST_TEST_MODULE record_relay
 #include "catkinseam/node/record_relay.h"
 
+#include "catkinseam/aio/testing/scripted_server.h"
 #include "catkinseam/base/codec.h"
 #include "catkinseam/ownership/testing/simulated_cluster.h"
 
@@ -42,8 +43,50 @@
   }
 };
 
+/// Relays a record to each of the peers, in this order and at once, and returns
+/// the replies in the order of their arrival.
+std::vector<std::pair<std::size_t, RecordRelay::Reply>>
+relayTo(EventLoop &Loop, const std::vector<Endpoint> &Peers,
+        Milliseconds Timeout) {
+  HttpRecordRelay Relay(Loop);
+  std::vector<std::pair<std::size_t, RecordRelay::Reply>> Replies;
+  for (std::size_t Index = 0; Index < Peers.size(); ++Index)
+    Relay.append(Peers[Index], {{submissionKey("00000000000000a1"), "job"}},
+                 Timeout, [&, Index](const RecordRelay::Reply &Reply) {
+                   Replies.emplace_back(Index, Reply);
+                   if (Replies.size() == Peers.size())
+                     Loop.stop();
+                 });
+  Loop.schedule(Milliseconds(5000), [&Loop] { Loop.stop(); });
+  Loop.run();
+  return Replies;
+}
+
 } // namespace
 
+// Guards against a node that refuses all submissions: a record was relayed to
+// the next owner while the reply of the last one was awaited, and the caller
+// was never told the outcome.
+BOOST_AUTO_TEST_CASE(CallInFlightOutlivesChangeOfPeer) {
+  using Delivery = RecordRelay::Delivery;
+  EventLoop Loop;
+  ScriptedServer Silent(
+      Loop, {{.m_reply = replyText(200, ""), .m_delay = Milliseconds(2000)}});
+  ScriptedServer Slow(
+      Loop, {{.m_reply = replyText(200, ""), .m_delay = Milliseconds(100)}});
+  ScriptedServer Next(Loop, {{.m_reply = replyText(200, "")}});
+  const auto Replies =
+      relayTo(Loop, {Silent.endpoint(), Slow.endpoint(), Next.endpoint()},
+              Milliseconds(400));
+  BOOST_REQUIRE(Replies.size() == 3U);
+  BOOST_TEST(Replies[0].first == 2U);
+  BOOST_TEST(Replies[1].first == 1U);
+  BOOST_TEST((Replies[1].second.m_delivery == Delivery::Answered));
+  BOOST_TEST((Replies[1].second.m_outcome == LogOutcome::Done));
+  BOOST_TEST(Replies[2].first == 0U);
+  BOOST_TEST((Replies[2].second.m_delivery == Delivery::NoReply));
+}
+
 BOOST_FIXTURE_TEST_CASE(StoresSubmissions, Fixture) {
   const std::string Key = submissionKey("00000000000000a1");
   BOOST_TEST(post(bodyOf(Key, "job")) == 200);
