Drop the handlers of expired calls with their client

A call that left the client's queue at its deadline had its handler posted to the loop, and it ran even if the client had been destroyed in between: with an owner that is gone. Such handlers are now dropped like those of other pending calls, and the client does not count as idle before they have run.

HandlersOfExpiredCallsAreDroppedWithTheClient fails before (two handlers run) and passes now.

--- a/catkinseam/aio/async_http_client.cc
+++ b/catkinseam/aio/async_http_client.cc
@@ -233,6 +233,7 @@
       m_queueTimer(Loop) {}
 
 AsyncHttpClient::~AsyncHttpClient() {
+  *m_isAlive = false;
   for (const auto &Each : m_idle)
     Each->detach();
   for (const auto &Each : m_busy)
@@ -279,8 +280,14 @@
         ++Each;
       }
     }
+    m_expiredCalls += Expired.size();
     for (const HttpReplyHandler &Each : Expired)
-      m_loop.post([Each] { Each(HttpReply{}); });
+      m_loop.post([this, Each, IsAlive = m_isAlive] {
+        if (!*IsAlive)
+          return;
+        --m_expiredCalls;
+        Each(HttpReply{});
+      });
     startNext();
   });
 }
--- a/catkinseam/aio/async_http_client.h
+++ b/catkinseam/aio/async_http_client.h
@@ -83,7 +83,9 @@
 
   /// Whether no call is queued or in progress. While this is false, destroying
   /// the client would drop handlers.
-  bool isIdle() const { return m_queue.empty() && m_busy.empty(); }
+  bool isIdle() const {
+    return m_queue.empty() && m_busy.empty() && m_expiredCalls == 0;
+  }
 
   /// Number of connection attempts since construction.
   std::uint64_t connectionsOpened() const { return m_connectionsOpened; }
@@ -106,7 +108,11 @@
   std::vector<std::shared_ptr<Connection>> m_busy;
   std::deque<QueuedCall> m_queue;
   Timer m_queueTimer;
+  /// Calls that have left the queue at their deadline, and whose handlers are
+  /// about to run.
+  std::size_t m_expiredCalls = 0;
   std::uint64_t m_connectionsOpened = 0;
+  std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
 } // namespace catkinseam
--- a/catkinseam/aio/async_http_client_test.cc
+++ b/catkinseam/aio/async_http_client_test.cc
@@ -141,4 +141,29 @@
              "GET / HTTP/1.1\r\nHost: tally.example\r\n\r\n");
 }
 
+// Guards against a handler that runs after its client's owner is gone: the
+// calls had left the queue at their deadline.
+BOOST_AUTO_TEST_CASE(HandlersOfExpiredCallsAreDroppedWithTheClient) {
+  EventLoop Loop;
+  ScriptedServer Silent(
+      Loop, {{.m_reply = replyText(200, ""), .m_delay = Milliseconds(2000)}});
+  auto Client = std::make_unique<AsyncHttpClient>(
+      Loop, Silent.endpoint(), AsyncHttpClient::Options{.m_maxConnections = 1});
+  const auto Call = [&](Milliseconds Timeout, HttpReplyHandler Handler) {
+    Client->call({.m_headers = {}, .m_body = "", .m_timeout = Timeout},
+                 std::move(Handler));
+  };
+  int Replies = 0;
+  const auto Destroy = [&](const HttpReply &) {
+    ++Replies;
+    Client.reset();
+  };
+  Call(Milliseconds(1000), [](const HttpReply &) {});
+  Call(Milliseconds(50), Destroy);
+  Call(Milliseconds(50), Destroy);
+  Loop.schedule(Milliseconds(300), [&] { Loop.stop(); });
+  Loop.run();
+  BOOST_TEST(Replies == 1);
+}
+
 } // namespace catkinseam
