--- a/catkinseam/scheduler/crash_suspects.cc
+++ b/catkinseam/scheduler/crash_suspects.cc
@@ -83,14 +83,36 @@
                                  Task.m_lostWorkers >= MaxLossesAlone);
 }
 
+bool mayShareTrial(const TaskInfo &Task) {
+  return Task.m_lostWorkers <= 1 && !Task.m_step->m_spec->m_isGang;
+}
+
+bool hasJoinableTrial(const WorkerInfo &Worker) {
+  return Worker.m_trials > 0 &&
+         std::all_of(Worker.m_runs.begin(), Worker.m_runs.end(),
+                     [](const RunRef &Each) {
+                       const RunInfo *Run = findReferencedRun(Each);
+                       return !Run || !Run->m_isOnTrial ||
+                              (Run->m_phase == RunPhase::Recording &&
+                               mayShareTrial(*Each.m_task));
+                     });
+}
+
+bool mayJoinTrial(const TaskInfo &Task, const WorkerInfo &Worker) {
+  return Worker.m_trials > 0 && Worker.m_trials < Worker.m_maxTrials &&
+         isSuspect(Task) && mayShareTrial(Task) && hasJoinableTrial(Worker);
+}
+
 bool allowsTrial(const TaskInfo &Task, const WorkerInfo &Worker,
                  TimePoint Now) {
   if (Now - Worker.m_aliveUntil > MaxSilenceBeforeTrial)
     return false;
+  const bool MayJoin = mayJoinTrial(Task, Worker);
   return std::all_of(
       Worker.m_runs.begin(), Worker.m_runs.end(), [&](const RunRef &Each) {
         const RunInfo *Run = findReferencedRun(Each);
-        return !Run || isSameGang(Task, *Each.m_task) || !isUnsettled(*Run);
+        return !Run || isSameGang(Task, *Each.m_task) || !isUnsettled(*Run) ||
+               (MayJoin && Run->m_isOnTrial);
       });
 }
 
@@ -108,6 +130,8 @@
 }
 
 bool isBarredByTrial(const TaskInfo &Task, const WorkerInfo &Worker) {
+  if (mayJoinTrial(Task, Worker))
+    return false;
   if (isReservedForOther(Task, Worker))
     return true;
   return Worker.m_trials > 0 &&
--- a/catkinseam/scheduler/crash_suspects.h
+++ b/catkinseam/scheduler/crash_suspects.h
@@ -11,6 +11,12 @@
 // suspect. Where all workers start something all the time, one is reserved for
 // the trial (trial_reservations.h).
 //
+// One trial after another takes long where a worker had started many tasks. So
+// a suspect that has been lost once may share its trial: half of the waiting
+// suspects start together, then half of the others. If their worker is lost,
+// each of them is tried alone. Of the losses of a task, one at most is thus due
+// to another suspect in its trial, and that one does not count as a crash.
+//
 // Workers also crash for other reasons, and again while a harmless suspect is
 // on trial. Several losses in a row are needed, and more of them where other
 // workers are lost that had started nothing of the job. A trial begins on a
@@ -53,9 +59,21 @@
 
 /// Whether a suspect may start on this worker: it was heard from a moment ago,
 /// and no other run there is so young that it could be the cause of a loss.
-/// Members of one gang share a trial, as they are given up together.
+/// Members of one gang share a trial, as they are given up together. A trial
+/// may be joined.
 bool allowsTrial(const TaskInfo &Task, const WorkerInfo &Worker, TimePoint Now);
 
+/// Whether the suspect's trial may be shared with other suspects.
+bool mayShareTrial(const TaskInfo &Task);
+
+/// Whether a trial begins on the worker in this round of placement that other
+/// suspects may share.
+bool hasJoinableTrial(const WorkerInfo &Worker);
+
+/// Whether the suspect may start together with those whose trial begins on the
+/// worker.
+bool mayJoinTrial(const TaskInfo &Task, const WorkerInfo &Worker);
+
 /// When a trial may begin on this worker if nothing else starts there and it is
 /// heard of; TimePoint::min() if one may begin now.
 TimePoint trialTime(const WorkerInfo &Worker, TimePoint Now);
--- a/catkinseam/scheduler/crash_suspects_test.cc
+++ b/catkinseam/scheduler/crash_suspects_test.cc
@@ -862,4 +862,76 @@
   BOOST_TEST(Read.m_wasSpared);
 }
 
+// Guards against harmless tasks that are given up with one that crashes its
+// workers, as they share a trial with it.
+BOOST_FIXTURE_TEST_CASE(CrashingTaskIsFoundAmongManySuspects, Fixture) {
+  constexpr std::size_t Harmless = 23;
+  constexpr std::size_t MaxStarts = 5;
+  for (const bool IsFirst : {false, true}) {
+    Fixture Each;
+    Submission Others = serviceOf(makeJob(One, Harmless));
+    Submission Crashing = serviceOf(makeJob(Two, 1));
+    for (Submission *Job : {&Others, &Crashing})
+      Job->m_spec.m_steps.front().m_request = {10, 10, 0};
+    (IsFirst ? Others : Crashing).m_policy.m_priority = 1;
+    std::string Worker = "w";
+    Each.addWorker(Worker);
+    Each.m_scheduler.addJob(Others, nullptr);
+    Each.m_scheduler.addJob(Crashing, nullptr);
+    std::size_t CrashingStarts = 0;
+    for (int Round = 0; Round < 400; ++Round) {
+      const std::vector<StartOrder> Starts = Each.start();
+      if (std::any_of(Starts.begin(), Starts.end(),
+                      [](const StartOrder &Start) {
+                        return Start.m_task.m_job == Two;
+                      })) {
+        ++CrashingStarts;
+        Each.replaceWorker(Worker);
+        Worker += "+";
+        Each.wait(Milliseconds(300));
+        Each.addWorker(Worker);
+      }
+      Each.wait(PlacementRetry);
+      Each.listRuns(Worker);
+    }
+    BOOST_TEST_CONTEXT("crashing task first " << IsFirst) {
+      BOOST_TEST(CrashingStarts <= MaxStarts);
+      BOOST_TEST((Each.stateOf(Two) == JobState::Failed));
+      BOOST_TEST((Each.stateOf(One) == JobState::InProgress));
+      BOOST_TEST(Each.m_sentStarts[Worker].size() == Harmless);
+    }
+  }
+}
+
+// The loss of a worker on which several suspects had their trial does not point
+// to one of them; after that, each has its trial alone.
+BOOST_FIXTURE_TEST_CASE(LossInSharedTrialIsNoCrash, Fixture) {
+  addWorker("w1");
+  Submission Job = serviceOf(makeJob(One, 4));
+  m_scheduler.addJob(Job, nullptr);
+  BOOST_REQUIRE(start().size() == 4U);
+  replaceWorker("w1");
+  wait(PlacementRetry);
+  addWorker("w2");
+  std::vector<StartOrder> Starts = start();
+  BOOST_REQUIRE(Starts.size() == 2U);
+  replaceWorker("w2");
+  for (const StartOrder &Each : Starts) {
+    const TaskRecord Task = taskOf(One, Each.m_task.m_index);
+    BOOST_TEST(Task.m_lostWorkers == 2U);
+    BOOST_TEST(Task.m_crashedWorkers == 1U);
+  }
+  wait(PlacementRetry);
+  addWorker("w3");
+  std::size_t Started = 0;
+  for (int Round = 0; Round < 60; ++Round) {
+    Starts = start();
+    BOOST_TEST(Starts.size() <= 1U);
+    Started += Starts.size();
+    wait(PlacementRetry);
+    listRuns("w3");
+  }
+  BOOST_TEST(Started == 4U);
+}
+
 } // namespace catkinseam
--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -160,9 +160,13 @@
          Worker.m_backoffUntil <= Now && Worker.m_quarantinedUntil <= Now;
 }
 
+bool hasRequiredLabel(const StepSpec &Spec, const WorkerInfo &Worker) {
+  return Spec.m_requiredLabel.empty() || Worker.hasLabel(Spec.m_requiredLabel);
+}
+
 bool satisfiesConstraints(const TaskInfo &Task, const WorkerInfo &Worker) {
   const StepSpec &Spec = *Task.m_step->m_spec;
-  if (!Spec.m_requiredLabel.empty() && !Worker.hasLabel(Spec.m_requiredLabel))
+  if (!hasRequiredLabel(Spec, Worker))
     return false;
   if (Spec.m_maxPerWorker > 0 &&
       countStepRuns(*Task.m_step, Worker) >= Spec.m_maxPerWorker)
--- a/catkinseam/scheduler/placement.h
+++ b/catkinseam/scheduler/placement.h
@@ -26,6 +26,9 @@
 /// Whether new runs may be started on the worker.
 bool isAvailable(const WorkerInfo &Worker, TimePoint Now);
 
+/// Whether the worker has the label that the step requires, if any.
+bool hasRequiredLabel(const StepSpec &Spec, const WorkerInfo &Worker);
+
 /// Whether the worker satisfies the placement constraints of the task's step.
 bool satisfiesConstraints(const TaskInfo &Task, const WorkerInfo &Worker);
 
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -61,8 +61,6 @@
 constexpr Milliseconds PlacementRetryInterval{40};
 /// Interval at which the suspended share of filler work is updated.
 constexpr Milliseconds SuspendedShareInterval{200};
-/// Interval at which the log tells why a suspect is not placed.
-constexpr Milliseconds WaitLogInterval{1000};
 /// Maximum interval between calls of decide().
 constexpr Milliseconds MaxDecideInterval{250};
 
@@ -117,39 +115,6 @@
       m_availableByService[Row->m_registration.m_service].push_back(Row.get());
 }
 
-void Scheduler::reserveForTrials() {
-  const TimePoint Now = m_clock.now();
-  for (const auto &[Id, Worker] : m_workers)
-    m_trialReservations.beginRound(*Worker, Now);
-  std::map<std::string, std::vector<TrialRequest>> Waiting;
-  const auto Add = [&](const TaskInfo &Task, TimePoint Since) {
-    Waiting[Task.m_step->m_occurrence->m_job->policy().m_service].push_back(
-        {&Task, Since});
-  };
-  for (TaskInfo *Each : m_waitingSuspects) {
-    const std::vector<WorkerInfo *> &Available =
-        availableWorkers(Each->m_step->m_occurrence->m_job->policy().m_service);
-    Each->m_hasOtherWorkers = std::any_of(
-        Available.begin(), Available.end(),
-        [&](const WorkerInfo *Worker) { return !isAvoided(*Each, *Worker); });
-    Add(*Each, Each->m_earliestStart);
-  }
-  for (const StepInfo *Step : m_speculativeSteps)
-    for (const TaskInfo &Each : Step->m_tasks)
-      if (isSuspect(Each) && needsCopy(Each))
-        Add(Each, Each.m_runs.front().m_worker->m_lostAt);
-  for (auto &[Service, Requests] : Waiting) {
-    std::sort(Requests.begin(), Requests.end(),
-              [](const TrialRequest &One, const TrialRequest &Other) {
-                return One.m_waitingSince != Other.m_waitingSince
-                           ? One.m_waitingSince < Other.m_waitingSince
-                           : keyOf(*One.m_task) < keyOf(*Other.m_task);
-              });
-    m_trialReservations.reserve(Requests, availableWorkers(Service),
-                                m_interference, Now);
-  }
-}
-
 void Scheduler::placeWaitingTasks(Decisions &Next) {
   listAvailableWorkers();
   reserveForTrials();
@@ -176,6 +141,7 @@
     if (!placeStep(*Step, Next) && MayReserve)
       reserveFor(*Step);
   }
+  placeSharedTrials(Next);
 }
 
 bool Scheduler::placeStep(StepInfo &Step, Decisions &Next) {
@@ -256,27 +222,6 @@
   return true;
 }
 
-void Scheduler::logTrialAwaited(TaskInfo &Task) {
-  const TimePoint Now = m_clock.now();
-  if (Now - Task.m_waitLoggedAt < WaitLogInterval)
-    return;
-  Task.m_waitLoggedAt = Now;
-  const std::string &Service =
-      Task.m_step->m_occurrence->m_job->policy().m_service;
-  const PlacementObstacles Found =
-      findObstacles(Task, availableWorkers(Service), m_reservations, Now);
-  logInfo("task.trial_awaited",
-          {{"task", toString(keyOf(Task))},
-           {"waited_ms",
-            std::to_string(toMilliseconds(Now - Task.m_earliestStart).count())},
-           {"lost_workers", std::to_string(Task.m_lostWorkers)},
-           {"workers", std::to_string(Found.m_available)},
-           {"infeasible", std::to_string(Found.m_infeasible)},
-           {"on_trial", std::to_string(Found.m_onTrial)},
-           {"reserved", std::to_string(Found.m_reserved)},
-           {"unsettled", std::to_string(Found.m_unsettled)}});
-}
-
 bool Scheduler::needsCopy(const TaskInfo &Task) const {
   // The copy may fail too; both failures must stay within the attempt limit.
   const std::uint32_t MaxAttempts =
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -394,6 +394,9 @@
   /// Reserves workers for the suspects that wait for a trial.
   void reserveForTrials();
   void placeWaitingTasks(Decisions &Next);
+  /// Lets further suspects join the trials that begin in this round, while many
+  /// of them wait.
+  void placeSharedTrials(Decisions &Next);
   /// Places the waiting tasks of a step, as far as possible.
   bool placeStep(StepInfo &Step, Decisions &Next);
   bool placeTask(TaskInfo &Task, Decisions &Next);
--- a/catkinseam/scheduler/scheduler_losses.cc
+++ b/catkinseam/scheduler/scheduler_losses.cc
@@ -188,7 +188,8 @@
       Task.m_wasSpared = true;
     } else {
       ++Task.m_lostWorkers;
-      if (IsCrash && hasArrived(Run))
+      // Which of the tasks has crashed it is not known.
+      if (IsCrash && hasArrived(Run) && !Run.m_isTrialShared)
         ++Task.m_crashedWorkers;
       noteCountedRun(Task,
                      {.m_run = Run.m_number,
@@ -224,22 +225,6 @@
   markDirty(*Task.m_step->m_occurrence->m_job);
 }
 
-void Scheduler::endTrials() {
-  for (const auto &[Id, Worker] : m_workers) {
-    if (Worker->m_trials == 0 || !Worker->m_isReachable)
-      continue;
-    for (const RunRef &Each : Worker->m_runs) {
-      RunInfo *Run = findRun(*Each.m_task, Each.m_run);
-      if (!Run->m_isOnTrial || Run->m_confirmedAt == TimePoint() ||
-          m_clock.now() - Run->m_confirmedAt < TrialTime)
-        continue;
-      Run->m_isOnTrial = false;
-      --Worker->m_trials;
-      Worker->m_trialEndedAt = m_clock.now();
-    }
-  }
-}
-
 Scheduler::Absences Scheduler::absences() const {
   Absences Found;
   const auto Check = [&](const TaskInfo &Task) {
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -53,6 +53,9 @@
   /// The start was sent to a worker that starts nothing else meanwhile; see
   /// crash_suspects.h.
   bool m_isOnTrial = false;
+  /// Other suspects were started with it, so that the loss of the worker does
+  /// not point to one of them.
+  bool m_isTrialShared = false;
   /// The task was blamed for the loss of the worker under this run, which its
   /// next incarnation has not listed. Stored, so that no later owner counts the
   /// run again.
@@ -234,6 +237,9 @@
   std::uint32_t m_fillers = 0;
   /// Number of runs on trial; no other run is started beside them.
   std::uint32_t m_trials = 0;
+  /// Suspects may join a trial that begins, in this round of placement, up to
+  /// this number.
+  std::size_t m_maxTrials = 1;
   /// The step for whose suspects the worker is reserved, null for none, and
   /// since when; made anew in each round of placement (trial_reservations.h).
   const StepInfo *m_trialStep = nullptr;
--- a/catkinseam/scheduler/trial_reservations_test.cc
+++ b/catkinseam/scheduler/trial_reservations_test.cc
@@ -171,6 +171,51 @@
   BOOST_TEST(Rounds > 0U);
 }
 
+// Guards against tasks that stay away beside free room (review/9): the only
+// worker that can run them crashed and came back, and each had its trial alone,
+// one after the other.
+BOOST_AUTO_TEST_CASE(SuspectsOfOneWorkerStartInFewRounds) {
+  // The rule counts three seconds away after four seconds of calm (LOST).
+  constexpr Milliseconds MaxAway{7000};
+  for (const bool HasShortTasks : {false, true})
+    for (const std::uint32_t Tasks : {12U, 24U, 96U}) {
+      SteadyLoad Load;
+      Load.addBusyWorkers(3);
+      Load.m_busyWorkers["w0"].m_hasShortTasks = HasShortTasks;
+      std::vector<std::string> Jobs;
+      for (int Number = 1; Number <= 4; ++Number) {
+        Submission Job = jobOf(Tasks / 4);
+        Job.m_id.back() = static_cast<char>('0' + Number);
+        StepSpec &Step = Job.m_spec.m_steps.front();
+        Step.m_isService = true;
+        Step.m_request = {30, 10, 0};
+        Step.m_requiredLabel = "w0";
+        Load.m_scheduler.addJob(Job, nullptr);
+        Jobs.push_back(Job.m_id);
+      }
+      const auto Running = [&] {
+        std::size_t Count = 0;
+        for (const std::string &Each : Jobs)
+          Count += Load.workersOf(Each).size();
+        return Count;
+      };
+      Load.pass(Milliseconds(150));
+      BOOST_REQUIRE(Running() == Tasks);
+      Load.crashWorker("w0");
+      Load.pass(Milliseconds(1500));
+      Load.addBusyWorker("w0");
+      Load.m_busyWorkers["w0"].m_hasShortTasks = HasShortTasks;
+      const TimePoint Back = Load.m_clock.now();
+      while (Running() < Tasks && Load.m_clock.now() - Back < 3 * MaxAway)
+        Load.pass(Milliseconds(10));
+      BOOST_TEST_CONTEXT(Tasks << " tasks, short tasks " << HasShortTasks) {
+        BOOST_TEST(toMilliseconds(Load.m_clock.now() - Back).count() <=
+                   MaxAway.count());
+        BOOST_TEST(Load.longestShortWait().count() <= MaxWait.count());
+      }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(ReservedWorkerIsOpenToItsStepOnly) {
   for (const bool IsGang : {false, true})
     for (const bool IsSameStep : {false, true})
