Let many suspects share their trials

Cause: each task that had just begun on a lost worker starts on trial, alone for half a second, so that the wait grows with their number.

--- a/catkinseam/scheduler/scheduler_trials.cc
+++ b/catkinseam/scheduler/scheduler_trials.cc
@@ -127,8 +127,13 @@
   }
   for (WorkerInfo *Each : Workers) {
     Each->m_maxTrials = 1;
-    if (Each->m_trials > 1)
-      markTrialShared(*Each);
+    if (Each->m_trials == 1)
+      continue;
+    markTrialShared(*Each);
+    logInfo("worker.trial_shared",
+            {{"worker", Each->m_registration.m_id},
+             {"suspects", std::to_string(Each->m_trials)},
+             {"waiting", std::to_string(m_waitingSuspects.size())}});
   }
 }
 
