Send starts only on connections to the incarnation that they are for

Cause: the platform's calls name a worker by its id, which both incarnations have. The owner does not know of a restart for a moment, and a start that it sends in it is carried out by the new incarnation. The expiry is a time on the former one's clock, far ahead on the new one's, so the run gets the longest lease that the worker grants at all. No owner has granted that, and a successor that counts on the announced bound starts the task again too early. In the same way a poll acknowledges ends of the former incarnation to the new one, which forgets its own.

Change: a connection leads to one process for as long as it lasts. The client asks for the start of the worker's incarnation on each connection whose process it does not know, by a poll that extends and acknowledges nothing, and sends a start or such a poll only if it is the one that the order names. Otherwise the start was certainly not sent, and the owner learns of the new incarnation at once. That holds for owner and successor, and whether workers check tokens or not. A connection costs one short poll more.

--- a/catkinseam/aio/async_http_client.cc
+++ b/catkinseam/aio/async_http_client.cc
@@ -10,6 +10,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <optional>
+#include <utility>
 
 namespace catkinseam {
 
@@ -23,6 +24,8 @@
 /// base64, and a read of 2 MB of records.
 constexpr std::uint64_t MaxReplyBytes = 4ULL << 20;
 
+constexpr int StatusOk = 200;
+
 /// Whether a server may reply with this status before it has read the body of
 /// the request. It may take the rest of the body for another request, and
 /// reply to that too.
@@ -73,11 +76,28 @@
       : m_client(&Client), m_loop(Loop), m_socket(Loop.context()),
         m_deadline(Loop.context()) {}
 
+  /// Whether the connection may lead to the process that the call is for.
+  bool mayCarry(const HttpCall &Call) const {
+    return !Call.m_check || Call.m_check->m_process == UnknownProcess ||
+           m_process == UnknownProcess || Call.m_check->m_process == m_process;
+  }
+
   void run(HttpCall Call, HttpReplyHandler Handler, TimePoint Deadline) {
+    const std::string Host = toString(m_client->m_server);
     m_handler = std::move(Handler);
-    m_requestText = requestText(Call, toString(m_client->m_server));
+    m_requestText = requestText(Call, Host);
     m_isHeadRequest = Call.m_method == "HEAD";
     m_hasRequestBody = !Call.m_body.empty();
+    m_isAskingProcess = Call.m_check &&
+                        Call.m_check->m_process != UnknownProcess &&
+                        Call.m_check->m_process != m_process;
+    if (m_isAskingProcess) {
+      m_checkedRequestText = std::move(m_requestText);
+      Call.m_target = Call.m_check->m_target;
+      Call.m_body = Call.m_check->m_body;
+      m_requestText = requestText(Call, Host);
+    }
+    m_check = std::move(Call.m_check);
     m_mayConflictPrecedeBody = m_client->m_options.m_mayConflictPrecedeBody;
     m_outcome = CallOutcome::NotSent;
     armDeadline(Deadline);
@@ -96,8 +116,7 @@
   }
 
   void close() {
-    error_code Ignored;
-    m_socket.close(Ignored);
+    closeSocket();
     m_deadline.cancel();
   }
 
@@ -115,6 +134,13 @@
   }
 
 private:
+  static constexpr std::int64_t UnknownProcess = 0;
+
+  void closeSocket() {
+    error_code Ignored;
+    m_socket.close(Ignored);
+  }
+
   void armDeadline(TimePoint Deadline) {
     m_deadline.expires_after(Deadline - m_loop.now());
     m_deadline.async_wait([Self = shared_from_this(),
@@ -146,7 +172,8 @@
   }
 
   void write() {
-    m_outcome = CallOutcome::NoResponse;
+    if (!m_isAskingProcess)
+      m_outcome = CallOutcome::NoResponse;
     asio::async_write(m_socket, asio::buffer(m_requestText),
                       [Self = shared_from_this(), Call = m_callGeneration](
                           const error_code &Ec, std::size_t) {
@@ -175,8 +202,6 @@
   }
 
   void finish() {
-    ++m_callGeneration;
-    m_deadline.cancel();
     HttpReply Reply;
     Reply.m_outcome = CallOutcome::Answered;
     Reply.m_status = static_cast<int>(m_parser->get().result_int());
@@ -185,6 +210,47 @@
         m_parser->get().keep_alive() && m_buffer.size() == 0 &&
         !(m_hasRequestBody &&
           mayPrecedeBody(Reply.m_status, m_mayConflictPrecedeBody));
+    if (!m_check || !applyCheck(Reply, IsReusable))
+      end(Reply, IsReusable);
+  }
+
+  /// Learns which process the connection leads to. Returns whether the call
+  /// goes on: the reply was that to the request that asks for the process.
+  bool applyCheck(HttpReply &Reply, bool IsReusable) {
+    const bool WasAsking = std::exchange(m_isAskingProcess, false);
+    if (Reply.m_status != StatusOk ||
+        (!WasAsking && m_check->m_process != UnknownProcess))
+      return false;
+    m_process = m_check->m_parse(Reply).value_or(UnknownProcess);
+    if (!WasAsking || m_check->m_doesReplySuffice)
+      return false;
+    if (m_process == m_check->m_process) {
+      sendChecked(IsReusable);
+      return true;
+    }
+    const bool IsKnown = m_process != UnknownProcess;
+    Reply = {.m_outcome =
+                 IsKnown ? CallOutcome::OtherProcess : CallOutcome::NotSent,
+             .m_body = "",
+             .m_process = m_process};
+    return false;
+  }
+
+  /// Sends the call after the process was found to be the one it is for.
+  void sendChecked(bool IsReusable) {
+    m_requestText = std::move(m_checkedRequestText);
+    if (IsReusable)
+      return write();
+    // A server that ends each connection after a reply cannot be told from its
+    // next process.
+    closeSocket();
+    m_process = UnknownProcess;
+    connect();
+  }
+
+  void end(const HttpReply &Reply, bool IsReusable) {
+    ++m_callGeneration;
+    m_deadline.cancel();
     if (!IsReusable)
       close();
     m_idleSince = m_loop.now();
@@ -215,6 +281,13 @@
   asio::steady_timer m_deadline;
   HttpReplyHandler m_handler;
   std::string m_requestText;
+  /// Of the call, while its process is asked for its number.
+  std::string m_checkedRequestText;
+  std::optional<ProcessCheck> m_check;
+  /// The request in progress asks for the number of the process.
+  bool m_isAskingProcess = false;
+  /// Process that the connection leads to, as far as it has told.
+  std::int64_t m_process = UnknownProcess;
   boost::beast::flat_buffer m_buffer;
   std::optional<http::response_parser<http::string_body>> m_parser;
   CallOutcome m_outcome = CallOutcome::NotSent;
@@ -255,7 +328,7 @@
       std::shared_ptr<Connection> Candidate = m_idle.back();
       m_idle.pop_back();
       if (m_loop.now() - Candidate->idleSince() < m_options.m_maxIdleTime &&
-          Candidate->isReusable())
+          Candidate->mayCarry(Next.m_call) && Candidate->isReusable())
         Chosen = std::move(Candidate);
       else
         Candidate->close();
--- a/catkinseam/aio/async_http_client.h
+++ b/catkinseam/aio/async_http_client.h
@@ -11,6 +11,10 @@
 // before it read the request's body. A connection that the server has closed or
 // written to while it was idle carries no further call. A surplus reply that
 // arrives once the next call is on its way cannot be told.
+//
+// A connection leads to one process of the server for as long as it lasts, so a
+// call with a ProcessCheck is sent only on a connection on which that process
+// has told its number.
 #ifndef CATKINSEAM_AIO_ASYNC_HTTP_CLIENT_H
 #define CATKINSEAM_AIO_ASYNC_HTTP_CLIENT_H
 
@@ -21,11 +25,30 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace catkinseam {
 
+struct HttpReply;
+
+/// Restricts a call to one process of the server: another one that was started
+/// at the same address since does not receive it.
+struct ProcessCheck {
+  /// Number of the process that the call is for; zero for any, if the reply to
+  /// the call itself tells the number.
+  std::int64_t m_process = 0;
+  /// Request that asks for the number of the process; sent as the call is, and
+  /// before it, on a connection whose process is not known.
+  std::string m_target;
+  std::string m_body;
+  /// Returns the number in a reply with status 200; none if there is none.
+  std::optional<std::int64_t> (*m_parse)(const HttpReply &) = nullptr;
+  /// The reply to that request also answers the call, which is not sent then.
+  bool m_doesReplySuffice = false;
+};
+
 /// A request to a server, with its timeout.
 struct HttpCall {
   std::string m_method = "GET";
@@ -36,19 +59,23 @@
   std::string m_body;
   /// From call() to the complete reply, including the time in the queue.
   Milliseconds m_timeout{1000};
+  std::optional<ProcessCheck> m_check{};
 };
 
 /// Result of a call at the transport level.
 enum class CallOutcome {
-  Answered,   ///< A complete reply was received.
-  NotSent,    ///< No byte was sent; the server has not seen the call.
-  NoResponse, ///< Sent without a complete reply; may have been executed.
+  Answered,     ///< A complete reply was received.
+  NotSent,      ///< No byte was sent; the server has not seen the call.
+  NoResponse,   ///< Sent without a complete reply; may have been executed.
+  OtherProcess, ///< Not sent, as the server is not the process it is for.
 };
 
 struct HttpReply {
   CallOutcome m_outcome = CallOutcome::NotSent;
   int m_status = 0;
   std::string m_body;
+  /// Set if the outcome is OtherProcess: the number of the server's process.
+  std::int64_t m_process = 0;
 
   bool isAnswered(int Status) const {
     return m_outcome == CallOutcome::Answered && m_status == Status;
--- a/catkinseam/aio/async_http_client_test.cc
+++ b/catkinseam/aio/async_http_client_test.cc
@@ -1,6 +1,7 @@
 // Tests of the HTTP client against a server that misuses its connections.
 #define BOOST_TEST_MODULE async_http_client
 #include "catkinseam/aio/async_http_client.h"
+#include "catkinseam/aio/testing/numbered_server.h"
 #include "catkinseam/aio/testing/scripted_server.h"
 
 #include <boost/test/unit_test.hpp>
@@ -62,8 +63,122 @@
   return Client.connectionsOpened();
 }
 
+/// A client of a server that tells its process's number at "/process".
+struct ProcessFixture {
+  EventLoop m_loop;
+  int m_status = 200;
+  bool m_answersProcess = true;
+  NumberedServer m_server{
+      m_loop, [this](const NumberedServer::Received &Request,
+                     const HttpResponder &Respond) {
+        if (Request.m_path != "/process")
+          Respond({200, {}, "done"});
+        else if (m_answersProcess)
+          Respond({m_status, {}, std::to_string(Request.m_process)});
+      }};
+  AsyncHttpClient m_client{m_loop, m_server.endpoint(),
+                           AsyncHttpClient::Options{.m_maxConnections = 1}};
+
+  static std::optional<std::int64_t> parse(const HttpReply &Reply) {
+    return std::stoll(Reply.m_body);
+  }
+
+  void runUntil(const bool &IsDone) {
+    while (!IsDone)
+      m_loop.context().run_one();
+  }
+
+  /// Makes a call for one process.
+  HttpReply callTo(std::int64_t Process, bool DoesReplySuffice = false) {
+    HttpReply Received;
+    bool IsDone = false;
+    m_client.call(
+        {.m_method = "POST",
+         .m_target = "/work",
+         .m_headers = {},
+         .m_body = "body",
+         .m_timeout = Milliseconds(300),
+         .m_check = ProcessCheck{.m_process = Process,
+                                 .m_target = "/process",
+                                 .m_body = "ask",
+                                 .m_parse = parse,
+                                 .m_doesReplySuffice = DoesReplySuffice}},
+        [&](const HttpReply &Reply) {
+          Received = Reply;
+          IsDone = true;
+        });
+    runUntil(IsDone);
+    return Received;
+  }
+};
+
 } // namespace
 
+// Guards against tasks that run twice: a start meant for a worker's former life
+// was carried out by the next one at the same address.
+BOOST_FIXTURE_TEST_CASE(CallReachesItsProcessOnly, ProcessFixture) {
+  m_server.start(1);
+  BOOST_TEST(callTo(1).m_body == "done");
+  BOOST_TEST(callTo(1).m_body == "done");
+  BOOST_TEST(m_server.pathsTo(1) == "/process /work /work");
+  m_server.start(2);
+  const HttpReply Reply = callTo(1);
+  BOOST_TEST((Reply.m_outcome == CallOutcome::OtherProcess));
+  BOOST_TEST(Reply.m_process == 2);
+  BOOST_TEST(m_server.pathsTo(2) == "/process");
+  BOOST_TEST(callTo(2).m_body == "done");
+  BOOST_TEST(m_server.pathsTo(2) == "/process /work");
+  // A call that knows of no later process than one that has ended.
+  BOOST_TEST((callTo(1).m_outcome == CallOutcome::OtherProcess));
+  BOOST_TEST(m_server.pathsTo(2) == "/process /work /process");
+}
+
+BOOST_FIXTURE_TEST_CASE(CallIsNotSentToAnUnknownProcess, ProcessFixture) {
+  m_server.start(1);
+  m_answersProcess = false;
+  BOOST_TEST((callTo(1).m_outcome == CallOutcome::NotSent));
+  m_answersProcess = true;
+  // A refusal of the question answers the call.
+  m_status = 421;
+  BOOST_TEST(callTo(1).isAnswered(421));
+  BOOST_TEST(m_server.pathsTo(1) == "/process /process");
+}
+
+BOOST_FIXTURE_TEST_CASE(ReplyToTheQuestionMaySuffice, ProcessFixture) {
+  m_server.start(1);
+  BOOST_TEST(callTo(1, true).m_body == "1");
+  BOOST_TEST(callTo(1, true).m_body == "done");
+  m_server.start(2);
+  BOOST_TEST(callTo(1, true).m_body == "2");
+  BOOST_TEST(m_server.pathsTo(1) == "/process /work");
+  BOOST_TEST(m_server.pathsTo(2) == "/process");
+}
+
+// A call for any process learns the number from its own reply.
+BOOST_FIXTURE_TEST_CASE(CallForAnyProcessTellsTheNumber, ProcessFixture) {
+  m_server.start(1);
+  bool IsDone = false;
+  m_client.call({.m_method = "POST",
+                 .m_target = "/process",
+                 .m_headers = {},
+                 .m_body = "ask",
+                 .m_check = ProcessCheck{.m_target = "/process",
+                                         .m_body = "ask",
+                                         .m_parse = parse}},
+                [&](const HttpReply &) { IsDone = true; });
+  runUntil(IsDone);
+  BOOST_TEST(callTo(1).m_body == "done");
+  BOOST_TEST(m_server.pathsTo(1) == "/process /work");
+}
+
+// A server that keeps no connection still gets its calls.
+BOOST_FIXTURE_TEST_CASE(ServerThatClosesConnectionsIsCalled, ProcessFixture) {
+  m_server.start(1);
+  m_server.closeAfterResponses();
+  BOOST_TEST(callTo(1).m_body == "done");
+  BOOST_TEST(m_server.pathsTo(1) == "/process /work");
+}
+
 // Guards against an answer to another call: a rejected record that was not
 // rejected would fail its job.
 BOOST_AUTO_TEST_CASE(SurplusReplyAnswersNoLaterCall) {
--- a/catkinseam/platform/http_worker_link.cc
+++ b/catkinseam/platform/http_worker_link.cc
@@ -20,6 +20,11 @@
 /// Checkpoints are stored in the records of their jobs, whose size is limited.
 constexpr std::size_t MaxCheckpointBytes = 256;
 
+const char *const StartPath = "/api/run-start";
+const char *const StopPath = "/api/run-stop";
+const char *const ThrottlePath = "/api/pace";
+const char *const StatusPollPath = "/api/hold";
+
 const char *const ExpectedInstanceHeader = "X-Catkinseam-Expected-Instance";
 
 OrderOutcome conflictOutcome(const HttpReply &Reply) {
@@ -45,6 +50,8 @@
     return OrderOutcome::NotSent;
   if (Reply.m_outcome == CallOutcome::NoResponse)
     return OrderOutcome::Unknown;
+  if (Reply.m_outcome == CallOutcome::OtherProcess)
+    return OrderOutcome::OtherIncarnation;
   switch (Reply.m_status) {
   case 200:
     return OrderOutcome::Done;
@@ -62,6 +69,7 @@
 OrderReply decodeOrderReply(const HttpReply &Reply) {
   OrderReply Read;
   Read.m_outcome = orderOutcomeOf(Reply);
+  Read.m_workerStartedMs = Reply.m_process;
   if (Reply.m_outcome != CallOutcome::Answered || Reply.m_body.empty())
     return Read;
   auto Clock = attempt([&]() -> Result<std::int64_t> {
@@ -175,6 +183,17 @@
   return Read;
 }
 
+/// Returns the start of the incarnation that has replied to a status poll.
+std::optional<std::int64_t> parseStartedMs(const HttpReply &Reply) {
+  auto Read = attempt([&]() -> Result<std::int64_t> {
+    BOOST_LEAF_AUTO(Body, parseJsonBody(Reply.m_body));
+    return integerMember(Body, "born");
+  });
+  if (!Read)
+    return std::nullopt;
+  return Read.value();
+}
+
 void appendRun(std::string &Body, const TaskKey &Task, RunNumber Run) {
   Body += "{\"taskId\":\"" + formatTaskName(Task) +
           "\",\"runId\":" + std::to_string(Run);
@@ -202,6 +221,16 @@
           .m_timeout = Timeout};
 }
 
+ProcessCheck HttpWorkerLink::checkFor(std::int64_t WorkerStartedMs,
+                                      std::uint64_t FencingToken) {
+  std::string Body = "{\"observed\":0";
+  appendToken(Body, FencingToken);
+  return {.m_process = WorkerStartedMs,
+          .m_target = StatusPollPath,
+          .m_body = std::move(Body),
+          .m_parse = parseStartedMs};
+}
+
 void HttpWorkerLink::start(const StartOrder &Order, std::uint64_t FencingToken,
                            std::function<void(const OrderReply &)> Done) {
   std::string Body;
@@ -214,7 +243,10 @@
     appendQuoted(Body, Order.m_checkpoint);
   }
   appendToken(Body, FencingToken);
-  m_orderClient.call(makeCall("/api/run-start", std::move(Body), OrderTimeout),
+  HttpCall Call = makeCall(StartPath, std::move(Body), OrderTimeout);
+  if (Order.m_workerStartedMs != 0)
+    Call.m_check = checkFor(Order.m_workerStartedMs, FencingToken);
+  m_orderClient.call(std::move(Call),
                      [Done = std::move(Done)](const HttpReply &Reply) {
                        Done(decodeOrderReply(Reply));
                      });
@@ -225,7 +257,7 @@
   std::string Body;
   appendRun(Body, Order.m_task, Order.m_run);
   appendToken(Body, FencingToken);
-  m_orderClient.call(makeCall("/api/run-stop", std::move(Body), OrderTimeout),
+  m_orderClient.call(makeCall(StopPath, std::move(Body), OrderTimeout),
                      [Done = std::move(Done)](const HttpReply &Reply) {
                        Done(decodeOrderReply(Reply));
                      });
@@ -238,7 +270,7 @@
   appendRun(Body, Order.m_task, Order.m_run);
   Body += ",\"percent\":" + std::to_string(Order.m_cpuRatePercent);
   appendToken(Body, FencingToken);
-  m_orderClient.call(makeCall("/api/pace", std::move(Body), OrderTimeout),
+  m_orderClient.call(makeCall(ThrottlePath, std::move(Body), OrderTimeout),
                      [Done = std::move(Done)](const HttpReply &Reply) {
                        Done(decodeOrderReply(Reply));
                      });
@@ -252,8 +284,11 @@
   if (Order.m_maxWait > Milliseconds::zero())
     Body += ",\"waitMs\":" + std::to_string(Order.m_maxWait.count());
   appendToken(Body, FencingToken);
-  m_statusPollClient.call(makeCall("/api/hold", std::move(Body),
-                                   Order.m_maxWait + StatusPollTimeoutMargin),
+  HttpCall Call = makeCall(StatusPollPath, std::move(Body),
+                           Order.m_maxWait + StatusPollTimeoutMargin);
+  Call.m_check = checkFor(Order.m_workerStartedMs, FencingToken);
+  Call.m_check->m_doesReplySuffice = true;
+  m_statusPollClient.call(std::move(Call),
                           [Done = std::move(Done)](const HttpReply &Reply) {
                             Done(decodeStatusPollReply(Reply));
                           });
--- a/catkinseam/platform/http_worker_link.h
+++ b/catkinseam/platform/http_worker_link.h
@@ -1,5 +1,9 @@
-// HTTP client for orders to one incarnation of a worker: start, stop, throttle,
-// status poll.
+// HTTP client for orders to a worker: start, stop, throttle, status poll.
+//
+// The platform's calls name a worker by its id, which it may keep across a
+// restart. A start, and a poll that extends leases or acknowledges ends, is
+// therefore sent only on a connection on which the incarnation that it is for
+// has replied to a status poll.
 //
 //   HttpWorkerLink Link(Loop, Address, WorkerId);
 //   Link.start(Order, FencingToken, [](const OrderReply &Reply) { ... });
@@ -32,6 +36,9 @@
 private:
   HttpCall makeCall(const char *Path, std::string Body,
                     Milliseconds Timeout) const;
+  /// Restricts a call to the incarnation that started at `WorkerStartedMs`.
+  static ProcessCheck checkFor(std::int64_t WorkerStartedMs,
+                               std::uint64_t FencingToken);
 
   const std::string m_worker;
   /// Status polls are long polls that the worker may keep open for seconds, so
--- a/catkinseam/scheduler/orders.h
+++ b/catkinseam/scheduler/orders.h
@@ -20,6 +20,9 @@
   std::string m_checkpoint;
   /// End of the lease, on the worker's clock.
   Milliseconds m_expires{0};
+  /// Start of the worker's incarnation that the order is for; another one, even
+  /// under the same id, must not receive it.
+  std::int64_t m_workerStartedMs = 0;
 };
 
 struct StopOrder {
@@ -44,6 +47,9 @@
   std::optional<Milliseconds> m_expires;
   /// How long the worker may delay its reply while no run ends.
   Milliseconds m_maxWait{0};
+  /// As for a start; zero for any incarnation. Another one may reply, as if the
+  /// poll neither acknowledged an end nor extended a lease.
+  std::int64_t m_workerStartedMs = 0;
 };
 
 enum class OrderOutcome {
@@ -64,6 +70,9 @@
 struct OrderReply {
   OrderOutcome m_outcome = OrderOutcome::Unknown;
   std::optional<Milliseconds> m_clock;
+  /// Start of the incarnation that replied, under the same id, if the outcome
+  /// is OtherIncarnation; zero if it is not known.
+  std::int64_t m_workerStartedMs = 0;
 };
 
 struct PollReply {
@@ -72,9 +81,9 @@
   WorkerSnapshot m_snapshot;
 };
 
-/// Sends orders to one incarnation of a worker. The callback is invoked exactly
-/// once, never from within the call; destroying the link drops callbacks that
-/// are still pending.
+/// Sends orders to a worker. Orders name the incarnation that they are for, as
+/// far as that matters. The callback is invoked exactly once, never from within
+/// the call; destroying the link drops callbacks that are still pending.
 class WorkerLink {
 public:
   virtual ~WorkerLink() = default;
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -335,7 +335,8 @@
         .m_payload =
             Task->m_step->m_occurrence->m_job->m_submission.m_spec.m_payload,
         .m_checkpoint = Task->m_checkpoint,
-        .m_expires = leaseExpiry(Worker)};
+        .m_expires = leaseExpiry(Worker),
+        .m_workerStartedMs = Worker.m_registration.m_startedMs};
     extendLeaseEnd(Worker, Order.m_expires);
     Starts.push_back(std::move(Order));
   }
@@ -514,9 +515,9 @@
     return;
   case OrderOutcome::StaleRun:
   case OrderOutcome::LeaseExpired:
-  case OrderOutcome::OtherIncarnation:
   case OrderOutcome::Fenced:
     break;
+  case OrderOutcome::OtherIncarnation:
   case OrderOutcome::InsufficientResources:
     Worker.m_backoffUntil = m_clock.now() + InsufficientResourcesBackoff;
     break;
@@ -529,6 +530,8 @@
   }
   if (Run->m_phase == RunPhase::Starting || Run->m_phase == RunPhase::Stopping)
     discardRun(*Task, Order.m_run, Duration::zero());
+  if (Reply.m_workerStartedMs > Worker.m_registration.m_startedMs)
+    beginIncarnation(Worker, Reply.m_workerStartedMs);
 }
 
 void Scheduler::onStop(const StopOrder &Order, const OrderReply &Reply) {
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -144,6 +144,8 @@
   // After a missed poll the worker may have restarted, and its numbers of ends
   // begin anew.
   Order.m_acknowledgedEnd = Worker.m_isReachable ? Worker.m_lastStoredEnd : 0;
+  if (Order.m_acknowledgedEnd > 0)
+    Order.m_workerStartedMs = Worker.m_registration.m_startedMs;
   // Runs of an unreachable worker are discarded once its leases have expired,
   // so no lease is granted until it answers.
   if (!Worker.m_isClockKnown || !Worker.m_hasAcceptedToken ||
@@ -156,6 +158,7 @@
     Order.m_maxWait = LeaseRetryInterval;
     return Order;
   }
+  Order.m_workerStartedMs = Worker.m_registration.m_startedMs;
   Order.m_expires = Expires;
   extendLeaseEnd(Worker, Expires);
   // Do not wait at the worker: unstored ends would make it reply at once, and a
