Bound the leases that misdirected orders may have granted

Cause: a start for a former incarnation that the next one accepts holds the longest lease that the worker grants, counted from its arrival. The owner counted from when it noticed the restart, while orders were still under way; a successor counted on the bound that the last owner had announced for all workers, and could not tell that the run was sent to another incarnation, as the record named the newest one. The longest lease was counted on the local clock, while the worker's may be 2% slow.

Change: the owner counts the longest lease from the end of the last order under way, names the worker with it in the lease record, and starts nothing there until that is durable. The progress keeps the incarnation to which a run was sent, and whether that has listed it; a successor that finds another one registered counts the longest lease from its takeover. Runs that were listed ended with their incarnation, so that lasting tasks of a lost worker are back as soon as before (lease_takeover_test, unchanged). Records of earlier versions are read; they read these.

--- a/catkinseam/ledger/records.h
+++ b/catkinseam/ledger/records.h
@@ -47,6 +47,9 @@
   RunNumber m_lastRun = 0;
   std::string m_checkpoint;
   std::vector<RunRecord> m_runs;
+  /// The recorded incarnations are known to have listed all runs. May be false
+  /// although they have.
+  bool m_areRunsListed = false;
 
   // Compact encoding, because a new owner reads the progress of all jobs.
   template <class Archive> void save(Archive &Target) const {
@@ -55,9 +58,11 @@
         !m_isDone &&
         std::any_of(m_runs.begin(), m_runs.end(),
                     [](const RunRecord &Run) { return Run.m_isBlamed; });
-    const std::uint8_t Flags =
-        (m_isDone ? DoneFlag : 0U) | (HasLosses ? LossesFlag : 0U) |
-        (m_wasSpared ? SparedFlag : 0U) | (HasBlamedRuns ? BlamedRunsFlag : 0U);
+    const std::uint8_t Flags = (m_isDone ? DoneFlag : 0U) |
+                               (HasLosses ? LossesFlag : 0U) |
+                               (m_wasSpared ? SparedFlag : 0U) |
+                               (HasBlamedRuns ? BlamedRunsFlag : 0U) |
+                               (m_areRunsListed ? ListedRunsFlag : 0U);
     Target(Flags);
     saveVarint(Target, m_failures);
     saveVarint(Target, m_lastRun);
@@ -80,6 +85,7 @@
     Source(Flags);
     m_isDone = (Flags & DoneFlag) != 0;
     m_wasSpared = (Flags & SparedFlag) != 0;
+    m_areRunsListed = (Flags & ListedRunsFlag) != 0;
     m_failures = static_cast<std::uint32_t>(loadVarint(Source));
     m_lastRun = static_cast<RunNumber>(loadVarint(Source));
     if (m_isDone)
@@ -104,6 +110,7 @@
   static constexpr std::uint8_t SparedFlag = 4;
   /// Each run is followed by whether it is blamed; without it, none is.
   static constexpr std::uint8_t BlamedRunsFlag = 8;
+  static constexpr std::uint8_t ListedRunsFlag = 16;
 };
 
 /// Progress of one step. A step without tasks has not started.
@@ -169,7 +176,8 @@
 /// its newest record of the kind. All times count from the moment at which its
 /// append began (docs/design/lease-bounds.md).
 struct LeaseRecord {
-  struct SilentWorker {
+  /// A worker, and by when the leases that it has are over.
+  struct NamedWorker {
     std::string m_worker;
     Milliseconds m_remaining{0};
 
@@ -196,9 +204,11 @@
   Milliseconds m_extensionDelay{0};
   /// By when the leases of the owners before it are over.
   Milliseconds m_earlierRemaining{0};
-  /// Workers to which the owner grants no lease under this record, and by when
-  /// the leases that they have are over.
-  std::vector<SilentWorker> m_silent;
+  /// Workers to which the owner grants no lease under this record.
+  std::vector<NamedWorker> m_silent;
+  /// Workers that may have leases beyond the other bounds, as orders for an
+  /// earlier incarnation may have reached them.
+  std::vector<NamedWorker> m_longer;
 
   template <class Archive> void save(Archive &Target) const {
     saveVarint(Target, m_epoch);
@@ -206,9 +216,11 @@
     for (const Milliseconds Each : {m_sincePrevious, m_term, m_extendedTerm,
                                     m_extensionDelay, m_earlierRemaining})
       saveVarint(Target, static_cast<std::uint64_t>(Each.count()));
-    saveVarint(Target, m_silent.size());
-    for (const SilentWorker &Each : m_silent)
-      Target(Each);
+    for (const std::vector<NamedWorker> *Each : {&m_silent, &m_longer}) {
+      saveVarint(Target, Each->size());
+      for (const NamedWorker &Worker : *Each)
+        Target(Worker);
+    }
   }
   template <class Archive> void load(Archive &Source) {
     m_epoch = loadVarint(Source);
@@ -218,6 +230,19 @@
       *Each = Milliseconds(loadVarint(Source));
     for (std::uint64_t Left = loadVarint(Source); Left > 0; --Left)
       Source(m_silent.emplace_back());
+    for (std::uint64_t Left = loadLongerCount(Source); Left > 0; --Left)
+      Source(m_longer.emplace_back());
+  }
+
+private:
+  /// Records of earlier versions end before the number.
+  template <class Archive>
+  static std::uint64_t loadLongerCount(Archive &Source) {
+    try {
+      return loadVarint(Source);
+    } catch (const cereal::Exception &) {
+      return 0;
+    }
   }
 };
 
--- a/catkinseam/node/node.cc
+++ b/catkinseam/node/node.cc
@@ -60,9 +60,9 @@
   Scheduling.m_lease = std::min(Scheduling.m_lease, LongestLease);
   // Safety margin of leases that an earlier owner granted.
   constexpr Milliseconds LeaseMargin{500};
-  Scheduling.m_previousOwnerLease = LongestLease + LeaseMargin;
+  Scheduling.m_previousOwnerLease = maxLocalLease(LongestLease) + LeaseMargin;
   Scheduling.m_takeoverLease =
-      LongestLease + Opts.m_owner.m_authorityTimeout + LeaseMargin;
+      Scheduling.m_previousOwnerLease + Opts.m_owner.m_authorityTimeout;
   // Customers may look up a job for m_jobRetention after its end. The margin of
   // 30 s only delays the deletion.
   Scheduling.m_jobRetention =
--- a/catkinseam/ownership/candidate.cc
+++ b/catkinseam/ownership/candidate.cc
@@ -278,7 +278,8 @@
   Values.m_earlierLeases = m_leases.earlierLeases();
   // There was no owner before.
   if (Epoch == 1)
-    Values.m_earlierLeases = EarlierLeases{m_host.now(), {}, {}};
+    Values.m_earlierLeases = EarlierLeases{
+        .m_end = m_host.now(), .m_extensions = {}, .m_silent = {}};
   m_owner = std::make_unique<Owner>(
       m_host, m_log, m_jobs, m_evacuations, m_makeLink, m_parseRegistration,
       Values, [this] { return isCurrent(); },
--- a/catkinseam/ownership/lease_history.cc
+++ b/catkinseam/ownership/lease_history.cc
@@ -82,8 +82,10 @@
   else if (Newest.m_number > 0)
     // A record that this node has not read; it was begun before the newest.
     Add(*m_newest, TimePoint());
-  for (const LeaseRecord::SilentWorker &Each : Newest.m_silent)
+  for (const LeaseRecord::NamedWorker &Each : Newest.m_silent)
     Earlier.m_silent[Each.m_worker] = BegunBy + Each.m_remaining;
+  for (const LeaseRecord::NamedWorker &Each : Newest.m_longer)
+    Earlier.m_longer[Each.m_worker] = BegunBy + Each.m_remaining;
   return Earlier;
 }
 
--- a/catkinseam/ownership/lease_history_test.cc
+++ b/catkinseam/ownership/lease_history_test.cc
@@ -167,11 +167,37 @@
   Given.m_extensionDelay = ExtensionDelay;
   Given.m_earlierRemaining = Milliseconds(123);
   Given.m_silent = {{"w1", Milliseconds(5)}, {"w2", Milliseconds(0)}};
+  Given.m_longer = {{"w3", Milliseconds(6500)}};
   const LeaseRecord Read =
       attempt([&] { return decode<LeaseRecord>(encode(Given)); }).value();
   BOOST_TEST(encode(Read) == encode(Given));
   BOOST_TEST(Read.m_silent.at(0).m_worker == "w1");
   BOOST_TEST(Read.m_earlierRemaining.count() == 123);
+  BOOST_TEST(Read.m_longer.at(0).m_worker == "w3");
+  BOOST_TEST(Read.m_longer.at(0).m_remaining.count() == 6500);
+}
+
+// They end before the workers with longer leases.
+BOOST_AUTO_TEST_CASE(RecordsOfEarlierVersionsAreDecoded) {
+  LeaseRecord Given;
+  Given.m_epoch = 7;
+  Given.m_silent = {{"w1", Milliseconds(5)}};
+  std::string Earlier = encode(Given);
+  Earlier.pop_back();
+  auto Read = attempt([&] { return decode<LeaseRecord>(Earlier); });
+  BOOST_REQUIRE(static_cast<bool>(Read));
+  BOOST_TEST(Read.value().m_silent.size() == 1U);
+  BOOST_TEST(Read.value().m_longer.empty());
+  BOOST_TEST(encode(Read.value()) == encode(Given));
+}
+
+BOOST_FIXTURE_TEST_CASE(LongerLeasesAreHandedOn, Fixture) {
+  follow();
+  LeaseRecord Next = record(1, 6);
+  Next.m_longer = {{"w3", Milliseconds(6500)}};
+  m_known.onRecord(Next, at(200), at(100));
+  checkNear(earlier().longerEndOn("w3"), at(200 + 6500));
+  BOOST_TEST((earlier().longerEndOn("w4") == TimePoint()));
 }
 
 } // namespace catkinseam
--- /dev/null
+++ b/catkinseam/ownership/misdirected_order_test.cc
@@ -0,0 +1,138 @@
+// Starts that reach the next incarnation of a worker, while owners change and
+// the worker is cut off. No task may run twice at a time, although the network
+// here delivers what a connection to one incarnation would not.
+#define BOOST_TEST_MODULE misdirected_order
+#include "catkinseam/ownership/testing/simulated_cluster.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <set>
+#include <string>
+
+namespace catkinseam {
+
+namespace {
+
+constexpr Milliseconds Second{1000};
+constexpr std::size_t Nodes = 3;
+constexpr std::size_t Workers = 8;
+/// Services occupy half of the workers, and are not disturbed.
+constexpr std::uint32_t Services = 16;
+/// How long an order is on its way.
+constexpr Milliseconds OrderDelay{5};
+
+/// Workers restart while starts are on their way to them, and are cut off.
+class RestartedWorkers {
+public:
+  explicit RestartedWorkers(std::uint64_t Seed)
+      : m_cluster({.m_seed = Seed, .m_nodes = Nodes, .m_workers = Workers}) {
+    for (std::size_t Index = 0; Index < Workers; ++Index) {
+      FakeWorker &Worker = m_cluster.worker(Index);
+      Worker.m_runTime = 20 * Second;
+      Worker.m_network.m_delay = OrderDelay;
+    }
+    m_cluster.run(2 * Second);
+    m_cluster.submit(serviceJob(jobId(9), Services));
+    m_cluster.run(3 * Second);
+    for (const RecordedRun &Each : m_cluster.m_history.m_runs)
+      m_serving.insert(indexOf(Each));
+    BOOST_REQUIRE(m_serving.size() == Workers / 2);
+    for (std::uint64_t Number = 1; Number <= 2; ++Number)
+      m_cluster.submit(batchJob(jobId(Number), 4));
+  }
+
+  void restartWorkers() {
+    m_restartedAt = m_cluster.now();
+    for (std::size_t Index = 0; Index < Workers; ++Index) {
+      if (m_serving.contains(Index))
+        continue;
+      m_cluster.worker(Index).crash();
+      m_cluster.registerWorker(Index);
+    }
+  }
+
+  /// Cuts off the workers that run something else than services; the others
+  /// have room for it.
+  void cutOffBusyWorkers() {
+    for (const RecordedRun &Each : m_cluster.m_history.m_runs)
+      if (!m_serving.contains(indexOf(Each)) &&
+          Each.m_endedAt == TimePoint::max())
+        m_cluster.worker(indexOf(Each)).m_network.m_isPartitioned = true;
+  }
+
+  void killOwner() {
+    for (std::size_t Index = 0; Index < Nodes; ++Index)
+      if (m_cluster.node(Index).isOwner())
+        m_cluster.node(Index).kill();
+  }
+
+  /// Number of runs that began after the restart and were sent before.
+  std::size_t misdirectedRuns() const {
+    const auto &Runs = m_cluster.m_history.m_runs;
+    return static_cast<std::size_t>(
+        std::count_if(Runs.begin(), Runs.end(), [this](const RecordedRun &Run) {
+          return Run.m_startedAt >= m_restartedAt &&
+                 Run.m_startedAt - m_restartedAt <= OrderDelay;
+        }));
+  }
+
+  SimulatedCluster m_cluster;
+
+private:
+  static std::size_t indexOf(const RecordedRun &Run) {
+    return std::stoul(Run.m_worker.substr(1));
+  }
+
+  TimePoint m_restartedAt;
+  /// Workers with services.
+  std::set<std::size_t> m_serving;
+};
+
+} // namespace
+
+// Guards against tasks that run twice: the successor waited for the leases that
+// the last owner had announced, while the new incarnation had granted a
+// misdirected start the longest lease that it grants at all. `Noticed`: the
+// owner had learned of the restart.
+BOOST_AUTO_TEST_CASE(TakeoverAfterMisdirectedStarts) {
+  std::size_t Misdirected = 0;
+  for (const Milliseconds Noticed :
+       {Milliseconds(10), Milliseconds(200), Milliseconds(500)})
+    for (int Offset = 0; Offset <= 40; ++Offset) {
+      RestartedWorkers Case(1);
+      Case.m_cluster.run(Milliseconds(Offset));
+      Case.restartWorkers();
+      Case.m_cluster.run(Noticed);
+      Misdirected += Case.misdirectedRuns();
+      Case.cutOffBusyWorkers();
+      Case.killOwner();
+      Case.m_cluster.run(30 * Second);
+      BOOST_TEST_CONTEXT("restarted " << Offset << " ms after the submission, "
+                                      << Noticed.count()
+                                      << " ms before the takeover") {
+        BOOST_TEST(Case.m_cluster.violations().empty());
+      }
+    }
+  BOOST_TEST(Misdirected > 0U);
+}
+
+// The same without a takeover.
+BOOST_AUTO_TEST_CASE(OwnerAfterMisdirectedStarts) {
+  std::size_t Misdirected = 0;
+  for (const Milliseconds Noticed : {Milliseconds(10), Milliseconds(200)})
+    for (int Offset = 0; Offset <= 40; ++Offset) {
+      RestartedWorkers Case(1);
+      Case.m_cluster.run(Milliseconds(Offset));
+      Case.restartWorkers();
+      Case.m_cluster.run(Noticed);
+      Misdirected += Case.misdirectedRuns();
+      Case.cutOffBusyWorkers();
+      Case.m_cluster.run(30 * Second);
+      BOOST_TEST_CONTEXT("restarted " << Offset << " ms after the submission")
+      BOOST_TEST(Case.m_cluster.violations().empty());
+    }
+  BOOST_TEST(Misdirected > 0U);
+}
+
+} // namespace catkinseam
--- a/catkinseam/scheduler/leases.cc
+++ b/catkinseam/scheduler/leases.cc
@@ -1,8 +1,15 @@
 // Leases granted under the stored lease records.
 #include "catkinseam/scheduler/leases.h"
 
+#include <cmath>
+
 namespace catkinseam {
 
+Milliseconds maxLocalLease(Milliseconds Lease) {
+  return Milliseconds(static_cast<std::int64_t>(
+      std::ceil(static_cast<double>(Lease.count()) / MinClockRate)));
+}
+
 LeaseRecord GrantedLeases::announce(TimePoint Now) {
   LeaseRecord Next;
   if (m_announcements > 0)
--- a/catkinseam/scheduler/leases.h
+++ b/catkinseam/scheduler/leases.h
@@ -19,7 +19,15 @@
 
 namespace catkinseam {
 
-/// By when all leases granted by earlier owners are over.
+/// Minimum rate of a worker's clock relative to the local clock.
+constexpr double MinClockRate = 0.98;
+
+/// How long a lease of this length on a worker's clock may last on the local
+/// clock.
+Milliseconds maxLocalLease(Milliseconds Lease);
+
+/// By when all leases granted by earlier owners are over, but for those on the
+/// workers in m_longer.
 struct EarlierLeases {
   /// An extension by the last owner that is not ruled out.
   struct Extension {
@@ -33,6 +41,8 @@
   std::vector<Extension> m_extensions;
   /// Workers to which the last owner has granted nothing of late.
   std::unordered_map<std::string, TimePoint> m_silent;
+  /// Workers on which they may last longer than on others.
+  std::unordered_map<std::string, TimePoint> m_longer{};
 
   /// By when they are over on workers that are not in m_silent.
   TimePoint latestEnd() const {
@@ -52,6 +62,12 @@
     std::erase_if(m_extensions,
                   [Now](const Extension &Each) { return Each.m_from > Now; });
   }
+
+  /// By when those are over that exceed endOn(); the clock's epoch for none.
+  TimePoint longerEndOn(const std::string &Worker) const {
+    const auto Found = m_longer.find(Worker);
+    return Found == m_longer.end() ? TimePoint() : Found->second;
+  }
 };
 
 /// What an owner may grant under the lease records that it has stored.
@@ -66,8 +82,8 @@
 
   explicit GrantedLeases(const Options &Values) : m_options(Values) {}
 
-  /// Returns the record to be appended now. Its silent workers and the rest of
-  /// the earlier leases are left to the caller.
+  /// Returns the record to be appended now. The workers that it names and the
+  /// rest of the earlier leases are left to the caller.
   LeaseRecord announce(TimePoint Now);
 
   /// Reports that the announced record is durable.
--- a/catkinseam/scheduler/placement.cc
+++ b/catkinseam/scheduler/placement.cc
@@ -155,9 +155,10 @@
 bool isAvailable(const WorkerInfo &Worker, TimePoint Now) {
   return Worker.m_isListed && Worker.m_hasAcceptedToken &&
          Worker.m_isReachable && !Worker.m_isNamed && !Worker.m_isNamedNext &&
-         !Worker.m_registration.m_isDraining && !Worker.m_isEvacuated &&
-         Worker.m_isClockKnown && !Worker.m_hasRunOfUnknownSize &&
-         Worker.m_backoffUntil <= Now && Worker.m_quarantinedUntil <= Now;
+         !Worker.m_needsLeaseRecord && !Worker.m_registration.m_isDraining &&
+         !Worker.m_isEvacuated && Worker.m_isClockKnown &&
+         !Worker.m_hasRunOfUnknownSize && Worker.m_backoffUntil <= Now &&
+         Worker.m_quarantinedUntil <= Now;
 }
 
 bool hasRequiredLabel(const StepSpec &Spec, const WorkerInfo &Worker) {
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -486,11 +486,13 @@
 void Scheduler::onStart(const StartOrder &Order, const OrderReply &Reply) {
   WorkerInfo &Worker = workerRow(Order.m_worker);
   onOrderReply(Worker, Reply);
+  onOrderEnded(Worker, Order.m_workerStartedMs, Reply.m_outcome);
   if (Reply.m_outcome != OrderOutcome::Done)
     logInfo("run.not_started",
             {{"task", toString(Order.m_task)},
              {"run", std::to_string(Order.m_run)},
              {"worker", Order.m_worker},
+             {"born", std::to_string(Order.m_workerStartedMs)},
              {"outcome", orderOutcomeName(Reply.m_outcome)}});
   TaskInfo *Task = findTask(Order.m_task);
   RunInfo *Run = Task ? findRun(*Task, Order.m_run) : nullptr;
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -353,6 +353,14 @@
   void onOrderReply(WorkerInfo &Worker, const OrderReply &Reply);
   void updateClock(WorkerInfo &Worker, Milliseconds Clock);
   void extendLeaseEnd(WorkerInfo &Worker, Milliseconds Expires);
+  /// Accounts for an order for an earlier incarnation that may reach the
+  /// worker's present one until now. That one grants it the longest lease, as
+  /// the earlier one's clock was ahead.
+  void extendLeaseForMisdirected(WorkerInfo &Worker);
+  /// An order for the incarnation that started at `WorkerStartedMs` (zero for
+  /// any) was answered, or can arrive no more.
+  void onOrderEnded(WorkerInfo &Worker, std::int64_t WorkerStartedMs,
+                    OrderOutcome Outcome);
   Milliseconds leaseExpiry(const WorkerInfo &Worker) const;
   /// Whether leases may be granted for long enough to start a run.
   bool mayStartRuns() const;
@@ -374,6 +382,8 @@
                    const WorkerSnapshot &Status);
   void applyActiveRuns(WorkerInfo &Worker, TimePoint SentAt,
                        const WorkerSnapshot &Status);
+  /// Called when the worker's present incarnation lists the run.
+  void noteListing(TaskInfo &Task, RunInfo &Run);
   void stopUnknownRun(WorkerInfo &Worker, const ActiveRun &Active);
   /// Reserves what an unknown run holds until the worker no longer lists it.
   void reserveForUnknownRun(WorkerInfo &Worker, const TaskKey &Task) const;
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -241,8 +241,12 @@
       countRestart(Task, Each);
     if (Worker.m_registration.m_startedMs < Each.m_workerStartedMs)
       expectRegistration(Worker, Each.m_workerStartedMs);
-    addRun(Task, Each.m_run, Worker, RunPhase::Adopted).m_isBlamed =
-        HasRestarted || Each.m_isBlamed;
+    RunInfo &Run = addRun(Task, Each.m_run, Worker, RunPhase::Adopted);
+    Run.m_workerStartedMs = Each.m_workerStartedMs;
+    Run.m_wasListed = Recorded.m_areRunsListed;
+    Run.m_isBlamed = HasRestarted || Each.m_isBlamed;
+    if (HasRestarted && !Run.m_wasListed)
+      extendLeaseForMisdirected(Worker);
   }
   Task.m_isGivenUp = isLossLimitReached(Task, true);
   if (Task.m_runs.empty())
@@ -377,6 +381,7 @@
   Run.m_number = Number;
   Run.m_phase = Phase;
   Run.m_worker = &Worker;
+  Run.m_workerStartedMs = Worker.m_registration.m_startedMs;
   Run.m_since = m_clock.now();
   Run.m_progressedAt = m_clock.now();
   Run.m_isOnTrial = isSuspect(Task);
@@ -606,10 +611,12 @@
         if (Task.m_isDone)
           continue;
         To.m_checkpoint = Task.m_checkpoint;
+        To.m_areRunsListed =
+            std::all_of(Task.m_runs.begin(), Task.m_runs.end(),
+                        [](const RunInfo &Run) { return Run.m_wasListed; });
         for (const RunInfo &Run : Task.m_runs)
           To.m_runs.push_back({Run.m_number, Run.m_worker->m_registration.m_id,
-                               Run.m_worker->m_registration.m_startedMs,
-                               Run.m_isBlamed});
+                               Run.m_workerStartedMs, Run.m_isBlamed});
       }
     }
   }
--- a/catkinseam/scheduler/scheduler_leases.cc
+++ b/catkinseam/scheduler/scheduler_leases.cc
@@ -10,8 +10,6 @@
 
 namespace {
 
-/// Minimum rate of a worker's clock relative to the local clock.
-constexpr double MinClockRate = 0.98;
 /// Safety margin added to the calculated end of a lease.
 constexpr Milliseconds LeaseMargin{300};
 
@@ -23,12 +21,31 @@
 } // namespace
 
 void Scheduler::extendLeaseEnd(WorkerInfo &Worker, Milliseconds Expires) {
-  const double Left = static_cast<double>((Expires - Worker.m_clock).count());
-  const Milliseconds LocalLease(static_cast<std::int64_t>(Left / MinClockRate));
+  const Milliseconds LocalLease = maxLocalLease(Expires - Worker.m_clock);
   Worker.m_leaseEnd = std::max<TimePoint>(
       Worker.m_leaseEnd, Worker.m_clockReadAt + LocalLease + LeaseMargin);
 }
 
+void Scheduler::extendLeaseForMisdirected(WorkerInfo &Worker) {
+  Worker.m_misdirectedLeaseEnd = m_clock.now() + m_options.m_previousOwnerLease;
+  logInfo("worker.longer_lease",
+          {{"worker", Worker.m_registration.m_id},
+           {"born", std::to_string(Worker.m_registration.m_startedMs)},
+           {"end_ms", std::to_string(m_options.m_previousOwnerLease.count())}});
+  Worker.m_needsLeaseRecord = m_options.m_announcesLeases;
+  Worker.m_isInNextLeaseRecord = false;
+}
+
+void Scheduler::onOrderEnded(WorkerInfo &Worker, std::int64_t WorkerStartedMs,
+                             OrderOutcome Outcome) {
+  const bool IsForEarlier = WorkerStartedMs != 0 &&
+                            WorkerStartedMs < Worker.m_registration.m_startedMs;
+  const bool MayHaveArrived = Outcome != OrderOutcome::NotSent &&
+                              Outcome != OrderOutcome::OtherIncarnation;
+  if (IsForEarlier && MayHaveArrived)
+    extendLeaseForMisdirected(Worker);
+}
+
 Milliseconds Scheduler::leaseExpiry(const WorkerInfo &Worker) const {
   const Milliseconds Since =
       toMilliseconds(m_clock.now() - Worker.m_clockReadAt);
@@ -142,20 +159,35 @@
                       : m_runsRestoredAt + m_options.m_takeoverLease;
   Next.m_earlierRemaining = remaining(EarlierEnd, Now);
   for (const auto &[Id, Worker] : m_workers) {
+    Worker->m_isInNextLeaseRecord = Worker->m_needsLeaseRecord;
+    const Milliseconds Remaining = remaining(Worker->latestLeaseEnd(), Now);
     Worker->m_isNamedNext =
         !Worker->m_runs.empty() && !Worker->m_isReachable &&
         silence(*Worker) >= m_options.m_silenceBeforeNaming &&
         Next.m_silent.size() < m_options.m_maxNamedWorkers;
-    if (Worker->m_isNamedNext)
-      Next.m_silent.push_back({Id, remaining(Worker->m_leaseEnd, Now)});
+    if (Worker->m_isNamedNext) {
+      Next.m_silent.push_back({Id, Remaining});
+      continue;
+    }
+    // Leases by misdirected orders may exceed what this record announces.
+    if (Worker->m_misdirectedLeaseEnd <= Now ||
+        Remaining <= std::max(Next.m_term, Next.m_earlierRemaining))
+      continue;
+    if (Next.m_longer.size() < m_options.m_maxNamedWorkers)
+      Next.m_longer.push_back({Id, Remaining});
+    else
+      Next.m_earlierRemaining = Remaining;
   }
   return Next;
 }
 
 void Scheduler::onLeasesStored() {
   m_grantedLeases.onStored(m_clock.now());
-  for (const auto &[Id, Worker] : m_workers)
+  for (const auto &[Id, Worker] : m_workers) {
     Worker->m_isNamed = Worker->m_isNamedNext;
+    if (Worker->m_isInNextLeaseRecord)
+      Worker->m_needsLeaseRecord = false;
+  }
 }
 
 bool Scheduler::needsLeaseRecord() const {
--- a/catkinseam/scheduler/scheduler_losses.cc
+++ b/catkinseam/scheduler/scheduler_losses.cc
@@ -32,7 +32,7 @@
   std::vector<std::string> Gone;
   for (const auto &[Id, Worker] : m_workers) {
     if (!Worker->m_runs.empty() && !Worker->m_isReachable &&
-        Worker->m_leaseEnd <= Now)
+        Worker->latestLeaseEnd() <= Now)
       loseRunsOf(*Worker, Loss::Unknown, "lease_over");
     // A run whose removal is not stored yet counts for the next owner.
     if (!Worker->m_isListed && Worker->m_runs.empty() &&
@@ -86,7 +86,7 @@
 }
 
 bool Scheduler::mayReachNextIncarnation(const RunInfo &Run) {
-  return Run.m_phase != RunPhase::Recording && !Run.m_isListed;
+  return Run.m_phase != RunPhase::Recording && !Run.m_wasListed;
 }
 
 void Scheduler::doubtStart(RunInfo &Run) {
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -30,6 +30,8 @@
     Row->m_leaseEnd = m_earlierLeases
                           ? m_earlierLeases->endOn(Id)
                           : m_clock.now() + m_options.m_takeoverLease;
+    if (m_earlierLeases)
+      Row->m_misdirectedLeaseEnd = m_earlierLeases->longerEndOn(Id);
     Row->m_isLeaseEarlier =
         m_earlierLeases && !m_earlierLeases->m_silent.contains(Id);
   }
@@ -93,12 +95,14 @@
     logInfo("worker.new_life", {{"worker", Worker.m_registration.m_id},
                                 {"born", std::to_string(StartedMs)}});
     loseRunsOf(Worker, Loss::Restart, "new_life");
+    // What the earlier incarnation ran has ended with it. Runs that are left
+    // may be in the new one.
     Worker.m_isLeaseEarlier = false;
     Worker.m_leaseEnd = m_clock.now();
-    // The earlier incarnation's clock was ahead, so a late start may be given
-    // the longest lease.
+    Worker.m_misdirectedLeaseEnd = TimePoint();
+    Worker.m_needsLeaseRecord = false;
     if (!Worker.m_runs.empty())
-      Worker.m_leaseEnd += m_options.m_previousOwnerLease;
+      extendLeaseForMisdirected(Worker);
   }
   releaseUnknownRuns(Worker);
   expectRegistration(Worker, StartedMs);
@@ -213,6 +217,7 @@
 void Scheduler::onPoll(const PollOrder &Order, TimePoint SentAt,
                        const PollReply &Reply) {
   WorkerInfo &Worker = workerRow(Order.m_worker);
+  onOrderEnded(Worker, Order.m_workerStartedMs, Reply.m_outcome);
   if (Reply.m_outcome != OrderOutcome::Done) {
     ++Worker.m_missedPolls;
     if (Worker.m_isReachable && Worker.m_missedPolls >= MissedPollLimit) {
@@ -234,6 +239,8 @@
         Worker.m_hasAcceptedToken) {
       loseRunsOf(Worker, Loss::Replacement, "replaced");
       Worker.m_leaseEnd = m_clock.now();
+      Worker.m_misdirectedLeaseEnd = TimePoint();
+      Worker.m_needsLeaseRecord = false;
     }
     return;
   }
@@ -307,6 +314,7 @@
     }
     Run->m_isStartInDoubt = false;
     Run->m_isListed = true;
+    noteListing(*Task, *Run);
     if (std::exchange(Run->m_isBlamed, false))
       markDirty(*Task->m_step->m_occurrence->m_job);
     if (hasSurvivedTrial(*Run))
@@ -349,6 +357,23 @@
   }
 }
 
+void Scheduler::noteListing(TaskInfo &Task, RunInfo &Run) {
+  const std::int64_t StartedMs = Run.m_worker->m_registration.m_startedMs;
+  const bool IsMisdirected = Run.m_workerStartedMs != StartedMs;
+  if (Run.m_wasListed && !IsMisdirected)
+    return;
+  // Its lease may be longer than others. A successor that finds the earlier
+  // incarnation in the record waits for that.
+  if (IsMisdirected && m_clock.now() < Run.m_worker->m_misdirectedLeaseEnd)
+    return;
+  Run.m_workerStartedMs = StartedMs;
+  Run.m_wasListed = true;
+  // A successor that does not know it waits longer if the worker restarts and
+  // is lost, which matters for tasks that last.
+  if (IsMisdirected || Task.m_step->m_spec->m_isService)
+    markDirty(*Task.m_step->m_occurrence->m_job);
+}
+
 void Scheduler::stopUnknownRun(WorkerInfo &Worker, const ActiveRun &Active) {
   const std::string Name = toString(Active.m_task) + "#" +
                            std::to_string(Active.m_run) + "@" +
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -9,6 +9,7 @@
 #include "catkinseam/scheduler/model.h"
 #include "catkinseam/scheduler/periodic_load.h"
 
+#include <algorithm>
 #include <deque>
 #include <memory>
 #include <set>
@@ -39,10 +40,17 @@
   RunNumber m_number = 0;
   RunPhase m_phase = RunPhase::Recording;
   WorkerInfo *m_worker = nullptr;
+  /// Start of the worker's incarnation to which the run was sent, or that has
+  /// listed it since. The run may be in a later one that it has reached by
+  /// mistake, as orders name a worker by its id. Stored.
+  std::int64_t m_workerStartedMs = 0;
+  /// That incarnation has listed the run, to this owner or an earlier one, so
+  /// that the run ends with it. Stored.
+  bool m_wasListed = false;
   TimePoint m_since;
   /// When the worker first listed the run or confirmed its start.
   TimePoint m_confirmedAt;
-  /// The worker's current incarnation has listed the run.
+  /// The worker's current incarnation has listed the run to this owner.
   bool m_isListed = false;
   /// While starting: no reply to the start arrived, as of m_startDoubtedAt.
   bool m_isStartInDoubt = false;
@@ -264,6 +272,13 @@
   /// Local time by which all leases on the worker have expired, if none is
   /// granted anew.
   TimePoint m_leaseEnd;
+  /// The same for leases that the worker's present incarnation may have been
+  /// granted by orders for an earlier one.
+  TimePoint m_misdirectedLeaseEnd;
+  /// No durable lease record accounts for m_misdirectedLeaseEnd yet; the one
+  /// that was announced last does. No run is started until one is durable.
+  bool m_needsLeaseRecord = false;
+  bool m_isInNextLeaseRecord = false;
   /// m_leaseEnd is the general bound on the leases of earlier owners.
   bool m_isLeaseEarlier = false;
   /// The worker had recorded runs when this owner took over.
@@ -327,6 +342,12 @@
   /// No run is started before this time because the worker rejected a start.
   TimePoint m_backoffUntil;
 
+  /// Local time by which nothing runs on the worker any more, if no lease is
+  /// granted anew.
+  TimePoint latestLeaseEnd() const {
+    return std::max(m_leaseEnd, m_misdirectedLeaseEnd);
+  }
+
   /// Thousandths of a processor left by ordinary tasks and by services that use
   /// `ServiceUse` thousandths.
   double freeMilliProcessors(double ServiceUse) const {
--- a/catkinseam/scheduler/testing/scheduler_fixture.h
+++ b/catkinseam/scheduler/testing/scheduler_fixture.h
@@ -72,6 +72,16 @@
     return Starts.size();
   }
 
+  /// Sends the stops that are due; the workers acknowledge them. Returns their
+  /// number.
+  std::size_t sendStops() {
+    const ImmediateOrders Orders = m_scheduler.control();
+    for (const StopOrder &Each : Orders.m_stops)
+      m_scheduler.onStop(Each, {OrderOutcome::Done, std::nullopt});
+    m_clock.advance(Milliseconds(10));
+    return Orders.m_stops.size();
+  }
+
   void endRun(const std::string &Name, StartOrder Run, RunEnd How) {
     std::vector<ActiveRun> Active;
     for (const StartOrder &Each : m_sentStarts[Name])
