Bar unlisted runs of earlier owners by a stop

That does not hold where workers do not check tokens: a start that is carried out late begins a run while the task runs elsewhere.

Change: such a run is stopped, as a start in doubt is, and counts as over once the stop is acknowledged and a later poll does not list it. Polls do not wait longer than 50 ms meanwhile.

Tests changed: RecordedRunMayBeInNextIncarnation, JobWithoutRunsIsShownAsQueued, SuccessorGivesUpTaskOfRestartedWorker and RecordedIncarnationIsNotUsedBeforeItsRegistration asked for the task to be free right after the successor's first poll, which is the fault. They now ask that it is not before the stop is acknowledged, and is right after.

--- a/catkinseam/ownership/misdirected_order_test.cc
+++ b/catkinseam/ownership/misdirected_order_test.cc
@@ -135,4 +135,31 @@
   BOOST_TEST(Misdirected > 0U);
 }
 
+// Guards against tasks that run twice where workers do not check tokens: the
+// start of an earlier owner was carried out after its successor had polled the
+// worker.
+BOOST_AUTO_TEST_CASE(LateStartsOfEarlierOwnersWithoutTokens) {
+  for (std::uint64_t Seed = 1; Seed <= 40; ++Seed) {
+    SimulatedCluster Cluster(
+        {.m_seed = Seed, .m_nodes = Nodes, .m_workers = Workers / 2});
+    for (std::size_t Index = 0; Index < Workers / 2; ++Index) {
+      Cluster.worker(Index).m_checksTokens = false;
+      Cluster.worker(Index).m_runTime = 6 * Second;
+    }
+    Cluster.run(2 * Second);
+    for (std::size_t Index = 0; Index < Workers / 2; ++Index)
+      Cluster.worker(Index).m_network.m_delayedRate = 0.4;
+    for (std::uint64_t Number = 1; Number <= 3; ++Number)
+      Cluster.submit(batchJob(jobId(Number), 4));
+    Cluster.run(Milliseconds(20 + 10 * Seed));
+    if (FakeNode *Owner = Cluster.owner())
+      Owner->kill();
+    for (std::size_t Index = 0; Index < Workers / 2; ++Index)
+      Cluster.worker(Index).m_network.m_delayedRate = 0.0;
+    Cluster.run(30 * Second);
+    BOOST_TEST_CONTEXT("seed " << Seed)
+    BOOST_TEST(Cluster.violations().empty());
+  }
+}
+
 } // namespace catkinseam
--- a/catkinseam/ownership/testing/fake_worker.cc
+++ b/catkinseam/ownership/testing/fake_worker.cc
@@ -191,9 +191,9 @@
 }
 
 bool FakeWorker::checkToken(std::uint64_t Token) {
-  if (Token < m_fence)
+  if (m_checksTokens && Token < m_fence)
     return false;
-  m_fence = Token;
+  m_fence = std::max(m_fence, Token);
   return true;
 }
 
--- a/catkinseam/ownership/testing/fake_worker.h
+++ b/catkinseam/ownership/testing/fake_worker.h
@@ -66,6 +66,8 @@
   /// How long a run goes on after its stop was acknowledged.
   Milliseconds m_stopTime{0};
   Network m_network;
+  /// Whether orders with a lower token than an earlier one are rejected.
+  bool m_checksTokens = true;
   std::string m_dataCentre;
   /// How long the worker registers that it is slow after its start.
   Milliseconds m_coldFor{0};
--- a/catkinseam/scheduler/capacity_test.cc
+++ b/catkinseam/scheduler/capacity_test.cc
@@ -273,6 +273,10 @@
   m_scheduler.addJob(makeJob(Id, 4), nullptr);
   answerPollOfIncarnation("w1", 2);
   BOOST_TEST(scheduleOnce() == 0U);
+  // The recorded run is barred there.
+  BOOST_TEST(sendStops() == 1U);
+  answerPollOfIncarnation("w1", 2);
+  BOOST_TEST(scheduleOnce() == 0U);
   registerIncarnation("w1", 2, {1000, 8000, 0});
   BOOST_TEST(scheduleOnce() == 1U);
 }
--- a/catkinseam/scheduler/crash_suspects_test.cc
+++ b/catkinseam/scheduler/crash_suspects_test.cc
@@ -771,12 +771,12 @@
   m_scheduler.updateWorker(Restarted);
   m_scheduler.addJob(makeJob(One, 1), &Stored);
   BOOST_TEST(start().empty());
-  // Until the worker answers, its next incarnation may carry the run out.
-  PollReply Reply;
-  Reply.m_outcome = OrderOutcome::Done;
-  Reply.m_snapshot.m_startedMs = 2;
-  Reply.m_snapshot.m_clock = Milliseconds(1000);
-  m_scheduler.onPoll(*m_scheduler.nextPoll("w1"), m_clock.now(), Reply);
+  // Until the worker has acknowledged a stop, its next incarnation may carry
+  // the run out.
+  answerPollAs("w1", 2, {});
+  BOOST_TEST(sendStops() == 1U);
+  BOOST_TEST(start().empty());
+  answerPollAs("w1", 2, {});
   BOOST_TEST(start().empty());
   BOOST_TEST((stateOf(One) == JobState::Failed));
   BOOST_TEST(m_scheduler.liveJobs() == 0U);
--- a/catkinseam/scheduler/run_end_test.cc
+++ b/catkinseam/scheduler/run_end_test.cc
@@ -157,6 +157,8 @@
   Later.addWorker("w1", {0, 0, 0});
   Later.m_scheduler.addJob(makeJob(Id, 2), &Planned.m_progress[0].second);
   Later.answerPoll("w1", {}, {});
+  BOOST_TEST(Later.sendStops() == 2U);
+  Later.answerPoll("w1", {}, {});
   const Decisions Taken = Later.m_scheduler.decide();
   BOOST_REQUIRE(Taken.m_progress.size() == 1U);
   BOOST_TEST((Taken.m_progress[0].second.m_state == JobState::Queued));
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -345,6 +345,8 @@
   /// one may differ in capacity, labels and service.
   static void expectRegistration(WorkerInfo &Worker, std::int64_t StartedMs);
   static bool hasStartInDoubt(const WorkerInfo &Worker);
+  /// Whether a run that the worker does not list is being stopped.
+  static bool hasUnlistedStop(const WorkerInfo &Worker);
   /// How long the next status poll may wait at a worker that is reserved for a
   /// trial, or has one: until a sign of life permits the trial, or ends it.
   Milliseconds trialPollWait(const WorkerInfo &Worker) const;
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -172,6 +172,11 @@
     return Order;
   Order.m_maxWait = Worker.m_services > 0 ? m_options.m_servicePollWait
                                           : m_options.m_pollWait;
+  // A stop that bars an unlisted run is answered soon, and the poll after that
+  // resolves the run.
+  constexpr Milliseconds StopReplyWait{50};
+  if (hasUnlistedStop(Worker))
+    Order.m_maxWait = std::min(Order.m_maxWait, StopReplyWait);
   // The replies decide on the extension of leases.
   if (isExtensionNear())
     Order.m_maxWait = std::min(Order.m_maxWait, m_options.m_outagePollWait);
@@ -206,6 +211,14 @@
       });
 }
 
+bool Scheduler::hasUnlistedStop(const WorkerInfo &Worker) {
+  return std::any_of(
+      Worker.m_runs.begin(), Worker.m_runs.end(), [](const RunRef &Each) {
+        const RunInfo *Run = findReferencedRun(Each);
+        return Run && Run->m_phase == RunPhase::Stopping && !Run->m_isListed;
+      });
+}
+
 std::vector<std::string> Scheduler::workersToPoll() const {
   std::vector<std::string> Ids;
   for (const auto &[Id, Worker] : m_workers)
@@ -335,15 +348,14 @@
     RunInfo *Run = findRun(*Each.m_task, Each.m_run);
     if (!Run)
       continue;
-    // The start may still arrive; a stop prevents it.
-    if (Run->m_isStartInDoubt && Run->m_startDoubtedAt <= SentAt) {
+    // The start may still arrive, also that of an earlier owner: not every
+    // worker checks tokens. A stop prevents it.
+    if (Run->m_phase == RunPhase::Adopted ||
+        (Run->m_isStartInDoubt && Run->m_startDoubtedAt <= SentAt)) {
       requestStop(*Each.m_task, *Run);
       continue;
     }
-    // The worker rejects starts of an earlier owner once it has seen this
-    // owner's token, and starts of this run after an acknowledged stop.
     const bool IsOver =
-        Run->m_phase == RunPhase::Adopted ||
         (Run->m_phase == RunPhase::Stopping && Run->m_isStopAnswered &&
          Run->m_stopAnsweredAt <= SentAt) ||
         (Run->m_phase == RunPhase::Running && Run->m_confirmedAt <= SentAt);
--- a/catkinseam/scheduler/worker_restart_test.cc
+++ b/catkinseam/scheduler/worker_restart_test.cc
@@ -166,7 +166,8 @@
 }
 
 // Across a change of owner: the earlier owner's start may have reached the next
-// incarnation, until that has seen the new owner's token.
+// incarnation, or may still reach it, as not every worker checks tokens. It is
+// barred by a stop.
 BOOST_FIXTURE_TEST_CASE(RecordedRunMayBeInNextIncarnation, Fixture) {
   registerRestart("w1");
   addWorker("w2", {1000, 8000, 0});
@@ -174,6 +175,9 @@
   m_scheduler.addJob(makeJob(Id, 1), &Recorded);
   BOOST_TEST(scheduleOnce() == 0U);
   answerAfterRestart("w1", {});
+  BOOST_TEST(scheduleOnce() == 0U);
+  BOOST_TEST(sendStops() == 1U);
+  answerAfterRestart("w1", {});
   BOOST_TEST(scheduleOnce() == 1U);
 }
 
