Let the stand-in's workers lose power and start again under their ids

The stand-in closed a crashed worker's connections, so that the owner noticed at once. dark_worker keeps them open and silent, and closes them at the next start or lets them lead to the next incarnation; orders_late with across lets the next incarnation carry out what was sent to the former one.

--- a/catkinseam/ownership/testing/fake_worker.cc
+++ b/catkinseam/ownership/testing/fake_worker.cc
@@ -123,9 +123,8 @@
                    SentTo = m_worker.m_startedMs] {
                     if (!*IsWorkerAlive)
                       return;
-                    // The worker itself delays orders, and forgets them when it
-                    // crashes.
-                    if (IsDelayed && Worker->m_startedMs != SentTo)
+                    if (IsDelayed && Worker->m_startedMs != SentTo &&
+                        !Worker->m_network.m_delaysAcrossRestarts)
                       return;
                     Reply Sent{};
                     if (Worker->id() == Id)
--- a/catkinseam/ownership/testing/fake_worker.h
+++ b/catkinseam/ownership/testing/fake_worker.h
@@ -38,6 +38,9 @@
     double m_lostReplyRate = 0.0;
     /// Probability that an order is executed 2 to 8 s later and its reply lost.
     double m_delayedRate = 0.0;
+    /// Whether the next incarnation under the same id executes such an order;
+    /// otherwise it is forgotten in a crash.
+    bool m_delaysAcrossRestarts = false;
   };
 
   FakeWorker(Runtime &Host, std::mt19937_64 &Random, RunHistory &History,
--- a/standin/fault_injection.cc
+++ b/standin/fault_injection.cc
@@ -47,6 +47,19 @@
   });
 }
 
+Result<Fault> darkWorker(const JsonValue &Body) {
+  BOOST_LEAF_AUTO(DownTime, time(Body, "down_ms"));
+  BOOST_LEAF_AUTO(How, stringMember(Body, "how"));
+  PlatformWorker::DarkKind Kind = PlatformWorker::DarkKind::Reset;
+  if (How == "keep")
+    Kind = PlatformWorker::DarkKind::Keep;
+  else if (!How.empty() && How != "reset")
+    return unknown("how");
+  return workerFault(Body, "dark_worker", [=](PlatformWorker &Worker) {
+    Worker.goDark(Kind, DownTime);
+  });
+}
+
 Result<Fault> cutWorker(const JsonValue &Body) {
   BOOST_LEAF_AUTO(Time, time(Body, "for_ms"));
   BOOST_LEAF_AUTO(Reborn, integerMember(Body, "reborn"));
@@ -140,8 +153,10 @@
 Result<Fault> ordersLate(const JsonValue &Body) {
   BOOST_LEAF_AUTO(Time, time(Body, "for_ms"));
   BOOST_LEAF_AUTO(Share, doubleMember(Body, "orders_late"));
-  return Fault(
-      [=](NodePlatform &Platform) { Platform.delayOrders(Share, Time); });
+  BOOST_LEAF_AUTO(Across, integerMember(Body, "across"));
+  return Fault([=](NodePlatform &Platform) {
+    Platform.delayOrders(Share, Time, Across != 0);
+  });
 }
 
 Result<Fault> nodeFault(const JsonValue &) {
@@ -164,12 +179,12 @@
 Result<Fault> parseFault(const std::string &Text) {
   using Parser = Result<Fault> (*)(const JsonValue &);
   static const std::map<std::string, Parser> Parsers = {
-      {"crash_worker", crashWorker},     {"cut_worker", cutWorker},
-      {"failing_worker", failingWorker}, {"unlist_worker", unlistWorker},
-      {"drain_worker", drainWorker},     {"store_down_ms", storeDown},
-      {"store_refuse", storeRefuse},     {"store_lost", storeLost},
-      {"store_slow_ms", storeSlow},      {"orders_late", ordersLate},
-      {"node_fault_ms", nodeFault}};
+      {"crash_worker", crashWorker},   {"cut_worker", cutWorker},
+      {"dark_worker", darkWorker},     {"failing_worker", failingWorker},
+      {"unlist_worker", unlistWorker}, {"drain_worker", drainWorker},
+      {"store_down_ms", storeDown},    {"store_refuse", storeRefuse},
+      {"store_lost", storeLost},       {"store_slow_ms", storeSlow},
+      {"orders_late", ordersLate},     {"node_fault_ms", nodeFault}};
   BOOST_LEAF_AUTO(Body, parseJsonBody(Text));
   for (const auto &[Name, Parse] : Parsers)
     if (findMember(Body, Name)) {
--- a/standin/fault_injection.h
+++ b/standin/fault_injection.h
@@ -9,6 +9,10 @@
 //     Connections are closed, and refused until the worker starts again, with
 //     new_id under another id. With "gone":1 in place of down_ms, it does not
 //     start again.
+// {"dark_worker":3,"down_ms":600,"how":"reset"}
+//     Its runs end, its connections stay open and carry nothing, and it starts
+//     again under its id. reset: the connections are closed then. keep: they
+//     lead to the next incarnation, with what was sent meanwhile.
 // {"cut_worker":3,"for_ms":4000,"how":"silent","reborn":0}
 //     silent: takes calls, does and answers nothing. replies: carries calls out
 //     and answers none. reset: connections are closed and refused. With reborn,
@@ -30,9 +34,10 @@
 //     This share of appends is carried out without a response, with late after
 //     1 to 6 s.
 // {"store_slow_ms":60,"for_ms":4000}
-// {"orders_late":0.2,"for_ms":5000}
+// {"orders_late":0.2,"for_ms":5000,"across":0}
 //     This share of calls to workers gets no response and is carried out 2 to
-//     8 s later, unless the worker has crashed.
+//     8 s later, unless the worker has crashed; with across also then, by its
+//     next incarnation under the same id.
 // {"node_fault_ms":2000}
 //     Does nothing: tells that a node is killed, paused or stopped for so long.
 //
--- a/standin/node_platform.cc
+++ b/standin/node_platform.cc
@@ -147,12 +147,13 @@
       Time, [this] { m_log.m_faults.m_latency = FakeLog::Faults{}.m_latency; });
 }
 
-void NodePlatform::delayOrders(double Share, Milliseconds Time) {
+void NodePlatform::delayOrders(double Share, Milliseconds Time,
+                               bool AcrossRestarts) {
   for (const auto &Each : m_workers)
-    Each->setLateOrders(Share);
+    Each->setLateOrders(Share, AcrossRestarts);
   m_endOfLateOrders.start(Time, [this] {
     for (const auto &Each : m_workers)
-      Each->setLateOrders(0.0);
+      Each->setLateOrders(0.0, false);
   });
 }
 
--- a/standin/node_platform.h
+++ b/standin/node_platform.h
@@ -47,7 +47,7 @@
                        Milliseconds Time, double Share);
   void loseAppendReplies(double Share, bool AreLate, Milliseconds Time);
   void slowStore(Milliseconds Latency, Milliseconds Time);
-  void delayOrders(double Share, Milliseconds Time);
+  void delayOrders(double Share, Milliseconds Time, bool AcrossRestarts);
 
   /// A fault lasts for `Time`, after which tasks that last must soon run.
   void onFault(Milliseconds Time) { m_absences.onFault(m_loop.now() + Time); }
--- a/standin/node_platform_test.cc
+++ b/standin/node_platform_test.cc
@@ -137,6 +137,8 @@
   for (const char *Each :
        {R"({"crash_worker":3,"down_ms":1500,"new_id":1})",
         R"({"cut_worker":3,"for_ms":4000,"how":"replies","reborn":1})",
+        R"({"dark_worker":3,"down_ms":600,"how":"keep"})",
+        R"({"orders_late":0.2,"for_ms":5000,"across":1})",
         R"({"failing_worker":3,"for_ms":5000})", R"({"store_down_ms":3000})",
         R"({"store_down_ms":3000,"how":"silent"})",
         R"({"store_refuse":[1,3],"for_ms":4000,"how":"early","share":0.3})",
@@ -150,6 +152,7 @@
   for (const char *Each :
        {"", "[]", R"({"crash_workers":3})", R"({"crash_worker":"3"})",
         R"({"cut_worker":3,"for_ms":4000,"how":"quiet"})",
+        R"({"dark_worker":3,"down_ms":600,"how":"quiet"})",
         R"({"store_refuse":1,"for_ms":4000})",
         R"({"store_refuse":[1],"for_ms":4000,"how":"slow"})"})
     BOOST_TEST(!isAccepted(Each), Each);
--- a/standin/platform_worker.cc
+++ b/standin/platform_worker.cc
@@ -79,6 +79,24 @@
   });
 }
 
+void PlatformWorker::goDark(DarkKind How, Milliseconds DownTime) {
+  if (m_isDown)
+    return;
+  m_isDown = true;
+  m_isDraining = false;
+  m_api.setCut(How == DarkKind::Reset ? WorkerApi::Cut::Calls
+                                      : WorkerApi::Cut::Delayed);
+  m_worker.m_changesId = false;
+  m_worker.crash();
+  m_loop.schedule(DownTime, [this, How] {
+    if (How == DarkKind::Reset)
+      m_listener.reset();
+    m_api.setCut(WorkerApi::Cut::None);
+    restart();
+    m_api.resumeCalls();
+  });
+}
+
 void PlatformWorker::restart() {
   m_isDown = false;
   m_api.restart();
--- a/standin/platform_worker.h
+++ b/standin/platform_worker.h
@@ -20,6 +20,12 @@
     Reset    ///< Connections are closed and refused.
   };
 
+  /// What becomes of the connections of a worker that goes dark.
+  enum class DarkKind {
+    Reset, ///< They are closed when it starts again.
+    Keep   ///< They lead to its next incarnation, with what was sent meanwhile.
+  };
+
   PlatformWorker(EventLoop &Loop, FakeLog &Log, RunHistory &History,
                  std::mt19937_64 &Random, std::size_t Index, std::uint16_t Port,
                  const Resources &Capacity);
@@ -33,12 +39,21 @@
   /// Connections are closed, and refused until the worker starts again after
   /// `DownTime`. Does nothing if it is down.
   void crash(Milliseconds DownTime, bool ChangesId);
+  /// The worker loses power: its runs end, its connections stay open and carry
+  /// nothing, and it starts again under its id after `DownTime`. Does nothing
+  /// if it is down.
+  void goDark(DarkKind How, Milliseconds DownTime);
   /// With `IsReborn`, the worker crashes and starts again while it is cut off.
   void cut(CutKind How, Milliseconds Time, bool IsReborn);
   /// All runs that start in this time fail at once.
   void failRunsFor(Milliseconds Time) { m_failsUntil = m_loop.now() + Time; }
-  /// Share of orders that are carried out 2 to 8 s late and not answered.
-  void setLateOrders(double Share) { m_worker.m_network.m_delayedRate = Share; }
+  /// Share of orders that are carried out 2 to 8 s late and not answered, with
+  /// `AcrossRestarts` also by the next incarnation.
+  void setLateOrders(double Share, bool AcrossRestarts) {
+    m_worker.m_network.m_delayedRate = Share;
+    if (Share > 0)
+      m_worker.m_network.m_delaysAcrossRestarts = AcrossRestarts;
+  }
   /// Removes the registration for `Time`.
   void unlist(Milliseconds Time);
   /// Registers as draining, leaves after `Remaining`, and starts again.
--- a/standin/worker_api.cc
+++ b/standin/worker_api.cc
@@ -83,6 +83,8 @@
                        const HttpResponder &Respond) {
   if (m_cut == Cut::Calls)
     return m_held.hold(Respond);
+  if (m_cut == Cut::Delayed)
+    return m_keptCalls.emplace_back(Request, Respond), void();
   auto Parsed = attempt([&] { return parseJsonBody(Request.m_body); });
   if (!Parsed)
     return respond(Respond, OrderOutcome::Invalid, {400, {}, ""});
@@ -112,6 +114,12 @@
                    Token, OnReply);
 }
 
+void WorkerApi::resumeCalls() {
+  const auto Kept = std::exchange(m_keptCalls, {});
+  for (const auto &[Request, Respond] : Kept)
+    onCall(Request, Respond);
+}
+
 void WorkerApi::respond(const HttpResponder &Respond, OrderOutcome Outcome,
                         const HttpResponse &Response) {
   if (Outcome == OrderOutcome::Unknown || m_cut != Cut::None)
--- a/standin/worker_api.h
+++ b/standin/worker_api.h
@@ -11,6 +11,8 @@
 #include "standin/held_responses.h"
 
 #include <memory>
+#include <utility>
+#include <vector>
 
 namespace catkinseam {
 
@@ -18,8 +20,9 @@
 public:
   enum class Cut {
     None,
-    Calls,  ///< Calls are neither carried out nor answered.
-    Replies ///< Calls are carried out and not answered.
+    Calls,   ///< Calls are neither carried out nor answered.
+    Replies, ///< Calls are carried out and not answered.
+    Delayed  ///< Calls are kept for resumeCalls().
   };
 
   WorkerApi(Runtime &Host, FakeWorker &Worker);
@@ -36,6 +39,9 @@
 
   void onCall(const HttpRequest &Request, const HttpResponder &Respond);
 
+  /// Carries out the calls that were kept, as calls to the present incarnation.
+  void resumeCalls();
+
 private:
   void poll(const JsonValue &Body, std::uint64_t Token,
             const HttpResponder &Respond);
@@ -48,6 +54,7 @@
   std::unique_ptr<WorkerLink> m_link;
   std::int64_t m_startedMs = 0;
   Cut m_cut = Cut::None;
+  std::vector<std::pair<HttpRequest, HttpResponder>> m_keptCalls;
 };
 
 } // namespace catkinseam
