Raise the fencing token with each restart of a worker

Callers saw tasks run twice after workers had restarted under their ids and were cut off (TWICE).

Cause: an order without a response may be carried out seconds later, by then by the worker's next incarnation. No connection protects from that. Its expiry is a time on the former one's clock, far ahead on the new one's, and extends the lease of all that runs there, also of runs that the owner started there since and whose leases it bounds by what it granted. When the worker is then cut off, its runs outlive that bound.

Change: orders to a worker carry the owner's epoch plus the number of restarts of the worker that the owner has noticed. An incarnation that has seen its token does nothing for the orders to the one before, and no lease is granted to it by an order without that token. Epochs are 1024 apart, so that the next owner's tokens are higher. An order that is rejected for an outdated token of this owner does not mean that there is a later owner.

--- a/catkinseam/ledger/records.h
+++ b/catkinseam/ledger/records.h
@@ -142,6 +142,16 @@
   }
 };
 
+/// Fencing tokens of one owner: its epoch, and for workers that have restarted
+/// during its term the numbers that follow, below this many.
+constexpr std::uint64_t TokensPerOwner = 1024;
+
+/// Returns the epoch that follows when the ownership changes, which is higher
+/// than all tokens of the owner before.
+constexpr std::uint64_t nextEpoch(std::uint64_t Epoch) {
+  return Epoch == 0 ? 1 : Epoch + TokensPerOwner;
+}
+
 /// Identifies the owner, the only node that schedules.
 struct OwnerRecord {
   std::uint64_t m_epoch = 0;
--- a/catkinseam/ownership/candidate.cc
+++ b/catkinseam/ownership/candidate.cc
@@ -197,7 +197,7 @@
                      m_reader.replyLatency());
   if (!m_owner && m_claimedEpoch == 0 && !m_isLeaving && m_reader.isLoaded()) {
     if (mayClaim()) {
-      m_claimedEpoch = m_jobs.owner().m_epoch + 1;
+      m_claimedEpoch = nextEpoch(m_jobs.owner().m_epoch);
       claimEpoch();
     } else if (m_handover.shouldRequest()) {
       requestHandover();
--- a/catkinseam/ownership/owner.cc
+++ b/catkinseam/ownership/owner.cc
@@ -236,21 +236,25 @@
   if (!hasAuthority())
     return;
   for (const StopOrder &Each : Next.m_stops)
-    if (WorkerConnection *Connection = findConnection(Each.m_worker))
-      Connection->m_link->stop(Each, m_options.m_epoch,
-                               [this, Each](const OrderReply &Reply) {
-                                 if (Reply.m_outcome == OrderOutcome::Fenced)
-                                   return onFenced(Each.m_worker);
-                                 m_scheduler.onStop(Each, Reply);
-                               });
+    if (WorkerConnection *Connection = findConnection(Each.m_worker)) {
+      const std::uint64_t Token = m_scheduler.fencingToken(Each.m_worker);
+      Connection->m_link->stop(
+          Each, Token, [this, Each, Token](const OrderReply &Reply) {
+            if (isFenced(Each.m_worker, Token, Reply.m_outcome))
+              return onFenced(Each.m_worker);
+            m_scheduler.onStop(Each, Reply);
+          });
+    }
   for (const ThrottleOrder &Each : Next.m_throttles)
-    if (WorkerConnection *Connection = findConnection(Each.m_worker))
+    if (WorkerConnection *Connection = findConnection(Each.m_worker)) {
+      const std::uint64_t Token = m_scheduler.fencingToken(Each.m_worker);
       Connection->m_link->throttle(
-          Each, m_options.m_epoch, [this, Each](const OrderReply &Reply) {
-            if (Reply.m_outcome == OrderOutcome::Fenced)
+          Each, Token, [this, Each, Token](const OrderReply &Reply) {
+            if (isFenced(Each.m_worker, Token, Reply.m_outcome))
               return onFenced(Each.m_worker);
             m_scheduler.onThrottle(Each, Reply);
           });
+    }
 }
 
 OwnerRecord Owner::ownRecord(bool IsLeaving) const {
@@ -410,14 +414,15 @@
       m_scheduler.onStart(Each, {OrderOutcome::NotSent, std::nullopt});
       continue;
     }
-    Connection->m_link->start(Each, m_options.m_epoch,
-                              [this, Each](const OrderReply &Reply) {
-                                if (Reply.m_outcome == OrderOutcome::Fenced)
-                                  return onFenced(Each.m_worker);
-                                m_scheduler.onStart(Each, Reply);
-                                if (Reply.m_outcome != OrderOutcome::Done)
-                                  requestCycle();
-                              });
+    const std::uint64_t Token = m_scheduler.fencingToken(Each.m_worker);
+    Connection->m_link->start(
+        Each, Token, [this, Each, Token](const OrderReply &Reply) {
+          if (isFenced(Each.m_worker, Token, Reply.m_outcome))
+            return onFenced(Each.m_worker);
+          m_scheduler.onStart(Each, Reply);
+          if (Reply.m_outcome != OrderOutcome::Done)
+            requestCycle();
+        });
   }
 }
 
@@ -547,7 +552,7 @@
   Connection->m_isPolling = true;
   const TimePoint SentAt = m_host.now();
   Connection->m_link->poll(
-      *Order, m_options.m_epoch,
+      *Order, Order->m_fencingToken,
       [this, Order = *Order, SentAt](const PollReply &Reply) {
         onPollReply(Order, SentAt, Reply);
       });
@@ -558,7 +563,7 @@
   const std::string Id = Order.m_worker;
   if (WorkerConnection *Connection = findConnection(Id))
     Connection->m_isPolling = false;
-  if (Reply.m_outcome == OrderOutcome::Fenced)
+  if (isFenced(Id, Order.m_fencingToken, Reply.m_outcome))
     return onFenced(Id);
   m_scheduler.onPoll(Order, SentAt, Reply);
   const WorkerInfo *Answered = m_scheduler.findWorker(Id);
@@ -580,6 +585,12 @@
 
 // --- Loss and handover of ownership.
 
+bool Owner::isFenced(const std::string &Worker, std::uint64_t Token,
+                     OrderOutcome Outcome) const {
+  return Outcome == OrderOutcome::Fenced &&
+         Token == m_scheduler.fencingToken(Worker);
+}
+
 void Owner::onFenced(const std::string &Worker) {
   logWarn("owner.fenced",
           {{"worker", Worker}, {"epoch", std::to_string(m_options.m_epoch)}});
--- a/catkinseam/ownership/owner.h
+++ b/catkinseam/ownership/owner.h
@@ -177,6 +177,10 @@
   bool isRegistryCurrent() const;
   /// Passes the scheduler what the operator and the workers have announced.
   void updatePlacementInputs();
+  /// Whether a later owner has reached the worker. An order that its next
+  /// incarnation rejects for an outdated token of this owner does not tell.
+  bool isFenced(const std::string &Worker, std::uint64_t Token,
+                OrderOutcome Outcome) const;
   void onFenced(const std::string &Worker);
   void stepDown(const char *Reason);
 
--- a/catkinseam/scheduler/orders.h
+++ b/catkinseam/scheduler/orders.h
@@ -41,6 +41,7 @@
 
 struct PollOrder {
   std::string m_worker;
+  std::uint64_t m_fencingToken = 0;
   /// Acknowledged sequence number: the worker may discard ended runs up to it.
   std::uint64_t m_acknowledgedEnd = 0;
   /// New end of the lease, on the worker's clock; unset does not extend it.
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -196,6 +196,9 @@
   /// nothing.
   std::optional<PollOrder> nextPoll(const std::string &Worker);
 
+  /// Returns the token for orders to the worker's present incarnation.
+  std::uint64_t fencingToken(const std::string &Worker) const;
+
   /// Ids of the workers that are listed or still have runs.
   std::vector<std::string> workersToPoll() const;
   const WorkerInfo *findWorker(const std::string &Id) const;
@@ -453,6 +456,9 @@
   std::set<std::string> m_evacuatedDataCentres;
   std::unordered_map<std::string, std::unique_ptr<JobInfo>> m_jobs;
   std::unordered_map<std::string, std::unique_ptr<WorkerInfo>> m_workers;
+  /// WorkerInfo::m_restarts of the workers that have restarted, by id; outlives
+  /// their rows.
+  std::unordered_map<std::string, std::uint64_t> m_restarts;
   struct StepKey {
     std::string m_job;
     std::uint32_t m_occurrence;
--- a/catkinseam/scheduler/scheduler_leases.cc
+++ b/catkinseam/scheduler/scheduler_leases.cc
@@ -41,7 +41,8 @@
   const bool IsForEarlier = WorkerStartedMs != 0 &&
                             WorkerStartedMs < Worker.m_registration.m_startedMs;
   const bool MayHaveArrived = Outcome != OrderOutcome::NotSent &&
-                              Outcome != OrderOutcome::OtherIncarnation;
+                              Outcome != OrderOutcome::OtherIncarnation &&
+                              Outcome != OrderOutcome::Fenced;
   if (IsForEarlier && MayHaveArrived)
     extendLeaseForMisdirected(Worker);
 }
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -27,6 +27,8 @@
   if (!Row) {
     Row = std::make_unique<WorkerInfo>();
     Row->m_registration.m_id = Id;
+    if (const auto Found = m_restarts.find(Id); Found != m_restarts.end())
+      Row->m_restarts = Found->second;
     Row->m_leaseEnd = m_earlierLeases
                           ? m_earlierLeases->endOn(Id)
                           : m_clock.now() + m_options.m_takeoverLease;
@@ -92,8 +94,13 @@
 
 void Scheduler::beginIncarnation(WorkerInfo &Worker, std::int64_t StartedMs) {
   if (Worker.m_registration.m_startedMs != 0) {
-    logInfo("worker.new_life", {{"worker", Worker.m_registration.m_id},
-                                {"born", std::to_string(StartedMs)}});
+    if (Worker.m_restarts + 1 < TokensPerOwner)
+      m_restarts[Worker.m_registration.m_id] = ++Worker.m_restarts;
+    logInfo(
+        "worker.new_life",
+        {{"worker", Worker.m_registration.m_id},
+         {"born", std::to_string(StartedMs)},
+         {"token", std::to_string(fencingToken(Worker.m_registration.m_id))}});
     loseRunsOf(Worker, Loss::Restart, "new_life");
     // What the earlier incarnation ran has ended with it. Runs that are left
     // may be in the new one.
@@ -139,12 +146,18 @@
   Worker.m_aliveUntil = m_clock.now();
 }
 
+std::uint64_t Scheduler::fencingToken(const std::string &Id) const {
+  const auto Found = m_restarts.find(Id);
+  return m_options.m_epoch + (Found == m_restarts.end() ? 0 : Found->second);
+}
+
 std::optional<PollOrder> Scheduler::nextPoll(const std::string &Id) {
   WorkerInfo &Worker = workerRow(Id);
   if (!Worker.m_isListed && Worker.m_runs.empty())
     return std::nullopt;
   PollOrder Order;
   Order.m_worker = Id;
+  Order.m_fencingToken = m_options.m_epoch + Worker.m_restarts;
   // After a missed poll the worker may have restarted, and its numbers of ends
   // begin anew.
   Order.m_acknowledgedEnd = Worker.m_isReachable ? Worker.m_lastStoredEnd : 0;
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -233,6 +233,9 @@
   /// This incarnation has answered a status poll with this owner's fencing
   /// token.
   bool m_hasAcceptedToken = false;
+  /// Restarts noticed by this owner. Orders carry a higher token after each, so
+  /// that the incarnation rejects those for the ones before.
+  std::uint64_t m_restarts = 0;
   /// Has answered a status poll and missed none since.
   bool m_isReachable = false;
   std::vector<RunRef> m_runs;
--- a/catkinseam/scheduler/worker_restart_test.cc
+++ b/catkinseam/scheduler/worker_restart_test.cc
@@ -228,6 +228,18 @@
   BOOST_TEST(startsAfter(LongestWait - LongestLease));
 }
 
+// Tokens rise with each restart and stay below those of the next owner.
+BOOST_FIXTURE_TEST_CASE(TokensStayBelowTheNextEpoch, Fixture) {
+  addWorker("w1", {1000, 8000, 0});
+  for (std::int64_t StartedMs = 2; StartedMs < 1500; ++StartedMs) {
+    WorkerRegistration Next = registration("w1", {1000, 8000, 0});
+    Next.m_startedMs = StartedMs;
+    m_scheduler.updateWorker(Next);
+  }
+  BOOST_TEST(m_scheduler.fencingToken("w1") == TokensPerOwner - 1);
+  BOOST_TEST(nextEpoch(1) == TokensPerOwner + 1);
+}
+
 // Such a worker is named in the lease record while its leases may exceed what
 // the record announces.
 BOOST_FIXTURE_TEST_CASE(MisdirectedLeasesAreAnnounced, Fixture) {
