Count starts without a response that a next incarnation may begin later

Cause: the owner, and a successor, counted the longest lease from the moment at which an order for the former incarnation was given up, or the restart was noticed. The next incarnation may begin such a start seconds later, and nothing bars it while the worker cannot be reached.

Change: an order without a response counts as arriving up to 12 s later, unless the incarnation has answered a poll with the token that it has had since its restart. From that answer on, what has arrived holds the longest lease at most. So only a task whose start was not answered, on a worker that has restarted and is then cut off at once, waits longer: up to 18.6 s in place of 6.6 s, or until the worker answers.

--- a/catkinseam/ownership/misdirected_order_test.cc
+++ b/catkinseam/ownership/misdirected_order_test.cc
@@ -181,6 +181,28 @@
     }
 }
 
+// Guards against tasks that run twice: the next incarnation, cut off before it
+// had heard from the owner, began a run for the former one seconds after the
+// start was given up, and the owner counted its lease from when it noticed the
+// restart.
+BOOST_AUTO_TEST_CASE(LateStartsBeginOnTheNextIncarnation) {
+  for (std::uint64_t Seed = 1; Seed <= 40; ++Seed)
+    for (const bool IsOwnerLost : {false, true}) {
+      RestartedWorkers Case(Seed, LongUptime);
+      Case.delayOrders(1.0);
+      Case.m_cluster.run(Milliseconds(5 + 10 * (Seed % 20)));
+      Case.restartWorkers();
+      Case.cutOffHalf(Seed);
+      Case.delayOrders(0.0);
+      Case.m_cluster.run(Milliseconds(200));
+      if (IsOwnerLost)
+        Case.killOwner();
+      Case.m_cluster.run(40 * Second);
+      BOOST_TEST_CONTEXT("seed " << Seed << ", owner lost " << IsOwnerLost)
+      BOOST_TEST(Case.m_cluster.violations().empty());
+    }
+}
+
 // Guards against tasks that run twice where workers do not check tokens: the
 // start of an earlier owner was carried out after its successor had polled the
 // worker.
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -100,6 +100,8 @@
     /// Leases granted by an earlier owner expire within this time after the
     /// first status poll with this owner's fencing token.
     Milliseconds m_previousOwnerLease{6500};
+    /// How long after it was sent an order without a reply may be carried out.
+    Milliseconds m_maxOrderDelay{12000};
     /// How long a worker may delay its reply to a status poll.
     Milliseconds m_pollWait{1500};
     /// The same on workers with services, whose tail latencies control fillers.
@@ -359,9 +361,15 @@
   void updateClock(WorkerInfo &Worker, Milliseconds Clock);
   void extendLeaseEnd(WorkerInfo &Worker, Milliseconds Expires);
   /// Accounts for an order for an earlier incarnation that may reach the
-  /// worker's present one until now. That one grants it the longest lease, as
-  /// the earlier one's clock was ahead.
-  void extendLeaseForMisdirected(WorkerInfo &Worker);
+  /// worker's present one until `Last` at the latest. That one grants it the
+  /// longest lease, as the earlier one's clock was ahead.
+  void extendLeaseForMisdirected(WorkerInfo &Worker, TimePoint Last);
+  /// Called when the worker's present incarnation has seen a token that orders
+  /// for earlier ones do not have.
+  void rejectFormerOrders(WorkerInfo &Worker);
+  /// When an order without a reply, sent until now, can no longer be carried
+  /// out by the worker's present incarnation.
+  TimePoint latestArrival(const WorkerInfo &Worker) const;
   /// An order for the incarnation that started at `WorkerStartedMs` (zero for
   /// any) was answered, or can arrive no more.
   void onOrderEnded(WorkerInfo &Worker, std::int64_t WorkerStartedMs,
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -246,7 +246,7 @@
     Run.m_wasListed = Recorded.m_areRunsListed;
     Run.m_isBlamed = HasRestarted || Each.m_isBlamed;
     if (HasRestarted && !Run.m_wasListed)
-      extendLeaseForMisdirected(Worker);
+      extendLeaseForMisdirected(Worker, latestArrival(Worker));
   }
   Task.m_isGivenUp = isLossLimitReached(Task, true);
   if (Task.m_runs.empty())
--- a/catkinseam/scheduler/scheduler_leases.cc
+++ b/catkinseam/scheduler/scheduler_leases.cc
@@ -5,6 +5,7 @@
 #include "catkinseam/telemetry/log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace catkinseam {
 
@@ -26,16 +27,34 @@
       Worker.m_leaseEnd, Worker.m_clockReadAt + LocalLease + LeaseMargin);
 }
 
-void Scheduler::extendLeaseForMisdirected(WorkerInfo &Worker) {
-  Worker.m_misdirectedLeaseEnd = m_clock.now() + m_options.m_previousOwnerLease;
-  logInfo("worker.longer_lease",
-          {{"worker", Worker.m_registration.m_id},
-           {"born", std::to_string(Worker.m_registration.m_startedMs)},
-           {"end_ms", std::to_string(m_options.m_previousOwnerLease.count())}});
+TimePoint Scheduler::latestArrival(const WorkerInfo &Worker) const {
+  return Worker.m_rejectsFormerOrders
+             ? m_clock.now()
+             : m_clock.now() + m_options.m_maxOrderDelay;
+}
+
+void Scheduler::extendLeaseForMisdirected(WorkerInfo &Worker, TimePoint Last) {
+  Worker.m_misdirectedLeaseEnd = std::max<TimePoint>(
+      Worker.m_misdirectedLeaseEnd, Last + m_options.m_previousOwnerLease);
+  logInfo(
+      "worker.longer_lease",
+      {{"worker", Worker.m_registration.m_id},
+       {"born", std::to_string(Worker.m_registration.m_startedMs)},
+       {"end_ms",
+        std::to_string(
+            remaining(Worker.m_misdirectedLeaseEnd, m_clock.now()).count())}});
   Worker.m_needsLeaseRecord = m_options.m_announcesLeases;
   Worker.m_isInNextLeaseRecord = false;
 }
 
+void Scheduler::rejectFormerOrders(WorkerInfo &Worker) {
+  if (std::exchange(Worker.m_rejectsFormerOrders, true))
+    return;
+  Worker.m_misdirectedLeaseEnd =
+      std::min<TimePoint>(Worker.m_misdirectedLeaseEnd,
+                          m_clock.now() + m_options.m_previousOwnerLease);
+}
+
 void Scheduler::onOrderEnded(WorkerInfo &Worker, std::int64_t WorkerStartedMs,
                              OrderOutcome Outcome) {
   const bool IsForEarlier = WorkerStartedMs != 0 &&
@@ -44,7 +63,9 @@
                               Outcome != OrderOutcome::OtherIncarnation &&
                               Outcome != OrderOutcome::Fenced;
   if (IsForEarlier && MayHaveArrived)
-    extendLeaseForMisdirected(Worker);
+    extendLeaseForMisdirected(Worker, Outcome == OrderOutcome::Unknown
+                                          ? latestArrival(Worker)
+                                          : m_clock.now());
 }
 
 Milliseconds Scheduler::leaseExpiry(const WorkerInfo &Worker) const {
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -96,6 +96,7 @@
   if (Worker.m_registration.m_startedMs != 0) {
     if (Worker.m_restarts + 1 < TokensPerOwner)
       m_restarts[Worker.m_registration.m_id] = ++Worker.m_restarts;
+    Worker.m_rejectsFormerOrders = false;
     logInfo(
         "worker.new_life",
         {{"worker", Worker.m_registration.m_id},
@@ -109,7 +110,7 @@
     Worker.m_misdirectedLeaseEnd = TimePoint();
     Worker.m_needsLeaseRecord = false;
     if (!Worker.m_runs.empty())
-      extendLeaseForMisdirected(Worker);
+      extendLeaseForMisdirected(Worker, latestArrival(Worker));
   }
   releaseUnknownRuns(Worker);
   expectRegistration(Worker, StartedMs);
@@ -274,6 +275,8 @@
     return;
   if (Reply.m_snapshot.m_startedMs > Worker.m_registration.m_startedMs)
     beginIncarnation(Worker, Reply.m_snapshot.m_startedMs);
+  if (Order.m_fencingToken == fencingToken(Order.m_worker))
+    rejectFormerOrders(Worker);
   if (!Worker.m_isReachable)
     logInfo("worker.reachable", {{"worker", Order.m_worker}});
   Worker.m_isReachable = true;
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -236,6 +236,8 @@
   /// Restarts noticed by this owner. Orders carry a higher token after each, so
   /// that the incarnation rejects those for the ones before.
   std::uint64_t m_restarts = 0;
+  /// This incarnation has answered a status poll with the present token.
+  bool m_rejectsFormerOrders = false;
   /// Has answered a status poll and missed none since.
   bool m_isReachable = false;
   std::vector<RunRef> m_runs;
