Take nothing from replies to orders sent before a restart

Cause: the reply to a start or a stop does not tell the incarnation that it comes from. One of the former incarnation that arrives after the restart was noticed has a higher clock, which the owner took for the new one's: the expiries that it then sent lay far ahead, and the worker granted the longest lease, above what the lease record announces. The acknowledgement of a stop by the former incarnation counted as a bar in the next.

Change: stops name the newest incarnation when they were sent, as starts do, and a reply counts only while that is the newest one. At most a stop is repeated.

--- a/catkinseam/scheduler/orders.h
+++ b/catkinseam/scheduler/orders.h
@@ -29,6 +29,9 @@
   std::string m_worker;
   TaskKey m_task;
   RunNumber m_run = 0;
+  /// Start of the worker's newest incarnation when the order was sent; zero if
+  /// it is not known. It does not restrict the order.
+  std::int64_t m_workerStartedMs = 0;
 };
 
 struct ThrottleOrder {
--- a/catkinseam/scheduler/scheduler.cc
+++ b/catkinseam/scheduler/scheduler.cc
@@ -469,8 +469,8 @@
   if (m_clock.now() - Run.m_stopSentAt < RetryInterval)
     return;
   Run.m_stopSentAt = m_clock.now();
-  Next.m_stops.push_back(
-      {Worker.m_registration.m_id, keyOf(*Ref.m_task), Ref.m_run});
+  Next.m_stops.push_back({Worker.m_registration.m_id, keyOf(*Ref.m_task),
+                          Ref.m_run, Worker.m_registration.m_startedMs});
 }
 
 void Scheduler::collectThrottle(const WorkerInfo &Worker, const RunRef &Ref,
@@ -485,7 +485,7 @@
 
 void Scheduler::onStart(const StartOrder &Order, const OrderReply &Reply) {
   WorkerInfo &Worker = workerRow(Order.m_worker);
-  onOrderReply(Worker, Reply);
+  onOrderReply(Worker, Order.m_workerStartedMs, Reply);
   onOrderEnded(Worker, Order.m_workerStartedMs, Reply.m_outcome);
   if (Reply.m_outcome != OrderOutcome::Done)
     logInfo("run.not_started",
@@ -538,7 +538,8 @@
 
 void Scheduler::onStop(const StopOrder &Order, const OrderReply &Reply) {
   WorkerInfo &Worker = workerRow(Order.m_worker);
-  onOrderReply(Worker, Reply);
+  if (!onOrderReply(Worker, Order.m_workerStartedMs, Reply))
+    return;
   TaskInfo *Task = findTask(Order.m_task);
   RunInfo *Run = Task ? findRun(*Task, Order.m_run) : nullptr;
   if (!Run || Run->m_phase != RunPhase::Stopping)
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -357,7 +357,10 @@
   Milliseconds trialPollWait(const WorkerInfo &Worker) const;
   /// Takes a reply to an order, which does not tell the incarnation, for a sign
   /// of life of the worker.
-  void onOrderReply(WorkerInfo &Worker, const OrderReply &Reply);
+  /// Returns false, and takes nothing from the reply, if the worker has
+  /// restarted since the order was sent.
+  bool onOrderReply(WorkerInfo &Worker, std::int64_t WorkerStartedMs,
+                    const OrderReply &Reply);
   void updateClock(WorkerInfo &Worker, Milliseconds Clock);
   void extendLeaseEnd(WorkerInfo &Worker, Milliseconds Expires);
   /// Accounts for an order for an earlier incarnation that may reach the
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -132,12 +132,17 @@
   Worker.m_registration = std::move(Expected);
 }
 
-void Scheduler::onOrderReply(WorkerInfo &Worker, const OrderReply &Reply) {
+bool Scheduler::onOrderReply(WorkerInfo &Worker, std::int64_t WorkerStartedMs,
+                             const OrderReply &Reply) {
+  if (WorkerStartedMs != 0 &&
+      WorkerStartedMs != Worker.m_registration.m_startedMs)
+    return false;
   // A lower clock is that of the next incarnation under the same id, or of a
   // late reply. Neither says that this incarnation is alive.
   if (Reply.m_clock &&
       (!Worker.m_isClockKnown || *Reply.m_clock >= Worker.m_clock))
     updateClock(Worker, *Reply.m_clock);
+  return true;
 }
 
 void Scheduler::updateClock(WorkerInfo &Worker, Milliseconds Clock) {
@@ -413,8 +418,9 @@
   logInfo("run.foreign", {{"task", toString(Active.m_task)},
                           {"run", std::to_string(Active.m_run)},
                           {"worker", Worker.m_registration.m_id}});
-  m_unknownRunStops.push_back(
-      {Worker.m_registration.m_id, Active.m_task, Active.m_run});
+  m_unknownRunStops.push_back({Worker.m_registration.m_id, Active.m_task,
+                               Active.m_run,
+                               Worker.m_registration.m_startedMs});
 }
 
 void Scheduler::reserveForUnknownRun(WorkerInfo &Worker,
