Do not count a poll with an outdated token as missed

Cause: a poll that is under way while the restart of its worker is noticed may arrive after the token that follows, and is rejected for that. The owner took it for a missed poll, and the worker for unreachable. Found by reading in a review; no run shows it.

Change: the worker is polled again at once.

--- a/catkinseam/ownership/owner.cc
+++ b/catkinseam/ownership/owner.cc
@@ -565,6 +565,9 @@
     Connection->m_isPolling = false;
   if (isFenced(Id, Order.m_fencingToken, Reply.m_outcome))
     return onFenced(Id);
+  // The worker has restarted and knows a newer token; it was not missed.
+  if (Reply.m_outcome == OrderOutcome::Fenced)
+    return schedulePoll(Id, Duration::zero());
   m_scheduler.onPoll(Order, SentAt, Reply);
   const WorkerInfo *Answered = m_scheduler.findWorker(Id);
   if (Answered && Answered->m_isReachable && Answered->m_isNamedNext)
