Remember the incarnation of a worker whose row was erased

Callers saw tasks run twice (TWICE): the same as where the token rises with each restart, for a worker that was unlisted in between.

Cause: the row of a worker that is unlisted and has no runs is erased, and with it the start of its incarnation. Its next one counted as the first, and its token did not rise, so it carried out late orders for the one before.

Change: the start of the incarnation and the number of restarts outlive the row.

--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -467,9 +467,12 @@
   std::set<std::string> m_evacuatedDataCentres;
   std::unordered_map<std::string, std::unique_ptr<JobInfo>> m_jobs;
   std::unordered_map<std::string, std::unique_ptr<WorkerInfo>> m_workers;
-  /// WorkerInfo::m_restarts of the workers that have restarted, by id; outlives
-  /// their rows.
-  std::unordered_map<std::string, std::uint64_t> m_restarts;
+  /// What is kept of a worker whose row was erased, in case it is back.
+  struct ErasedWorker {
+    std::int64_t m_startedMs = 0;
+    std::uint64_t m_restarts = 0;
+  };
+  std::unordered_map<std::string, ErasedWorker> m_erasedWorkers;
   struct StepKey {
     std::string m_job;
     std::uint32_t m_occurrence;
--- a/catkinseam/scheduler/scheduler_losses.cc
+++ b/catkinseam/scheduler/scheduler_losses.cc
@@ -39,8 +39,13 @@
         Worker->m_runRemovedAt < m_storedDecisionsAt)
       Gone.push_back(Id);
   }
-  for (const std::string &Each : Gone)
+  for (const std::string &Each : Gone) {
+    const WorkerInfo &Worker = workerRow(Each);
+    if (Worker.m_registration.m_startedMs != 0)
+      m_erasedWorkers[Each] = {Worker.m_registration.m_startedMs,
+                               Worker.m_restarts};
     m_workers.erase(Each);
+  }
 }
 
 void Scheduler::loseRunsOf(WorkerInfo &Worker, Loss Cause, const char *Reason) {
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -27,8 +27,12 @@
   if (!Row) {
     Row = std::make_unique<WorkerInfo>();
     Row->m_registration.m_id = Id;
-    if (const auto Found = m_restarts.find(Id); Found != m_restarts.end())
-      Row->m_restarts = Found->second;
+    if (const auto Found = m_erasedWorkers.find(Id);
+        Found != m_erasedWorkers.end()) {
+      Row->m_registration.m_startedMs = Found->second.m_startedMs;
+      Row->m_restarts = Found->second.m_restarts;
+      m_erasedWorkers.erase(Found);
+    }
     Row->m_leaseEnd = m_earlierLeases
                           ? m_earlierLeases->endOn(Id)
                           : m_clock.now() + m_options.m_takeoverLease;
@@ -95,7 +99,7 @@
 void Scheduler::beginIncarnation(WorkerInfo &Worker, std::int64_t StartedMs) {
   if (Worker.m_registration.m_startedMs != 0) {
     if (Worker.m_restarts + 1 < TokensPerOwner)
-      m_restarts[Worker.m_registration.m_id] = ++Worker.m_restarts;
+      ++Worker.m_restarts;
     Worker.m_rejectsFormerOrders = false;
     logInfo(
         "worker.new_life",
@@ -153,8 +157,8 @@
 }
 
 std::uint64_t Scheduler::fencingToken(const std::string &Id) const {
-  const auto Found = m_restarts.find(Id);
-  return m_options.m_epoch + (Found == m_restarts.end() ? 0 : Found->second);
+  const WorkerInfo *Worker = findWorker(Id);
+  return m_options.m_epoch + (Worker ? Worker->m_restarts : 0);
 }
 
 std::optional<PollOrder> Scheduler::nextPoll(const std::string &Id) {
