Let dark workers lose what arrives while they are down

A worker that goes dark carried out orders whose time came, or that had been read just before, while it had no power, and a run that began so lived on in the next incarnation. The orders are lost now. The draws of reborn_workers.sh were taken in a subshell, where the shell seeds RANDOM anew, so a seed did not repeat the pauses; they are taken in the shell itself. The script refuses unknown settings, and waits for an owner before it takes one away.

node_platform_test covers the connections of a dark worker, and late orders with and without the next incarnation.

--- a/catkinseam/ownership/testing/fake_worker.cc
+++ b/catkinseam/ownership/testing/fake_worker.cc
@@ -101,7 +101,7 @@
   void send(std::function<Reply(FakeWorker &)> Execute,
             std::function<void(const Reply &)> Done) {
     Runtime &Host = m_worker.m_host;
-    constexpr Milliseconds Timeout{1000};
+    static constexpr Milliseconds Timeout{1000};
     const auto Respond = [Done, IsOpen = m_isOpen](const Reply &Sent) {
       if (*IsOpen)
         Done(Sent);
@@ -117,25 +117,30 @@
       return;
     const Milliseconds Delay(
         std::uniform_int_distribution<int>(2000, 8000)(m_worker.m_random));
-    Host.schedule(IsDelayed ? Delay : m_worker.m_network.m_delay,
-                  [Execute, Respond, IsReplyLost, IsDelayed, Worker = &m_worker,
-                   IsWorkerAlive = m_isWorkerAlive, Id = m_id,
-                   SentTo = m_worker.m_startedMs] {
-                    if (!*IsWorkerAlive)
-                      return;
-                    if (IsDelayed && Worker->m_startedMs != SentTo &&
-                        !Worker->m_network.m_delaysAcrossRestarts)
-                      return;
-                    Reply Sent{};
-                    if (Worker->id() == Id)
-                      Sent = Execute(*Worker);
-                    else
-                      Sent.m_outcome = OrderOutcome::OtherIncarnation;
-                    if (!IsReplyLost)
-                      Worker->m_host.schedule(
-                          Worker->m_network.m_delay,
-                          [Respond, Sent] { Respond(Sent); });
-                  });
+    Host.schedule(
+        IsDelayed ? Delay : m_worker.m_network.m_delay,
+        [Execute, Respond, IsReplyLost, IsDelayed, Worker = &m_worker,
+         IsWorkerAlive = m_isWorkerAlive, Id = m_id,
+         SentTo = m_worker.m_startedMs] {
+          if (!*IsWorkerAlive)
+            return;
+          if (IsDelayed && Worker->m_startedMs != SentTo &&
+              !Worker->m_network.m_delaysAcrossRestarts)
+            return;
+          if (Worker->m_isDown) {
+            if (!IsReplyLost)
+              Worker->m_host.schedule(Timeout, [Respond] { Respond(Reply{}); });
+            return;
+          }
+          Reply Sent{};
+          if (Worker->id() == Id)
+            Sent = Execute(*Worker);
+          else
+            Sent.m_outcome = OrderOutcome::OtherIncarnation;
+          if (!IsReplyLost)
+            Worker->m_host.schedule(Worker->m_network.m_delay,
+                                    [Respond, Sent] { Respond(Sent); });
+        });
   }
 
   FakeWorker &m_worker;
--- a/catkinseam/ownership/testing/fake_worker.h
+++ b/catkinseam/ownership/testing/fake_worker.h
@@ -77,6 +77,8 @@
   /// A crash ends the life of the id; the next incarnation has another one at
   /// the same address.
   bool m_changesId = false;
+  /// Orders that arrive are lost.
+  bool m_isDown = false;
   /// Decides what a run does; null for m_runTime and m_failureRate.
   std::function<RunPlan(const StartOrder &)> m_plan;
   /// Called when a run starts; null for none.
--- a/standin/node_platform_test.cc
+++ b/standin/node_platform_test.cc
@@ -1,13 +1,16 @@
 // The stand-in must let tasks behave as their job says, and carry out the
 // orders that its faults leave unanswered.
 #define BOOST_TEST_MODULE node_platform
+#include "catkinseam/aio/async_http_client.h"
 #include "catkinseam/base/codec.h"
 #include "catkinseam/base/runtime.h"
 #include "catkinseam/ownership/testing/fake_log.h"
 #include "catkinseam/ownership/testing/fake_worker.h"
 #include "standin/fault_injection.h"
+#include "standin/platform_worker.h"
 #include "standin/task_behaviour.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 
 namespace catkinseam {
@@ -50,6 +53,79 @@
   bool isAccepted(const std::string &Text) {
     return static_cast<bool>(attempt([&] { return parseFault(Text); }));
   }
+
+  /// Sends a start that is carried out late, and lets the worker crash before.
+  void startLateAcrossCrash() {
+    m_worker.m_network.m_delayedRate = 1.0;
+    start(1);
+    m_worker.m_network.m_delayedRate = 0.0;
+    m_worker.crash();
+  }
+};
+
+/// A worker with an address, and a client with one connection to it.
+struct DarkFixture {
+  static constexpr Milliseconds DownTime{200};
+
+  EventLoop m_loop;
+  std::mt19937_64 m_random{1};
+  FakeLog m_log{m_loop, m_random};
+  RunHistory m_history;
+  const std::uint16_t m_port = freePort(m_loop);
+  PlatformWorker m_worker{m_loop, m_log,  m_history, m_random,
+                          0,      m_port, Capacity};
+  AsyncHttpClient m_client{
+      m_loop, {"127.0.0.1", m_port}, {.m_maxConnections = 1}};
+
+  DarkFixture() {
+    auto Listened = attempt([&]() -> Result<bool> {
+      BOOST_LEAF_CHECK(m_worker.listen());
+      return true;
+    });
+    BOOST_REQUIRE(Listened);
+  }
+
+  static std::uint16_t freePort(EventLoop &Loop) {
+    using boost::asio::ip::tcp;
+    const tcp::acceptor Probe(Loop.context(),
+                              {boost::asio::ip::make_address("127.0.0.1"), 0});
+    return Probe.local_endpoint().port();
+  }
+
+  HttpReply call(const std::string &Target, const std::string &Body) {
+    constexpr Milliseconds TestTimeout{5000};
+    std::optional<HttpReply> Received;
+    HttpCall Order;
+    Order.m_method = "POST";
+    Order.m_target = Target;
+    Order.m_body = Body;
+    Order.m_timeout = TestTimeout;
+    m_client.call(Order, [&](const HttpReply &Reply) { Received = Reply; });
+    const TimePoint Deadline = m_loop.now() + 2 * TestTimeout;
+    while (!Received && m_loop.now() < Deadline)
+      m_loop.context().run_one_for(TestTimeout);
+    BOOST_REQUIRE(Received);
+    return *Received;
+  }
+
+  HttpReply start() {
+    return call("/api/run-start",
+                R"({"taskId":"0000000000000001.0.0.0","runId":1,"spec":"",)"
+                R"("expiresMs":600000,"fencingToken":1})");
+  }
+  HttpReply poll() { return call("/api/hold", R"({"fencingToken":1})"); }
+
+  /// Returns the start of the incarnation that answers a poll.
+  std::int64_t born() {
+    const HttpReply Reply = poll();
+    BOOST_REQUIRE(Reply.isAnswered(200));
+    auto Born = attempt([&]() -> Result<std::int64_t> {
+      BOOST_LEAF_AUTO(Body, parseJsonBody(Reply.m_body));
+      return integerMember(Body, "born");
+    });
+    BOOST_REQUIRE(Born);
+    return Born.value();
+  }
 };
 
 } // namespace
@@ -132,6 +208,55 @@
   BOOST_TEST(!Default.m_isDeadly);
 }
 
+BOOST_FIXTURE_TEST_CASE(CrashForgetsLateOrders, Fixture) {
+  startLateAcrossCrash();
+  m_host.advance(Milliseconds(8000));
+  BOOST_TEST(m_history.m_runs.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(NextIncarnationCarriesOutLateOrdersAcross, Fixture) {
+  m_worker.m_network.m_delaysAcrossRestarts = true;
+  startLateAcrossCrash();
+  m_host.advance(Milliseconds(1900));
+  BOOST_TEST(m_history.m_runs.empty());
+  m_host.advance(Milliseconds(6100));
+  BOOST_TEST(m_history.m_runs.size() == 1U);
+}
+
+// Guards against runs on workers that have no power.
+BOOST_FIXTURE_TEST_CASE(WorkerThatIsDownLosesOrders, Fixture) {
+  m_worker.m_network.m_delaysAcrossRestarts = true;
+  startLateAcrossCrash();
+  m_worker.m_isDown = true;
+  m_host.advance(Milliseconds(8000));
+  OrderOutcome Outcome = OrderOutcome::Done;
+  m_link->start({"", m_task, 2, "", "", Milliseconds(600000)}, 1,
+                [&](const OrderReply &Reply) { Outcome = Reply.m_outcome; });
+  m_host.advance(Milliseconds(2000));
+  BOOST_TEST((Outcome == OrderOutcome::Unknown));
+  BOOST_TEST(m_history.m_runs.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(DarkWorkerEndsRunsAndClosesConnections, DarkFixture) {
+  const std::int64_t Born = born();
+  BOOST_TEST(start().isAnswered(200));
+  m_worker.goDark(PlatformWorker::DarkKind::Reset, DownTime);
+  BOOST_TEST((start().m_outcome == CallOutcome::NoResponse));
+  BOOST_TEST(born() > Born);
+  BOOST_TEST(m_client.connectionsOpened() == 2U);
+  BOOST_REQUIRE(m_history.m_runs.size() == 1U);
+  BOOST_TEST((m_history.m_runs[0].m_endedAt != TimePoint::max()));
+}
+
+BOOST_FIXTURE_TEST_CASE(KeptConnectionsLeadToNextIncarnation, DarkFixture) {
+  const std::int64_t Born = born();
+  m_worker.goDark(PlatformWorker::DarkKind::Keep, DownTime);
+  BOOST_TEST(start().isAnswered(200));
+  BOOST_TEST(m_history.m_runs.size() == 1U);
+  BOOST_TEST(born() > Born);
+  BOOST_TEST(m_client.connectionsOpened() == 1U);
+}
+
 // A misspelt fault would otherwise leave a test without faults.
 BOOST_FIXTURE_TEST_CASE(RejectsUnknownFaults, Fixture) {
   for (const char *Each :
--- a/standin/platform_worker.cc
+++ b/standin/platform_worker.cc
@@ -88,7 +88,9 @@
                                       : WorkerApi::Cut::Delayed);
   m_worker.m_changesId = false;
   m_worker.crash();
+  m_worker.m_isDown = true;
   m_loop.schedule(DownTime, [this, How] {
+    m_worker.m_isDown = false;
     if (How == DarkKind::Reset)
       m_listener.reset();
     m_api.setCut(WorkerApi::Cut::None);
--- a/tests/process/reborn_workers.sh
+++ b/tests/process/reborn_workers.sh
@@ -18,6 +18,14 @@
 links=${REBORN_LINKS:-reset}
 owner_fate=${REBORN_OWNER:-kill}
 RANDOM=$seed
+case $links in
+reset | keep | late) ;;
+*) echo "unknown kind of links: $links" >&2 && exit 2 ;;
+esac
+case $owner_fate in
+kill | freeze | stop | none) ;;
+*) echo "unknown fate of the owner: $owner_fate" >&2 && exit 2 ;;
+esac
 # Some of the tasks are long, so that the workers keep room for more.
 job_of() {
   printf '{"spec":"run_ms=%s","steps":[{"count":8,"cpu":100,"memMb":50,"estimatedMs":%s}]}' "$1" "$1"
@@ -73,13 +81,17 @@
 
 between() { printf '%d.%03d' $(($1 / 1000)) $(($1 % 1000)); }
 # pause MIN MAX: waits for a drawn number of milliseconds.
-pause() { sleep "$(between $(($1 + RANDOM % ($2 - $1 + 1))))"; }
+pause() {
+  # RANDOM would be seeded anew in a subshell.
+  local drawn=$(($1 + RANDOM % ($2 - $1 + 1)))
+  sleep "$(between $drawn)"
+}
 
 lose_owner() {
   local owner
+  node_wait 20 "an owner to lose" has_owner
   owner=$(node_owner)
   lost=$owner
-  [ -n "$owner" ] || return 0
   case $owner_fate in
   kill)
     platform_control '{"node_fault_ms":0}'
@@ -88,12 +100,9 @@
     ;;
   freeze) platform_control '{"node_fault_ms":8000}' && node_signal "node-$owner" STOP ;;
   stop) node_signal "node-$owner" TERM ;;
-  none) ;;
-  *) fail "unknown fate of the owner: $owner_fate" ;;
   esac
 }
 restore_owner() {
-  [ -n "$lost" ] || return 0
   case $owner_fate in
   kill) node_start "$lost" ;;
   freeze) node_signal "node-$lost" CONT ;;
