Let a dark worker lose the calls in progress and keep its connections

dark_worker closed the connections when the worker started again, so an owner whose poll was in progress noticed at once. With "lose" the calls in progress stay unanswered while other connections lead to the next incarnation, as after a loss of power that no end of a connection tells of.

--- a/standin/fault_injection.cc
+++ b/standin/fault_injection.cc
@@ -50,14 +50,18 @@
 Result<Fault> darkWorker(const JsonValue &Body) {
   BOOST_LEAF_AUTO(DownTime, time(Body, "down_ms"));
   BOOST_LEAF_AUTO(How, stringMember(Body, "how"));
-  PlatformWorker::DarkKind Kind = PlatformWorker::DarkKind::Reset;
-  if (How == "keep")
-    Kind = PlatformWorker::DarkKind::Keep;
-  else if (!How.empty() && How != "reset")
+  using Kind = PlatformWorker::DarkKind;
+  static const std::map<std::string, Kind> Kinds = {{"", Kind::Reset},
+                                                    {"reset", Kind::Reset},
+                                                    {"lose", Kind::Lose},
+                                                    {"keep", Kind::Keep}};
+  const auto Found = Kinds.find(How);
+  if (Found == Kinds.end())
     return unknown("how");
-  return workerFault(Body, "dark_worker", [=](PlatformWorker &Worker) {
-    Worker.goDark(Kind, DownTime);
-  });
+  return workerFault(Body, "dark_worker",
+                     [=, Kind = Found->second](PlatformWorker &Worker) {
+                       Worker.goDark(Kind, DownTime);
+                     });
 }
 
 Result<Fault> cutWorker(const JsonValue &Body) {
--- a/standin/fault_injection.h
+++ b/standin/fault_injection.h
@@ -12,7 +12,8 @@
 // {"dark_worker":3,"down_ms":600,"how":"reset"}
 //     Its runs end, its connections stay open and carry nothing, and it starts
 //     again under its id. reset: the connections are closed then. keep: they
-//     lead to the next incarnation, with what was sent meanwhile.
+//     lead to the next incarnation, with what was sent meanwhile. lose: without
+//     it, so that the calls in progress stay unanswered.
 // {"cut_worker":3,"for_ms":4000,"how":"silent","reborn":0}
 //     silent: takes calls, does and answers nothing. replies: carries calls out
 //     and answers none. reset: connections are closed and refused. With reborn,
--- a/standin/node_platform_test.cc
+++ b/standin/node_platform_test.cc
@@ -67,6 +67,7 @@
 struct DarkFixture {
   static constexpr Milliseconds DownTime{200};
 
+  Milliseconds m_callTimeout{5000};
   EventLoop m_loop;
   std::mt19937_64 m_random{1};
   FakeLog m_log{m_loop, m_random};
@@ -99,7 +100,7 @@
     Order.m_method = "POST";
     Order.m_target = Target;
     Order.m_body = Body;
-    Order.m_timeout = TestTimeout;
+    Order.m_timeout = m_callTimeout;
     m_client.call(Order, [&](const HttpReply &Reply) { Received = Reply; });
     const TimePoint Deadline = m_loop.now() + 2 * TestTimeout;
     while (!Received && m_loop.now() < Deadline)
@@ -257,12 +258,23 @@
   BOOST_TEST(m_client.connectionsOpened() == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(CallsToDarkWorkerAreLost, DarkFixture) {
+  const std::int64_t Born = born();
+  m_callTimeout = 2 * DownTime;
+  m_worker.goDark(PlatformWorker::DarkKind::Lose, DownTime);
+  BOOST_TEST((start().m_outcome == CallOutcome::NoResponse));
+  BOOST_TEST(m_history.m_runs.empty());
+  m_callTimeout = Milliseconds(5000);
+  BOOST_TEST(born() > Born);
+}
+
 // A misspelt fault would otherwise leave a test without faults.
 BOOST_FIXTURE_TEST_CASE(RejectsUnknownFaults, Fixture) {
   for (const char *Each :
        {R"({"crash_worker":3,"down_ms":1500,"new_id":1})",
         R"({"cut_worker":3,"for_ms":4000,"how":"replies","reborn":1})",
         R"({"dark_worker":3,"down_ms":600,"how":"keep"})",
+        R"({"dark_worker":3,"down_ms":600,"how":"lose"})",
         R"({"orders_late":0.2,"for_ms":5000,"across":1})",
         R"({"failing_worker":3,"for_ms":5000})", R"({"store_down_ms":3000})",
         R"({"store_down_ms":3000,"how":"silent"})",
--- a/standin/platform_worker.cc
+++ b/standin/platform_worker.cc
@@ -84,8 +84,8 @@
     return;
   m_isDown = true;
   m_isDraining = false;
-  m_api.setCut(How == DarkKind::Reset ? WorkerApi::Cut::Calls
-                                      : WorkerApi::Cut::Delayed);
+  m_api.setCut(How == DarkKind::Keep ? WorkerApi::Cut::Delayed
+                                     : WorkerApi::Cut::Calls);
   m_worker.m_changesId = false;
   m_worker.crash();
   m_worker.m_isDown = true;
--- a/standin/platform_worker.h
+++ b/standin/platform_worker.h
@@ -23,6 +23,8 @@
   /// What becomes of the connections of a worker that goes dark.
   enum class DarkKind {
     Reset, ///< They are closed when it starts again.
+    Lose,  ///< They lead to its next incarnation; what was sent meanwhile is
+           ///< lost.
     Keep   ///< They lead to its next incarnation, with what was sent meanwhile.
   };
 
--- a/tests/process/reborn_workers.sh
+++ b/tests/process/reborn_workers.sh
@@ -5,10 +5,10 @@
 # The platform process checks the workers' history when it is stopped.
 #
 # REBORN_ROUNDS, REBORN_SEED: number of rounds, and the seed of all choices.
-# REBORN_LINKS: what becomes of a worker's connections, reset or keep (see dark_worker
-# in standin/fault_injection.h), or late: reset, and orders are carried out late, also
-# by the next incarnation. REBORN_OWNER: kill, freeze, stop or none, which befalls the
-# owner. REBORN_KEEP: where the logs of a failure go.
+# REBORN_LINKS: what becomes of a worker's connections, reset, keep or lose (see
+# dark_worker in standin/fault_injection.h), or late: reset, and orders are carried out
+# late, also by the next incarnation. REBORN_OWNER: kill, freeze, stop or none, which
+# befalls the owner. REBORN_KEEP: where the logs of a failure go.
 set -euo pipefail
 source "$(dirname "${BASH_SOURCE[0]}")/../../scripts/lib/nodes.sh"
 
@@ -19,7 +19,7 @@
 owner_fate=${REBORN_OWNER:-kill}
 RANDOM=$seed
 case $links in
-reset | keep | late) ;;
+reset | keep | lose | late) ;;
 *) echo "unknown kind of links: $links" >&2 && exit 2 ;;
 esac
 case $owner_fate in
