--- a/tests/process/reborn_workers.sh
+++ b/tests/process/reborn_workers.sh
@@ -8,11 +8,12 @@
 # REBORN_LINKS: what becomes of a worker's connections, reset, keep or lose (see
 # dark_worker in standin/fault_injection.h), or late: reset, and orders are carried out
 # late, also by the next incarnation. REBORN_OWNER: kill, freeze, stop or none, which
-# befalls the owner. REBORN_KEEP: where the logs of a failure go.
+# befalls the owner. REBORN_NODES, REBORN_WORKERS: number of each; a quarter of the
+# workers lose power in a round. REBORN_KEEP: where the logs of a failure go.
 set -euo pipefail
+node_count=${REBORN_NODES:-3} workers=${REBORN_WORKERS:-16}
 source "$(dirname "${BASH_SOURCE[0]}")/../../scripts/lib/nodes.sh"
 
-workers=16
 rounds=${REBORN_ROUNDS:-2}
 seed=${REBORN_SEED:-7}
 links=${REBORN_LINKS:-reset}
@@ -47,8 +48,8 @@
 }
 
 platform_start "$1" $workers --seed "$seed"
-for number in 1 2 3; do node_start "$number"; done
-for number in 1 2 3; do
+for ((number = 1; number <= node_count; ++number)); do node_start "$number"; done
+for ((number = 1; number <= node_count; ++number)); do
   node_wait 20 "node $number" node_is_ready "$number"
 done
 has_owner() { [ -n "$(node_owner)" ]; }
@@ -59,7 +60,7 @@
   local number id run_ms=1000
   [ $(($1 % 3)) -ne 0 ] || run_ms=11000
   id=$(printf '%016x' $((0xb0000 + $1)))
-  for number in 1 2 3; do
+  for ((number = 1; number <= node_count; ++number)); do
     [ "$(curl -s --max-time 1 -o /dev/null -w '%{http_code}' -X POST \
       -H 'Host: tally.example' -d "$(job_of $run_ms)" \
       "http://127.0.0.1:$(node_port "$number")/counts/$id")" = 200 ] || continue
@@ -114,7 +115,9 @@
 for ((round = 1; round <= rounds; ++round)); do
   first=$((RANDOM % workers))
   group=()
-  for each in 0 1 2 3; do group+=($(((first + each) % workers))); done
+  for ((each = 0; each < workers / 4; ++each)); do
+    group+=($(((first + each) % workers)))
+  done
   how=$links
   if [ "$links" = late ]; then
     how=reset
@@ -139,7 +142,7 @@
 
 state_of() {
   local number
-  for number in 1 2 3 1 2 3; do
+  for number in $(seq "$node_count") $(seq "$node_count"); do
     node_call "$number" GET "/counts/$1" | grep -o '"state":"[a-z_]*"' && return
   done
 }
