Cut off restarted workers at once in the test of restarted workers

REBORN_LINKS=soon: the owner has not reached the next incarnation yet, and calls for the former one are carried out late.

--- a/tests/process/reborn_workers.sh
+++ b/tests/process/reborn_workers.sh
@@ -6,9 +6,10 @@
 #
 # REBORN_ROUNDS, REBORN_SEED: number of rounds, and the seed of all choices.
 # REBORN_LINKS: what becomes of a worker's connections, reset, keep or lose (see
-# dark_worker in standin/fault_injection.h), or late: reset, and orders are carried out
-# late, also by the next incarnation. REBORN_OWNER: kill, freeze, stop or none, which
-# befalls the owner. REBORN_NODES, REBORN_WORKERS: number of each; a quarter of the
+# dark_worker in standin/fault_injection.h), late: reset, and orders are carried out
+# late, also by the next incarnation, or soon: lose, with late orders, and the cut
+# follows the start at once. REBORN_OWNER: kill, freeze, stop or none, which befalls
+# the owner. REBORN_NODES, REBORN_WORKERS: number of each; a quarter of the
 # workers lose power in a round. REBORN_KEEP: where the logs of a failure go.
 set -euo pipefail
 node_count=${REBORN_NODES:-3} workers=${REBORN_WORKERS:-16}
@@ -20,7 +21,7 @@
 owner_fate=${REBORN_OWNER:-kill}
 RANDOM=$seed
 case $links in
-reset | keep | lose | late) ;;
+reset | keep | lose | late | soon) ;;
 *) echo "unknown kind of links: $links" >&2 && exit 2 ;;
 esac
 case $owner_fate in
@@ -111,6 +112,13 @@
   esac
 }
 
+cut_off_group() {
+  local each
+  for each in "${group[@]}"; do
+    platform_control "{\"cut_worker\":$each,\"for_ms\":9000,\"how\":\"silent\"}"
+  done
+}
+
 sleep 4
 for ((round = 1; round <= rounds; ++round)); do
   first=$((RANDOM % workers))
@@ -119,20 +127,27 @@
     group+=($(((first + each) % workers)))
   done
   how=$links
-  if [ "$links" = late ]; then
-    how=reset
+  case $links in
+  late) how=reset ;;
+  soon) how=lose ;;
+  esac
+  if [ "$links" != "$how" ]; then
     platform_control '{"orders_late":0.5,"for_ms":900,"across":1}'
     pause 200 700
   fi
   for each in "${group[@]}"; do
     platform_control "{\"dark_worker\":$each,\"down_ms\":600,\"how\":\"$how\"}"
   done
-  pause 650 2100
-  lose_owner
-  pause 50 600
-  for each in "${group[@]}"; do
-    platform_control "{\"cut_worker\":$each,\"for_ms\":9000,\"how\":\"silent\"}"
-  done
+  if [ "$links" = soon ]; then
+    pause 620 700
+    cut_off_group
+    lose_owner
+  else
+    pause 650 2100
+    lose_owner
+    pause 50 600
+    cut_off_group
+  fi
   [ "$owner_fate" = freeze ] && sleep 7.5 || sleep 0.5
   restore_owner
   [ "$owner_fate" = freeze ] && sleep 4 || sleep 11
