--- a/tests/process/reborn_workers.sh
+++ b/tests/process/reborn_workers.sh
@@ -5,19 +5,29 @@
 # The platform process checks the workers' history when it is stopped.
 #
 # REBORN_ROUNDS, REBORN_SEED: number of rounds, and the seed of all choices.
-# REBORN_LINKS: what becomes of a worker's connections, reset or keep (see dark_worker
-# in standin/fault_injection.h), or late: reset, and orders are carried out late, also
-# by the next incarnation. REBORN_OWNER: kill, freeze, stop or none, which befalls the
-# owner. REBORN_KEEP: where the logs of a failure go.
+# REBORN_LINKS: what becomes of a worker's connections, reset, keep or lose (see
+# dark_worker in standin/fault_injection.h), late: reset, and orders are carried out
+# late, also by the next incarnation, or soon: lose, with late orders, and the cut
+# follows the start at once. REBORN_OWNER: kill, freeze, stop or none, which befalls
+# the owner. REBORN_NODES, REBORN_WORKERS: number of each; a quarter of the
+# workers lose power in a round. REBORN_KEEP: where the logs of a failure go.
 set -euo pipefail
+node_count=${REBORN_NODES:-3} workers=${REBORN_WORKERS:-16}
 source "$(dirname "${BASH_SOURCE[0]}")/../../scripts/lib/nodes.sh"
 
-workers=16
 rounds=${REBORN_ROUNDS:-2}
 seed=${REBORN_SEED:-7}
 links=${REBORN_LINKS:-reset}
 owner_fate=${REBORN_OWNER:-kill}
 RANDOM=$seed
+case $links in
+reset | keep | lose | late | soon) ;;
+*) echo "unknown kind of links: $links" >&2 && exit 2 ;;
+esac
+case $owner_fate in
+kill | freeze | stop | none) ;;
+*) echo "unknown fate of the owner: $owner_fate" >&2 && exit 2 ;;
+esac
 # Some of the tasks are long, so that the workers keep room for more.
 job_of() {
   printf '{"spec":"run_ms=%s","steps":[{"count":8,"cpu":100,"memMb":50,"estimatedMs":%s}]}' "$1" "$1"
@@ -39,8 +49,8 @@
 }
 
 platform_start "$1" $workers --seed "$seed"
-for number in 1 2 3; do node_start "$number"; done
-for number in 1 2 3; do
+for ((number = 1; number <= node_count; ++number)); do node_start "$number"; done
+for ((number = 1; number <= node_count; ++number)); do
   node_wait 20 "node $number" node_is_ready "$number"
 done
 has_owner() { [ -n "$(node_owner)" ]; }
@@ -51,7 +61,7 @@
   local number id run_ms=1000
   [ $(($1 % 3)) -ne 0 ] || run_ms=11000
   id=$(printf '%016x' $((0xb0000 + $1)))
-  for number in 1 2 3; do
+  for ((number = 1; number <= node_count; ++number)); do
     [ "$(curl -s --max-time 1 -o /dev/null -w '%{http_code}' -X POST \
       -H 'Host: tally.example' -d "$(job_of $run_ms)" \
       "http://127.0.0.1:$(node_port "$number")/counts/$id")" = 200 ] || continue
@@ -73,13 +83,17 @@
 
 between() { printf '%d.%03d' $(($1 / 1000)) $(($1 % 1000)); }
 # pause MIN MAX: waits for a drawn number of milliseconds.
-pause() { sleep "$(between $(($1 + RANDOM % ($2 - $1 + 1))))"; }
+pause() {
+  # RANDOM would be seeded anew in a subshell.
+  local drawn=$(($1 + RANDOM % ($2 - $1 + 1)))
+  sleep "$(between $drawn)"
+}
 
 lose_owner() {
   local owner
+  node_wait 20 "an owner to lose" has_owner
   owner=$(node_owner)
   lost=$owner
-  [ -n "$owner" ] || return 0
   case $owner_fate in
   kill)
     platform_control '{"node_fault_ms":0}'
@@ -88,12 +102,9 @@
     ;;
   freeze) platform_control '{"node_fault_ms":8000}' && node_signal "node-$owner" STOP ;;
   stop) node_signal "node-$owner" TERM ;;
-  none) ;;
-  *) fail "unknown fate of the owner: $owner_fate" ;;
   esac
 }
 restore_owner() {
-  [ -n "$lost" ] || return 0
   case $owner_fate in
   kill) node_start "$lost" ;;
   freeze) node_signal "node-$lost" CONT ;;
@@ -101,26 +112,42 @@
   esac
 }
 
+cut_off_group() {
+  local each
+  for each in "${group[@]}"; do
+    platform_control "{\"cut_worker\":$each,\"for_ms\":9000,\"how\":\"silent\"}"
+  done
+}
+
 sleep 4
 for ((round = 1; round <= rounds; ++round)); do
   first=$((RANDOM % workers))
   group=()
-  for each in 0 1 2 3; do group+=($(((first + each) % workers))); done
+  for ((each = 0; each < workers / 4; ++each)); do
+    group+=($(((first + each) % workers)))
+  done
   how=$links
-  if [ "$links" = late ]; then
-    how=reset
+  case $links in
+  late) how=reset ;;
+  soon) how=lose ;;
+  esac
+  if [ "$links" != "$how" ]; then
     platform_control '{"orders_late":0.5,"for_ms":900,"across":1}'
     pause 200 700
   fi
   for each in "${group[@]}"; do
     platform_control "{\"dark_worker\":$each,\"down_ms\":600,\"how\":\"$how\"}"
   done
-  pause 650 2100
-  lose_owner
-  pause 50 600
-  for each in "${group[@]}"; do
-    platform_control "{\"cut_worker\":$each,\"for_ms\":9000,\"how\":\"silent\"}"
-  done
+  if [ "$links" = soon ]; then
+    pause 620 700
+    cut_off_group
+    lose_owner
+  else
+    pause 650 2100
+    lose_owner
+    pause 50 600
+    cut_off_group
+  fi
   [ "$owner_fate" = freeze ] && sleep 7.5 || sleep 0.5
   restore_owner
   [ "$owner_fate" = freeze ] && sleep 4 || sleep 11
@@ -130,7 +157,7 @@
 
 state_of() {
   local number
-  for number in 1 2 3 1 2 3; do
+  for number in $(seq "$node_count") $(seq "$node_count"); do
     node_call "$number" GET "/counts/$1" | grep -o '"state":"[a-z_]*"' && return
   done
 }
