--- a/catkinseam/scheduler/orders.h
+++ b/catkinseam/scheduler/orders.h
@@ -29,6 +29,9 @@
   std::string m_worker;
   TaskKey m_task;
   RunNumber m_run = 0;
+  /// Start of the worker's newest incarnation when the order was sent; zero if
+  /// it is not known. It does not restrict the order.
+  std::int64_t m_workerStartedMs = 0;
 };
 
 struct ThrottleOrder {
@@ -41,6 +44,7 @@
 
 struct PollOrder {
   std::string m_worker;
+  std::uint64_t m_fencingToken = 0;
   /// Acknowledged sequence number: the worker may discard ended runs up to it.
   std::uint64_t m_acknowledgedEnd = 0;
   /// New end of the lease, on the worker's clock; unset does not extend it.
--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -100,6 +100,8 @@
     /// Leases granted by an earlier owner expire within this time after the
     /// first status poll with this owner's fencing token.
     Milliseconds m_previousOwnerLease{6500};
+    /// How long after it was sent an order without a reply may be carried out.
+    Milliseconds m_maxOrderDelay{12000};
     /// How long a worker may delay its reply to a status poll.
     Milliseconds m_pollWait{1500};
     /// The same on workers with services, whose tail latencies control fillers.
@@ -196,6 +198,9 @@
   /// nothing.
   std::optional<PollOrder> nextPoll(const std::string &Worker);
 
+  /// Returns the token for orders to the worker's present incarnation.
+  std::uint64_t fencingToken(const std::string &Worker) const;
+
   /// Ids of the workers that are listed or still have runs.
   std::vector<std::string> workersToPoll() const;
   const WorkerInfo *findWorker(const std::string &Id) const;
@@ -352,13 +357,22 @@
   Milliseconds trialPollWait(const WorkerInfo &Worker) const;
   /// Takes a reply to an order, which does not tell the incarnation, for a sign
   /// of life of the worker.
-  void onOrderReply(WorkerInfo &Worker, const OrderReply &Reply);
+  /// Returns false, and takes nothing from the reply, if the worker has
+  /// restarted since the order was sent.
+  bool onOrderReply(WorkerInfo &Worker, std::int64_t WorkerStartedMs,
+                    const OrderReply &Reply);
   void updateClock(WorkerInfo &Worker, Milliseconds Clock);
   void extendLeaseEnd(WorkerInfo &Worker, Milliseconds Expires);
   /// Accounts for an order for an earlier incarnation that may reach the
-  /// worker's present one until now. That one grants it the longest lease, as
-  /// the earlier one's clock was ahead.
-  void extendLeaseForMisdirected(WorkerInfo &Worker);
+  /// worker's present one until `Last` at the latest. That one grants it the
+  /// longest lease, as the earlier one's clock was ahead.
+  void extendLeaseForMisdirected(WorkerInfo &Worker, TimePoint Last);
+  /// Called when the worker's present incarnation has seen a token that orders
+  /// for earlier ones do not have.
+  void rejectFormerOrders(WorkerInfo &Worker);
+  /// When an order without a reply, sent until now, can no longer be carried
+  /// out by the worker's present incarnation.
+  TimePoint latestArrival(const WorkerInfo &Worker) const;
   /// An order for the incarnation that started at `WorkerStartedMs` (zero for
   /// any) was answered, or can arrive no more.
   void onOrderEnded(WorkerInfo &Worker, std::int64_t WorkerStartedMs,
@@ -453,6 +467,12 @@
   std::set<std::string> m_evacuatedDataCentres;
   std::unordered_map<std::string, std::unique_ptr<JobInfo>> m_jobs;
   std::unordered_map<std::string, std::unique_ptr<WorkerInfo>> m_workers;
+  /// What is kept of a worker whose row was erased, in case it is back.
+  struct ErasedWorker {
+    std::int64_t m_startedMs = 0;
+    std::uint64_t m_restarts = 0;
+  };
+  std::unordered_map<std::string, ErasedWorker> m_erasedWorkers;
   struct StepKey {
     std::string m_job;
     std::uint32_t m_occurrence;
--- a/catkinseam/scheduler/scheduler_workers.cc
+++ b/catkinseam/scheduler/scheduler_workers.cc
@@ -27,6 +27,12 @@
   if (!Row) {
     Row = std::make_unique<WorkerInfo>();
     Row->m_registration.m_id = Id;
+    if (const auto Found = m_erasedWorkers.find(Id);
+        Found != m_erasedWorkers.end()) {
+      Row->m_registration.m_startedMs = Found->second.m_startedMs;
+      Row->m_restarts = Found->second.m_restarts;
+      m_erasedWorkers.erase(Found);
+    }
     Row->m_leaseEnd = m_earlierLeases
                           ? m_earlierLeases->endOn(Id)
                           : m_clock.now() + m_options.m_takeoverLease;
@@ -92,8 +98,14 @@
 
 void Scheduler::beginIncarnation(WorkerInfo &Worker, std::int64_t StartedMs) {
   if (Worker.m_registration.m_startedMs != 0) {
-    logInfo("worker.new_life", {{"worker", Worker.m_registration.m_id},
-                                {"born", std::to_string(StartedMs)}});
+    if (Worker.m_restarts + 1 < TokensPerOwner)
+      ++Worker.m_restarts;
+    Worker.m_rejectsFormerOrders = false;
+    logInfo(
+        "worker.new_life",
+        {{"worker", Worker.m_registration.m_id},
+         {"born", std::to_string(StartedMs)},
+         {"token", std::to_string(fencingToken(Worker.m_registration.m_id))}});
     loseRunsOf(Worker, Loss::Restart, "new_life");
     // What the earlier incarnation ran has ended with it. Runs that are left
     // may be in the new one.
@@ -102,7 +114,7 @@
     Worker.m_misdirectedLeaseEnd = TimePoint();
     Worker.m_needsLeaseRecord = false;
     if (!Worker.m_runs.empty())
-      extendLeaseForMisdirected(Worker);
+      extendLeaseForMisdirected(Worker, latestArrival(Worker));
   }
   releaseUnknownRuns(Worker);
   expectRegistration(Worker, StartedMs);
@@ -124,12 +136,17 @@
   Worker.m_registration = std::move(Expected);
 }
 
-void Scheduler::onOrderReply(WorkerInfo &Worker, const OrderReply &Reply) {
+bool Scheduler::onOrderReply(WorkerInfo &Worker, std::int64_t WorkerStartedMs,
+                             const OrderReply &Reply) {
+  if (WorkerStartedMs != 0 &&
+      WorkerStartedMs != Worker.m_registration.m_startedMs)
+    return false;
   // A lower clock is that of the next incarnation under the same id, or of a
   // late reply. Neither says that this incarnation is alive.
   if (Reply.m_clock &&
       (!Worker.m_isClockKnown || *Reply.m_clock >= Worker.m_clock))
     updateClock(Worker, *Reply.m_clock);
+  return true;
 }
 
 void Scheduler::updateClock(WorkerInfo &Worker, Milliseconds Clock) {
@@ -139,12 +156,18 @@
   Worker.m_aliveUntil = m_clock.now();
 }
 
+std::uint64_t Scheduler::fencingToken(const std::string &Id) const {
+  const WorkerInfo *Worker = findWorker(Id);
+  return m_options.m_epoch + (Worker ? Worker->m_restarts : 0);
+}
+
 std::optional<PollOrder> Scheduler::nextPoll(const std::string &Id) {
   WorkerInfo &Worker = workerRow(Id);
   if (!Worker.m_isListed && Worker.m_runs.empty())
     return std::nullopt;
   PollOrder Order;
   Order.m_worker = Id;
+  Order.m_fencingToken = m_options.m_epoch + Worker.m_restarts;
   // After a missed poll the worker may have restarted, and its numbers of ends
   // begin anew.
   Order.m_acknowledgedEnd = Worker.m_isReachable ? Worker.m_lastStoredEnd : 0;
@@ -261,6 +284,8 @@
     return;
   if (Reply.m_snapshot.m_startedMs > Worker.m_registration.m_startedMs)
     beginIncarnation(Worker, Reply.m_snapshot.m_startedMs);
+  if (Order.m_fencingToken == fencingToken(Order.m_worker))
+    rejectFormerOrders(Worker);
   if (!Worker.m_isReachable)
     logInfo("worker.reachable", {{"worker", Order.m_worker}});
   Worker.m_isReachable = true;
@@ -397,8 +422,9 @@
   logInfo("run.foreign", {{"task", toString(Active.m_task)},
                           {"run", std::to_string(Active.m_run)},
                           {"worker", Worker.m_registration.m_id}});
-  m_unknownRunStops.push_back(
-      {Worker.m_registration.m_id, Active.m_task, Active.m_run});
+  m_unknownRunStops.push_back({Worker.m_registration.m_id, Active.m_task,
+                               Active.m_run,
+                               Worker.m_registration.m_startedMs});
 }
 
 void Scheduler::reserveForUnknownRun(WorkerInfo &Worker,
--- a/standin/platform_worker.cc
+++ b/standin/platform_worker.cc
@@ -79,6 +79,26 @@
   });
 }
 
+void PlatformWorker::goDark(DarkKind How, Milliseconds DownTime) {
+  if (m_isDown)
+    return;
+  m_isDown = true;
+  m_isDraining = false;
+  m_api.setCut(How == DarkKind::Keep ? WorkerApi::Cut::Delayed
+                                     : WorkerApi::Cut::Calls);
+  m_worker.m_changesId = false;
+  m_worker.crash();
+  m_worker.m_isDown = true;
+  m_loop.schedule(DownTime, [this, How] {
+    m_worker.m_isDown = false;
+    if (How == DarkKind::Reset)
+      m_listener.reset();
+    m_api.setCut(WorkerApi::Cut::None);
+    restart();
+    m_api.resumeCalls();
+  });
+}
+
 void PlatformWorker::restart() {
   m_isDown = false;
   m_api.restart();
