Bound the trailers and chunk extensions of a request

Callers saw nothing; a client that sent trailer fields without end ended the node, which ran out of memory. The parser limits the header and the body, but neither the trailer section nor the extensions of a chunk, and it needs each as a whole in the connection's buffer, which had no maximum.

The listener now reads and parses step by step. The buffer holds a header at its limit, and 4 kB more, so that each part of a request has the same limit; the bytes around a body are limited as well, with room for a body at its limit in chunks of one byte. A client over a limit gets 431 and its connection is closed. As before, the refusal may be lost to a reset if the client goes on sending.

Four cases of http_listener_test (EndlessTrailersAreRefused, EndlessTrailerFieldIsRefused, EndlessChunkExtensionIsRefused, ManyChunkExtensionsAreRefused) fail before the change and pass with it.

--- a/catkinseam/aio/http_listener.cc
+++ b/catkinseam/aio/http_listener.cc
@@ -1,12 +1,13 @@
 // Asynchronous HTTP server implementation on Boost.Beast.
 #include "catkinseam/aio/http_listener.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <optional>
 #include <set>
@@ -24,6 +25,12 @@
 /// Delay after a failed accept, for example when out of file descriptors.
 constexpr Milliseconds AcceptRetryDelay{50};
 
+/// Room in a connection's buffer beyond a header at its limit.
+constexpr std::size_t ExtraBufferBytes = 4096;
+constexpr std::size_t MaxReadBytes = 65536;
+/// Framing of a body in chunks of one byte, for each byte: size, two line ends.
+constexpr std::uint64_t FramingPerBodyByte = 5;
+
 const char *reasonPhrase(int Status) {
   const auto Known = http::int_to_status(static_cast<unsigned>(Status));
   return Known == http::status::unknown ? "Unknown"
@@ -92,23 +99,61 @@
   void read() {
     if (m_shared->m_isClosed)
       return;
+    const Options &Limits = m_shared->m_options;
     m_parser.emplace();
-    m_parser->header_limit(m_shared->m_options.m_headerBytes);
-    m_parser->body_limit(m_shared->m_options.m_bodyBytes);
-    m_stream.expires_after(m_shared->m_options.m_idleTimeout);
-    http::async_read(
-        m_stream, m_buffer, *m_parser,
-        [Self = shared_from_this()](const error_code &Ec, std::size_t) {
-          Self->onRead(Ec);
-        });
+    m_parser->eager(true);
+    m_parser->header_limit(Limits.m_headerBytes);
+    m_parser->body_limit(Limits.m_bodyBytes);
+    // The parser needs a header, a chunk's extensions and a trailer section
+    // each as a whole in the buffer, and limits only the header.
+    m_buffer.max_size(std::max<std::size_t>(
+        Limits.m_headerBytes + ExtraBufferBytes, m_buffer.size()));
+    m_framingLimit = 2 * std::uint64_t(Limits.m_headerBytes) +
+                     ExtraBufferBytes + FramingPerBodyByte * Limits.m_bodyBytes;
+    m_parsedBytes = 0;
+    m_stream.expires_after(Limits.m_idleTimeout);
+    if (m_buffer.size() > 0)
+      parse();
+    else
+      receive();
   }
 
 private:
+  /// Parses what has been received, and receives more until the request is
+  /// complete.
+  void parse() {
+    error_code Ec;
+    const std::size_t Parsed = m_parser->put(m_buffer.data(), Ec);
+    m_buffer.consume(Parsed);
+    m_parsedBytes += Parsed;
+    const bool IsIncomplete =
+        Ec == http::error::need_more || (!Ec && !m_parser->is_done());
+    if (!IsIncomplete)
+      return onRead(Ec);
+    if (m_parsedBytes - m_parser->get().body().size() > m_framingLimit)
+      return onRead(http::error::buffer_overflow);
+    receive();
+  }
+
+  void receive() {
+    const std::size_t Size = beast::read_size(m_buffer, MaxReadBytes);
+    if (Size == 0)
+      return onRead(http::error::buffer_overflow);
+    m_stream.async_read_some(
+        m_buffer.prepare(Size),
+        [Self = shared_from_this()](const error_code &Ec, std::size_t Count) {
+          if (Ec)
+            return Self->onRead(Ec);
+          Self->m_buffer.commit(Count);
+          Self->parse();
+        });
+  }
+
   void onRead(const error_code &Ec) {
     m_stream.expires_never();
     if (Ec == http::error::body_limit)
       return reject(413);
-    if (Ec == http::error::header_limit)
+    if (Ec == http::error::header_limit || Ec == http::error::buffer_overflow)
       return reject(431);
     if (Ec)
       return;
@@ -147,6 +192,9 @@
   beast::tcp_stream m_stream;
   beast::flat_buffer m_buffer;
   std::optional<http::request_parser<http::string_body>> m_parser;
+  /// Bytes of the request in progress, and its maximum without the body.
+  std::uint64_t m_parsedBytes = 0;
+  std::uint64_t m_framingLimit = 0;
   std::string m_responseText;
   bool m_keepAlive = true;
 };
