Close connections whose responses are not taken

Clients that sent requests and never read the responses kept their connections for good, because only reading had a deadline. A stop of the node also waited for them, as each counted as a request in progress. A response must now be taken within the idle timeout.

--- a/catkinseam/aio/http_listener.cc
+++ b/catkinseam/aio/http_listener.cc
@@ -179,9 +179,11 @@
   void write(const HttpResponse &Response) {
     m_keepAlive = m_keepAlive && !m_shared->m_closesAfterResponse;
     m_responseText = responseText(Response, m_keepAlive);
+    m_stream.expires_after(m_shared->m_options.m_idleTimeout);
     asio::async_write(
-        m_stream.socket(), asio::buffer(m_responseText),
+        m_stream, asio::buffer(m_responseText),
         [Self = shared_from_this()](const error_code &Ec, std::size_t) {
+          Self->m_stream.expires_never();
           --Self->m_shared->m_inProgress;
           if (!Ec && Self->m_keepAlive)
             Self->read();
--- a/catkinseam/aio/http_listener.h
+++ b/catkinseam/aio/http_listener.h
@@ -31,7 +31,8 @@
     std::size_t m_maxConnections = 1500;
     std::uint32_t m_headerBytes = 16384;
     std::uint64_t m_bodyBytes = 262144;
-    /// Maximum time from the start of reading to the complete request.
+    /// Maximum time from the start of reading to the complete request, and for
+    /// the client to take the response.
     Milliseconds m_idleTimeout{15000};
   };
 
--- a/catkinseam/aio/http_listener_test.cc
+++ b/catkinseam/aio/http_listener_test.cc
@@ -74,6 +74,15 @@
   return Text + "0\r\n\r\n";
 }
 
+/// Size that no socket takes at once while the client does not read.
+constexpr std::size_t LongResponseBytes = 64U << 20;
+constexpr int SmallReceiveBuffer = 2048;
+constexpr Milliseconds ShortTimeout{200};
+
+struct ShortTimeoutFixture : ListenerFixture {
+  ShortTimeoutFixture() : ListenerFixture({.m_idleTimeout = ShortTimeout}) {}
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(framing_limits, ListenerFixture)
@@ -136,4 +145,22 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(deadlines, ShortTimeoutFixture)
+
+// A client that did not read its response kept its connection for good.
+BOOST_AUTO_TEST_CASE(ResponseThatIsNotTakenEndsTheConnection) {
+  m_responseBody = std::string(LongResponseBytes, 'x');
+  RawClient Client(m_loop, m_port, SmallReceiveBuffer);
+  Client.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  runUntil([&] { return m_listener->requestsInProgress() == 1; });
+  BOOST_TEST(m_listener->requestsInProgress() == 1U);
+  runUntil([&] { return m_listener->requestsInProgress() == 0; });
+  BOOST_TEST(m_listener->requestsInProgress() == 0U);
+  Client.read();
+  runUntil([&] { return Client.isClosed(); });
+  BOOST_TEST(Client.isClosed());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace catkinseam
