Let waiting connections make room in a full table

As many idle connections as the table holds locked ordinary callers out: a connection beyond the limit was closed at once, without a response, while those that sent nothing, sent a header slowly or did not read their responses kept their places.

At the limit, the connection that has waited longest for its client now makes room: first those without a complete request, then those whose responses are not read. Requests that are with the handler stay. If all are, the new connection gets 503 with Retry-After.

--- a/catkinseam/aio/http_listener.cc
+++ b/catkinseam/aio/http_listener.cc
@@ -50,6 +50,17 @@
   return Text.append("\r\n").append(Response.m_body);
 }
 
+HttpResponse refusal() { return {503, {{"Retry-After", "1"}}, ""}; }
+
+/// Refuses a connection before its request is read, as far as the socket takes
+/// the response at once.
+void refuse(asio::ip::tcp::socket &Socket) {
+  error_code Ignored;
+  Socket.non_blocking(true, Ignored);
+  const std::string Text = responseText(refusal(), /*KeepAlive=*/false);
+  Socket.write_some(asio::buffer(Text), Ignored);
+}
+
 HttpRequest toRequest(http::request<http::string_body> &Parsed) {
   HttpRequest Request;
   Request.m_method = std::string(Parsed.method_string());
@@ -79,8 +90,14 @@
   Timer m_retryTimer;
   std::set<Session *> m_sessions;
   std::size_t m_inProgress = 0;
+  std::uint64_t m_lastWait = 0;
   bool m_isClosed = false;
   bool m_closesAfterResponse = false;
+
+  /// Closes a connection if the table is full, and returns whether there is
+  /// room for another one. Connections whose requests are with the handler
+  /// stay.
+  bool makeRoom();
 };
 
 class HttpListener::Session
@@ -94,7 +111,21 @@
   Session(const Session &) = delete;
   Session &operator=(const Session &) = delete;
 
-  void close() { m_stream.close(); }
+  void close() {
+    m_isClosing = true;
+    m_stream.close();
+  }
+
+  /// Whether the connection waits for its client, not for the handler.
+  bool isWaitingForClient() const {
+    return !m_isClosing && m_waitsFor != WaitsFor::Handler;
+  }
+  /// Whether this connection is to make room before another one: those without
+  /// a complete request come first, then those that have waited longer.
+  bool makesRoomBefore(const Session &Other) const {
+    return std::pair(m_waitsFor, m_waitNumber) <
+           std::pair(Other.m_waitsFor, Other.m_waitNumber);
+  }
 
   void read() {
     if (m_shared->m_isClosed)
@@ -111,6 +142,7 @@
     m_framingLimit = 2 * std::uint64_t(Limits.m_headerBytes) +
                      ExtraBufferBytes + FramingPerBodyByte * Limits.m_bodyBytes;
     m_parsedBytes = 0;
+    beginWait(WaitsFor::Request);
     m_stream.expires_after(Limits.m_idleTimeout);
     if (m_buffer.size() > 0)
       parse();
@@ -119,6 +151,13 @@
   }
 
 private:
+  enum class WaitsFor { Request, ClientToRead, Handler };
+
+  void beginWait(WaitsFor What) {
+    m_waitsFor = What;
+    m_waitNumber = ++m_shared->m_lastWait;
+  }
+
   /// Parses what has been received, and receives more until the request is
   /// complete.
   void parse() {
@@ -159,6 +198,7 @@
       return;
     m_keepAlive = m_parser->keep_alive();
     ++m_shared->m_inProgress;
+    beginWait(WaitsFor::Handler);
     auto Responder = [Self = shared_from_this(),
                       IsOpen =
                           std::make_shared<bool>(true)](HttpResponse Response) {
@@ -179,6 +219,7 @@
   void write(const HttpResponse &Response) {
     m_keepAlive = m_keepAlive && !m_shared->m_closesAfterResponse;
     m_responseText = responseText(Response, m_keepAlive);
+    beginWait(WaitsFor::ClientToRead);
     m_stream.expires_after(m_shared->m_options.m_idleTimeout);
     asio::async_write(
         m_stream, asio::buffer(m_responseText),
@@ -198,9 +239,27 @@
   std::uint64_t m_parsedBytes = 0;
   std::uint64_t m_framingLimit = 0;
   std::string m_responseText;
+  WaitsFor m_waitsFor = WaitsFor::Request;
+  /// Ascending in the order in which the waits of all connections began.
+  std::uint64_t m_waitNumber = 0;
+  bool m_isClosing = false;
   bool m_keepAlive = true;
 };
 
+bool HttpListener::Shared::makeRoom() {
+  if (m_sessions.size() < m_options.m_maxConnections)
+    return true;
+  Session *Chosen = nullptr;
+  for (Session *Each : m_sessions)
+    if (Each->isWaitingForClient() &&
+        (!Chosen || Each->makesRoomBefore(*Chosen)))
+      Chosen = Each;
+  if (!Chosen)
+    return false;
+  Chosen->close();
+  return true;
+}
+
 HttpListener::HttpListener(std::shared_ptr<Shared> State)
     : m_shared(std::move(State)) {}
 
@@ -245,11 +304,12 @@
         if (Ec)
           return State->m_retryTimer.start(AcceptRetryDelay,
                                            [State] { accept(State); });
-        if (State->m_sessions.size() < State->m_options.m_maxConnections) {
-          error_code Ignored;
-          Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+        error_code Ignored;
+        Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+        if (State->makeRoom())
           std::make_shared<Session>(State, std::move(Socket))->read();
-        }
+        else
+          refuse(Socket);
         accept(State);
       });
 }
--- a/catkinseam/aio/http_listener.h
+++ b/catkinseam/aio/http_listener.h
@@ -28,6 +28,8 @@
 class HttpListener {
 public:
   struct Options {
+    /// At this number the connection that has waited longest for its client
+    /// makes room for a new one.
     std::size_t m_maxConnections = 1500;
     std::uint32_t m_headerBytes = 16384;
     std::uint64_t m_bodyBytes = 262144;
--- a/catkinseam/aio/http_listener_test.cc
+++ b/catkinseam/aio/http_listener_test.cc
@@ -28,7 +28,10 @@
           m_loop, {"127.0.0.1", m_port}, Limits,
           [this](const HttpRequest &Request, const HttpResponder &Respond) {
             m_lastBodyBytes = Request.m_body.size();
-            Respond({200, {}, m_responseBody});
+            if (m_isHolding)
+              m_held.push_back(Respond);
+            else
+              Respond({200, {}, m_responseBody});
           });
     });
     if (!Opened)
@@ -64,6 +67,9 @@
   std::uint16_t m_port = 0;
   std::size_t m_lastBodyBytes = 0;
   std::string m_responseBody;
+  /// The handler keeps requests instead of responding.
+  bool m_isHolding = false;
+  std::vector<HttpResponder> m_held;
   std::unique_ptr<HttpListener> m_listener;
 };
 
@@ -83,6 +89,23 @@
   ShortTimeoutFixture() : ListenerFixture({.m_idleTimeout = ShortTimeout}) {}
 };
 
+constexpr std::size_t SmallTable = 4;
+
+struct SmallTableFixture : ListenerFixture {
+  SmallTableFixture() : ListenerFixture({.m_maxConnections = SmallTable}) {}
+
+  /// Opens more connections than the table holds.
+  void openCrowd(const std::string &Text, int ReceiveBuffer = 0) {
+    for (std::size_t Each = 0; Each <= SmallTable; ++Each) {
+      m_crowd.push_back(
+          std::make_unique<RawClient>(m_loop, m_port, ReceiveBuffer));
+      m_crowd.back()->send(Text);
+    }
+  }
+
+  std::vector<std::unique_ptr<RawClient>> m_crowd;
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(framing_limits, ListenerFixture)
@@ -163,4 +186,37 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(connection_table, SmallTableFixture)
+
+// Connections that sent nothing locked other clients out.
+BOOST_AUTO_TEST_CASE(IdleConnectionsMakeRoom) {
+  openCrowd("");
+  BOOST_TEST(statusOf("GET / HTTP/1.1\r\nHost: h\r\n\r\n") == "200");
+  runUntil([&] { return m_crowd.front()->isClosed(); });
+  BOOST_TEST(m_crowd.front()->isClosed());
+  BOOST_TEST(!m_crowd.back()->isClosed());
+}
+
+// Connections whose responses were not read locked other clients out.
+BOOST_AUTO_TEST_CASE(UnreadResponsesMakeRoom) {
+  m_responseBody = std::string(LongResponseBytes, 'x');
+  openCrowd("GET / HTTP/1.1\r\nHost: h\r\n\r\n", SmallReceiveBuffer);
+  runUntil([&] { return m_listener->requestsInProgress() == SmallTable; });
+  m_responseBody.clear();
+  BOOST_TEST(statusOf("GET / HTTP/1.1\r\nHost: h\r\n\r\n") == "200");
+}
+
+// Connections beyond the table were closed without a response.
+BOOST_AUTO_TEST_CASE(FullTableOfWaitingRequestsRefusesWith503) {
+  m_isHolding = true;
+  openCrowd("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  runUntil([&] { return m_crowd.back()->isClosed(); });
+  BOOST_TEST(m_listener->requestsInProgress() == SmallTable);
+  RawClient Late(m_loop, m_port);
+  runUntil([&] { return Late.isClosed(); });
+  BOOST_TEST(Late.status() == "503");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace catkinseam
