Limit the connections of all addresses by the descriptors

Only the callers' address had a limit that depends on the setting `descriptors`. The others took 1,500 connections each, so that idle clients took descriptors that the node needs for its calls to workers and the store. Peers now get a quarter of the descriptors, and readiness and metrics a 32nd each.

--- a/catkinseam/node/node.cc
+++ b/catkinseam/node/node.cc
@@ -20,6 +20,11 @@
 /// The absence of a route is reported only from a configuration that was read
 /// to its end within this time; reads wait for 2 s at the log.
 constexpr Milliseconds MaxConfigAge{2500};
+/// Shares of the file descriptors. The rest is reserved for calls to workers
+/// and the store.
+constexpr std::int64_t CallerShare = 2;
+constexpr std::int64_t PeerShare = 4;
+constexpr std::int64_t ProbeShare = 32;
 /// Interval of the check for requests in progress during a stop.
 constexpr Milliseconds DrainPollInterval{50};
 
@@ -28,6 +33,15 @@
           static_cast<std::size_t>(Values.m_storeAppendBytes)};
 }
 
+/// Limits of an address that gets one part in `Share` of the descriptors.
+HttpListener::Options listenerOptions(const NodeSettings &Values,
+                                      std::int64_t Share) {
+  HttpListener::Options Opts;
+  Opts.m_maxConnections =
+      static_cast<std::size_t>(Values.m_descriptors / Share);
+  return Opts;
+}
+
 JobService::Options jobServiceOptions(const NodeSettings &Values) {
   JobService::Options Opts;
   Opts.m_appendLimits = appendLimits(Values);
@@ -118,14 +132,10 @@
 Node::~Node() = default;
 
 Result<void> Node::start() {
-  HttpListener::Options Limits;
-  // Half of the file descriptors are reserved for calls to workers and the
-  // store.
-  Limits.m_maxConnections =
-      static_cast<std::size_t>(m_settings.m_descriptors / 2);
+  const HttpListener::Options Probes = listenerOptions(m_settings, ProbeShare);
   BOOST_LEAF_ASSIGN(m_callerListener,
                     HttpListener::open(m_loop, m_settings.m_callerEndpoint,
-                                       Limits,
+                                       listenerOptions(m_settings, CallerShare),
                                        [this](const HttpRequest &Request,
                                               const HttpResponder &Respond) {
                                          m_ingress.onCall(Request, Respond);
@@ -133,14 +143,14 @@
   BOOST_LEAF_ASSIGN(
       m_readinessListener,
       HttpListener::open(
-          m_loop, m_settings.m_readinessEndpoint, {},
+          m_loop, m_settings.m_readinessEndpoint, Probes,
           [this](const HttpRequest &Request, const HttpResponder &Respond) {
             m_ingress.onReadiness(Request, Respond);
           }));
   BOOST_LEAF_ASSIGN(
       m_metricsListener,
       HttpListener::open(
-          m_loop, m_settings.m_metricsEndpoint, {},
+          m_loop, m_settings.m_metricsEndpoint, Probes,
           [this](const HttpRequest &, const HttpResponder &Respond) {
             Respond({200,
                      {{"Content-Type", "text/plain; version=0.0.4"}},
@@ -158,7 +168,7 @@
 Result<void> Node::openPeerListener() {
   if (m_settings.m_peerEndpoint.m_port == 0)
     return {};
-  HttpListener::Options Limits;
+  HttpListener::Options Limits = listenerOptions(m_settings, PeerShare);
   Limits.m_bodyBytes =
       static_cast<std::uint64_t>(m_settings.m_storeAppendBytes) * 2;
   BOOST_LEAF_ASSIGN(
