Share one budget of memory among the requests of a process

A limit for each request is no limit for the process: 1,500 callers that each sent a body but for its last byte made a node take 413,859,840 bytes, and the smallest machine has 260 MB. At the peers' address 100 clients were enough.

Each listener of a node now charges what its requests and responses hold to one ByteBudget: buffers, bodies, headers, until the response is written. When the budget is short, connections that wait for their clients are closed, those that hold the most first, so that small requests are still served. If nothing can be freed, the request is refused with 503 and Retry-After before it reaches the handler. The budget is a quarter of the new setting limits.memory_mb, 260 by default, which holds some 248 bodies at the default limit of 262,144 bytes.

A response is sent even if it alone exceeds the budget. The memory that the kernel and the jobs themselves hold is not counted.

The new cases of http_listener_test need the budget and do not build before it.

--- a/catkinseam/aio/http_listener.cc
+++ b/catkinseam/aio/http_listener.cc
@@ -27,6 +27,7 @@
 
 /// Room in a connection's buffer beyond a header at its limit.
 constexpr std::size_t ExtraBufferBytes = 4096;
+constexpr std::size_t DefaultBudgetBytes = 64U << 20;
 constexpr std::size_t MaxReadBytes = 65536;
 /// Framing of a body in chunks of one byte, for each byte: size, two line ends.
 constexpr std::uint64_t FramingPerBodyByte = 5;
@@ -81,7 +82,10 @@
 struct HttpListener::Shared {
   Shared(EventLoop &Loop, const Options &Limits, AsyncHttpHandler Handler)
       : m_loop(Loop), m_options(Limits), m_handler(std::move(Handler)),
-        m_acceptor(Loop.context()), m_retryTimer(Loop) {}
+        m_acceptor(Loop.context()), m_retryTimer(Loop) {
+    if (!m_options.m_budget)
+      m_options.m_budget = std::make_shared<ByteBudget>(DefaultBudgetBytes);
+  }
 
   EventLoop &m_loop;
   Options m_options;
@@ -104,7 +108,8 @@
     : public std::enable_shared_from_this<HttpListener::Session> {
 public:
   Session(std::shared_ptr<Shared> State, asio::ip::tcp::socket Socket)
-      : m_shared(std::move(State)), m_stream(std::move(Socket)) {
+      : m_shared(std::move(State)), m_stream(std::move(Socket)),
+        m_memory(*m_shared->m_options.m_budget, [this] { close(); }) {
     m_shared->m_sessions.insert(this);
   }
   ~Session() { m_shared->m_sessions.erase(this); }
@@ -174,7 +179,16 @@
     receive();
   }
 
+  /// Bytes that the request holds until its response is written.
+  std::size_t heldBytes() const {
+    return m_buffer.capacity() + m_parser->get().body().capacity() +
+           std::min<std::size_t>(m_parsedBytes,
+                                 2 * m_shared->m_options.m_headerBytes);
+  }
+
   void receive() {
+    if (!m_memory.hold(heldBytes(), ByteBudget::MayGiveUp::Yes))
+      return reject(refusal());
     const std::size_t Size = beast::read_size(m_buffer, MaxReadBytes);
     if (Size == 0)
       return onRead(http::error::buffer_overflow);
@@ -191,12 +205,14 @@
   void onRead(const error_code &Ec) {
     m_stream.expires_never();
     if (Ec == http::error::body_limit)
-      return reject(413);
+      return reject({413, {}, ""});
     if (Ec == http::error::header_limit || Ec == http::error::buffer_overflow)
-      return reject(431);
-    if (Ec)
+      return reject({431, {}, ""});
+    if (Ec || m_isClosing)
       return;
     m_keepAlive = m_parser->keep_alive();
+    if (!m_memory.hold(heldBytes(), ByteBudget::MayGiveUp::No))
+      return reject(refusal());
     ++m_shared->m_inProgress;
     beginWait(WaitsFor::Handler);
     auto Responder = [Self = shared_from_this(),
@@ -210,15 +226,20 @@
     m_shared->m_handler(toRequest(m_parser->get()), std::move(Responder));
   }
 
-  void reject(int Status) {
+  void reject(const HttpResponse &Response) {
     m_keepAlive = false;
+    m_parser.reset();
     ++m_shared->m_inProgress;
-    write({Status, {}, ""});
+    write(Response);
   }
 
   void write(const HttpResponse &Response) {
     m_keepAlive = m_keepAlive && !m_shared->m_closesAfterResponse;
     m_responseText = responseText(Response, m_keepAlive);
+    m_parser.reset();
+    // Other responses give up first; this one is sent in any case.
+    m_memory.hold(m_buffer.capacity() + m_responseText.capacity(),
+                  ByteBudget::MayGiveUp::Yes);
     beginWait(WaitsFor::ClientToRead);
     m_stream.expires_after(m_shared->m_options.m_idleTimeout);
     asio::async_write(
@@ -226,6 +247,7 @@
         [Self = shared_from_this()](const error_code &Ec, std::size_t) {
           Self->m_stream.expires_never();
           --Self->m_shared->m_inProgress;
+          Self->m_responseText = {};
           if (!Ec && Self->m_keepAlive)
             Self->read();
         });
@@ -233,6 +255,7 @@
 
   std::shared_ptr<Shared> m_shared;
   beast::tcp_stream m_stream;
+  ByteBudget::Account m_memory;
   beast::flat_buffer m_buffer;
   std::optional<http::request_parser<http::string_body>> m_parser;
   /// Bytes of the request in progress, and its maximum without the body.
--- a/catkinseam/aio/http_listener.h
+++ b/catkinseam/aio/http_listener.h
@@ -9,6 +9,7 @@
 #ifndef CATKINSEAM_AIO_HTTP_LISTENER_H
 #define CATKINSEAM_AIO_HTTP_LISTENER_H
 
+#include "catkinseam/aio/byte_budget.h"
 #include "catkinseam/aio/event_loop.h"
 #include "catkinseam/net/endpoint.h"
 #include "catkinseam/net/http.h"
@@ -36,6 +37,9 @@
     /// Maximum time from the start of reading to the complete request, and for
     /// the client to take the response.
     Milliseconds m_idleTimeout{15000};
+    /// For requests and responses; may be shared with other listeners. Without
+    /// one, each listener has its own.
+    std::shared_ptr<ByteBudget> m_budget = nullptr;
   };
 
   /// Binds and listens. Returns Unavailable, naming the address, on failure.
--- a/catkinseam/aio/http_listener_test.cc
+++ b/catkinseam/aio/http_listener_test.cc
@@ -3,6 +3,7 @@
 #include "catkinseam/aio/http_listener.h"
 #include "catkinseam/aio/testing/raw_client.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 namespace catkinseam {
@@ -106,6 +107,19 @@
   std::vector<std::unique_ptr<RawClient>> m_crowd;
 };
 
+constexpr std::size_t SmallBudgetBytes = 4 * BodyBytes;
+
+struct SmallBudgetFixture : ListenerFixture {
+  SmallBudgetFixture()
+      : ListenerFixture(
+            {.m_budget = std::make_shared<ByteBudget>(SmallBudgetBytes)}) {}
+
+  static std::string head(std::size_t Size) {
+    return "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+           std::to_string(Size) + "\r\n\r\n";
+  }
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(framing_limits, ListenerFixture)
@@ -219,4 +233,48 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(memory_budget, SmallBudgetFixture)
+
+// Memory grew with the number of bodies of which a byte was missing.
+BOOST_AUTO_TEST_CASE(PartialBodiesGiveUpForAnOrdinaryRequest) {
+  std::vector<std::unique_ptr<RawClient>> Crowd;
+  for (int Each = 0; Each < 16; ++Each) {
+    Crowd.push_back(std::make_unique<RawClient>(m_loop, m_port));
+    Crowd.back()->send(head(BodyBytes) + std::string(BodyBytes - 1, 'x'));
+  }
+  const auto Closed = [&] {
+    return std::count_if(Crowd.begin(), Crowd.end(),
+                         [](const auto &Each) { return Each->isClosed(); });
+  };
+  runUntil([&] { return Closed() >= 13; });
+  BOOST_TEST(Closed() >= 13);
+  BOOST_TEST(Closed() < 16);
+  BOOST_TEST(statusOf(head(1) + "x") == "200");
+}
+
+// Requests with the handler held memory without a limit.
+BOOST_AUTO_TEST_CASE(RequestsBeyondThoseWithTheHandlerAreRefused) {
+  m_isHolding = true;
+  std::vector<std::unique_ptr<RawClient>> Crowd;
+  for (int Each = 0; Each < 8; ++Each) {
+    Crowd.push_back(std::make_unique<RawClient>(m_loop, m_port));
+    Crowd.back()->send(head(BodyBytes) + std::string(BodyBytes, 'x'));
+  }
+  const auto Closed = [&] {
+    return std::count_if(Crowd.begin(), Crowd.end(),
+                         [](const auto &Each) { return Each->isClosed(); });
+  };
+  runUntil([&] { return Closed() >= 5; });
+  BOOST_TEST(Closed() >= 5);
+  BOOST_TEST(m_held.size() <= 3U);
+  BOOST_TEST(!m_held.empty());
+  m_isHolding = false;
+  for (const HttpResponder &Each : m_held)
+    Each({200, {}, ""});
+  runUntil([&] { return m_listener->requestsInProgress() == 0; });
+  BOOST_TEST(statusOf(head(BodyBytes) + std::string(BodyBytes, 'x')) == "200");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace catkinseam
--- a/catkinseam/node/node.cc
+++ b/catkinseam/node/node.cc
@@ -25,6 +25,9 @@
 constexpr std::int64_t CallerShare = 2;
 constexpr std::int64_t PeerShare = 4;
 constexpr std::int64_t ProbeShare = 32;
+/// Share of the memory for requests.
+constexpr std::int64_t RequestMemoryShare = 4;
+constexpr std::int64_t BytesPerMb = 1000000;
 /// Interval of the check for requests in progress during a stop.
 constexpr Milliseconds DrainPollInterval{50};
 
@@ -33,15 +36,6 @@
           static_cast<std::size_t>(Values.m_storeAppendBytes)};
 }
 
-/// Limits of an address that gets one part in `Share` of the descriptors.
-HttpListener::Options listenerOptions(const NodeSettings &Values,
-                                      std::int64_t Share) {
-  HttpListener::Options Opts;
-  Opts.m_maxConnections =
-      static_cast<std::size_t>(Values.m_descriptors / Share);
-  return Opts;
-}
-
 JobService::Options jobServiceOptions(const NodeSettings &Values) {
   JobService::Options Opts;
   Opts.m_appendLimits = appendLimits(Values);
@@ -127,15 +121,17 @@
                  [this] { return m_candidate.isCurrent(); },
                  [this] { return m_candidate.ledgerAge(); },
                  [this] { return isReady(); }}),
+      m_requestMemory(std::make_shared<ByteBudget>(static_cast<std::size_t>(
+          Values.m_memoryMb * BytesPerMb / RequestMemoryShare))),
       m_stopTimer(Loop) {}
 
 Node::~Node() = default;
 
 Result<void> Node::start() {
-  const HttpListener::Options Probes = listenerOptions(m_settings, ProbeShare);
+  const HttpListener::Options Probes = listenerOptions(ProbeShare);
   BOOST_LEAF_ASSIGN(m_callerListener,
                     HttpListener::open(m_loop, m_settings.m_callerEndpoint,
-                                       listenerOptions(m_settings, CallerShare),
+                                       listenerOptions(CallerShare),
                                        [this](const HttpRequest &Request,
                                               const HttpResponder &Respond) {
                                          m_ingress.onCall(Request, Respond);
@@ -165,10 +161,18 @@
   return {};
 }
 
+HttpListener::Options Node::listenerOptions(std::int64_t Share) const {
+  HttpListener::Options Opts;
+  Opts.m_maxConnections =
+      static_cast<std::size_t>(m_settings.m_descriptors / Share);
+  Opts.m_budget = m_requestMemory;
+  return Opts;
+}
+
 Result<void> Node::openPeerListener() {
   if (m_settings.m_peerEndpoint.m_port == 0)
     return {};
-  HttpListener::Options Limits = listenerOptions(m_settings, PeerShare);
+  HttpListener::Options Limits = listenerOptions(PeerShare);
   Limits.m_bodyBytes =
       static_cast<std::uint64_t>(m_settings.m_storeAppendBytes) * 2;
   BOOST_LEAF_ASSIGN(
--- a/catkinseam/node/node.h
+++ b/catkinseam/node/node.h
@@ -52,6 +52,8 @@
   /// Returns where to relay records to; see RelayedLog.
   std::optional<Endpoint> ownerPeer() const;
   Result<void> openPeerListener();
+  /// Limits of an address that gets one part in `Share` of the descriptors.
+  HttpListener::Options listenerOptions(std::int64_t Share) const;
 
   EventLoop &m_loop;
   NodeSettings m_settings;
@@ -67,6 +69,7 @@
   JobLookup m_jobLookup;
   Ingress m_ingress;
   std::optional<OperatorConfig> m_config;
+  std::shared_ptr<ByteBudget> m_requestMemory;
   std::unique_ptr<HttpListener> m_callerListener;
   std::unique_ptr<HttpListener> m_readinessListener;
   std::unique_ptr<HttpListener> m_metricsListener;
--- a/catkinseam/settings/node_settings.cc
+++ b/catkinseam/settings/node_settings.cc
@@ -26,6 +26,7 @@
        4096, 1LL << 30},
       {"limits", "descriptors", &NodeSettings::m_descriptors, false, 64,
        1000000},
+      {"limits", "memory_mb", &NodeSettings::m_memoryMb, false, 64, 1 << 20},
       {"limits", "processor_share", &NodeSettings::m_processorShare, false, 0,
        64},
       {"scheduling", "longest_lease_s", &NodeSettings::m_maxLeaseDuration,
--- a/catkinseam/settings/node_settings.h
+++ b/catkinseam/settings/node_settings.h
@@ -35,6 +35,9 @@
 
   // [limits]
   std::int64_t m_descriptors = 4096;
+  /// Memory of the machine in megabytes. A quarter is for requests that are
+  /// read or answered; see ByteBudget.
+  std::int64_t m_memoryMb = 260;
   /// CPU available to the node, in processors; may be fractional.
   double m_processorShare = 1.0;
 
