Bound the buffer of the client for replies

As in the listener, the buffer that replies are read into had no maximum, so that a server's trailer section or chunk extension was limited by nothing but the call's timeout, and a field above 64 kB ended the process with an exception (std::length_error from the parser). Such a call now ends as one without a response.

ReplyWithLongTrailersIsNotTaken ends with that exception before the change and passes with it.

--- a/catkinseam/aio/async_http_client.cc
+++ b/catkinseam/aio/async_http_client.cc
@@ -23,6 +23,8 @@
 /// Fits the largest replies of the log service: a page of 1 MB encoded as
 /// base64, and a read of 2 MB of records.
 constexpr std::uint64_t MaxReplyBytes = 4ULL << 20;
+/// Limits the header, the trailer section and each chunk's extensions.
+constexpr std::size_t MaxBufferBytes = 32768;
 
 constexpr int StatusOk = 200;
 
@@ -288,7 +290,7 @@
   bool m_isAskingProcess = false;
   /// Process that the connection leads to, as far as it has told.
   std::int64_t m_process = UnknownProcess;
-  boost::beast::flat_buffer m_buffer;
+  boost::beast::flat_buffer m_buffer{MaxBufferBytes};
   std::optional<http::response_parser<http::string_body>> m_parser;
   CallOutcome m_outcome = CallOutcome::NotSent;
   TimePoint m_idleSince;
--- a/catkinseam/aio/async_http_client_test.cc
+++ b/catkinseam/aio/async_http_client_test.cc
@@ -281,4 +281,22 @@
   BOOST_TEST(Replies == 1);
 }
 
+// Memory grew with the trailer fields of a server that never ended them.
+BOOST_AUTO_TEST_CASE(ReplyWithLongTrailersIsNotTaken) {
+  EventLoop Loop;
+  ScriptedServer Server(
+      Loop, {{.m_reply = "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+                         "2\r\nok\r\n0\r\nX-Field: " +
+                         std::string(1U << 20, 'x') + "\r\n\r\n"}});
+  AsyncHttpClient Client(Loop, Server.endpoint(), {.m_maxConnections = 1});
+  HttpReply Received{.m_outcome = CallOutcome::Answered, .m_body = ""};
+  Client.call({.m_headers = {}, .m_body = ""}, [&](const HttpReply &Reply) {
+    Received = Reply;
+    Loop.stop();
+  });
+  Loop.schedule(TestTimeout, [&] { Loop.stop(); });
+  Loop.run();
+  BOOST_TEST((Received.m_outcome == CallOutcome::NoResponse));
+}
+
 } // namespace catkinseam
