Refuse header and trailer fields that the parser cannot hold

One request ended a node: a trailer field above 64 kB, which no limit covered, made the parser throw std::length_error out of the event loop ("operation failed without an Error"). Header fields did the same wherever the operator's header limit exceeds 64 kB. The listener now treats it as a header over its limit: 431, and the connection is closed.

--- a/catkinseam/aio/http_listener.cc
+++ b/catkinseam/aio/http_listener.cc
@@ -11,6 +11,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <optional>
 #include <set>
+#include <stdexcept>
 
 namespace catkinseam {
 
@@ -167,7 +168,7 @@
   /// complete.
   void parse() {
     error_code Ec;
-    const std::size_t Parsed = m_parser->put(m_buffer.data(), Ec);
+    const std::size_t Parsed = put(Ec);
     m_buffer.consume(Parsed);
     m_parsedBytes += Parsed;
     const bool IsIncomplete =
@@ -179,6 +180,17 @@
     receive();
   }
 
+  /// Returns the number of bytes that the parser takes from the buffer.
+  std::size_t put(error_code &Ec) {
+    try {
+      return m_parser->put(m_buffer.data(), Ec);
+    } catch (const std::length_error &) {
+      // Thrown for a field above 64 kB.
+      Ec = http::error::header_limit;
+      return 0;
+    }
+  }
+
   /// Bytes that the request holds until its response is written.
   std::size_t heldBytes() const {
     return m_buffer.capacity() + m_parser->get().body().capacity() +
--- a/catkinseam/aio/http_listener_test.cc
+++ b/catkinseam/aio/http_listener_test.cc
@@ -157,6 +157,14 @@
   BOOST_TEST(m_lastBodyBytes == 0U);
 }
 
+// A field above 64 kB ended the process with an exception of the parser.
+BOOST_AUTO_TEST_CASE(FieldThatTheParserCannotHoldIsRefused) {
+  m_listener->setLimits(1U << 20, BodyBytes, Milliseconds(15000));
+  const std::string Field = "X-Field: " + std::string(70000, 'x') + "\r\n\r\n";
+  BOOST_TEST(statusOf("GET / HTTP/1.1\r\nHost: h\r\n" + Field) == "431");
+  BOOST_TEST(statusOf(Chunked + "0\r\n" + Field) == "431");
+}
+
 BOOST_AUTO_TEST_CASE(RequestsAtTheLimitsAreServed) {
   BOOST_TEST(statusOf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
                       std::to_string(BodyBytes) + "\r\n\r\n" +
--- a/tests/process/hostile_clients.sh
+++ b/tests/process/hostile_clients.sh
@@ -148,6 +148,18 @@
   check "a crowd at peers"
   check_after
   ;;
+long_trailer_field)
+  start 4096
+  for each in callers peers readiness metrics; do
+    {
+      printf 'POST / HTTP/1.1\r\nHost: tally.example\r\nTransfer-Encoding: chunked\r\n\r\n'
+      printf '0\r\nX-Field: %070000d\r\n\r\n' 0
+    } >"/dev/tcp/127.0.0.1/$(address "$each")" || true
+    node_wait 30 "an answer at $each" answers "$each" || fail "no answer at $each"
+    check "a client at $each"
+  done
+  check_after
+  ;;
 slow_headers) case_locked_out slow-header ;;
 idle_connections) case_locked_out idle ;;
 unread_replies) case_locked_out unread-replies --path /counts/ --bytes 8000000 ;;
