--- a/catkinseam/aio/http_listener.h
+++ b/catkinseam/aio/http_listener.h
@@ -9,6 +9,7 @@
 #ifndef CATKINSEAM_AIO_HTTP_LISTENER_H
 #define CATKINSEAM_AIO_HTTP_LISTENER_H
 
+#include "catkinseam/aio/byte_budget.h"
 #include "catkinseam/aio/event_loop.h"
 #include "catkinseam/net/endpoint.h"
 #include "catkinseam/net/http.h"
@@ -28,11 +29,17 @@
 class HttpListener {
 public:
   struct Options {
+    /// At this number the connection that has waited longest for its client
+    /// makes room for a new one.
     std::size_t m_maxConnections = 1500;
     std::uint32_t m_headerBytes = 16384;
     std::uint64_t m_bodyBytes = 262144;
-    /// Maximum time from the start of reading to the complete request.
+    /// Maximum time from the start of reading to the complete request, and for
+    /// the client to take the response.
     Milliseconds m_idleTimeout{15000};
+    /// For requests and responses; may be shared with other listeners. Without
+    /// one, each listener has its own.
+    std::shared_ptr<ByteBudget> m_budget = nullptr;
   };
 
   /// Binds and listens. Returns Unavailable, naming the address, on failure.
