Read chunked request bodies with bounds, and their trailers with them

What callers saw: trailer fields of a request were read as the next request; the part of a chunked body that had arrived when its connection ended was handled as a whole request; so were bodies with invalid chunks.

Cause: POCO's chunked stream reads one trailer line, limits neither extensions nor trailers, and reports each of its errors as the end of the body.

Change: RequestBody reads chunks itself. Extensions and trailers of a request may take header_bytes together (431), invalid or truncated bodies are refused (400), and the connection is closed. A request with neither length nor chunks has an empty body (RFC 9112) and does not wait for one.

FramingOfABodyIsLimited is new.

--- a/catkinseam/net/http_server.cc
+++ b/catkinseam/net/http_server.cc
@@ -3,6 +3,7 @@
 
 #include "catkinseam/base/ticker.h"
 #include "catkinseam/net/internal/connection_deadlines.h"
+#include "catkinseam/net/internal/request_body.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandler.h>
@@ -16,7 +17,6 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/ThreadPool.h>
 #include <exception>
-#include <optional>
 
 namespace catkinseam {
 
@@ -56,23 +56,6 @@
   return Bytes;
 }
 
-/// Reads at most `Limit` bytes; returns nullopt if there are more. Reading
-/// stops, and the body is truncated, once `MaxDuration` has passed.
-std::optional<std::string> readBody(std::istream &Stream, std::size_t Limit,
-                                    Duration MaxDuration) {
-  const SystemClock Clock;
-  const TimePoint End = Clock.now() + MaxDuration;
-  std::string Body;
-  char Buffer[8192];
-  while (Clock.now() < End &&
-         (Stream.read(Buffer, sizeof Buffer), Stream.gcount() > 0)) {
-    Body.append(Buffer, static_cast<std::size_t>(Stream.gcount()));
-    if (Body.size() > Limit)
-      return std::nullopt;
-  }
-  return Body;
-}
-
 Error headerTooLarge(std::size_t Limit) {
   return {ErrorCode::TooLarge,
           "request header exceeds " + std::to_string(Limit) + " bytes"};
@@ -83,13 +66,17 @@
           "request body exceeds " + std::to_string(Limit) + " bytes"};
 }
 
-bool isBodyTruncated(const HTTPServerRequest &Source, const std::string &Body) {
-  return Source.hasContentLength() &&
-         Source.getContentLength64() != static_cast<Poco::Int64>(Body.size());
+Error framingTooLarge(std::size_t Limit) {
+  return {ErrorCode::TooLarge, "chunk extensions and trailers exceed " +
+                                   std::to_string(Limit) + " bytes"};
+}
+
+Poco::Net::HTTPServerRequestImpl &implOf(HTTPServerRequest &Request) {
+  return dynamic_cast<Poco::Net::HTTPServerRequestImpl &>(Request);
 }
 
 Poco::Net::StreamSocket socketOf(HTTPServerRequest &Request) {
-  return dynamic_cast<Poco::Net::HTTPServerRequestImpl &>(Request).socket();
+  return implOf(Request).socket();
 }
 
 class RequestAdapter final : public Poco::Net::HTTPRequestHandler {
@@ -128,24 +115,35 @@
       Rejection.m_status = 431;
       return Rejection;
     }
-    if (Source.hasContentLength() &&
-        Source.getContentLength64() >
-            static_cast<Poco::Int64>(Limits.m_maxBodyBytes)) {
+    RequestBody Body({Limits.m_maxBodyBytes, Limits.m_maxHeaderBytes});
+    const RequestBody::Outcome Read = Body.read(implOf(Source));
+    if (Read != RequestBody::Outcome::Complete) {
       MustClose = true;
-      return problemResponse(bodyTooLarge(Limits.m_maxBodyBytes));
+      return rejection(Read);
     }
-    std::optional<std::string> Body =
-        readBody(Source.stream(), Limits.m_maxBodyBytes, Limits.m_readTimeout);
-    if (!Body) {
-      MustClose = true;
+    m_shared->m_deadlines.onRequestRead(socketOf(Source));
+    return callHandler(Source, Body.take());
+  }
+
+  HttpResponse rejection(RequestBody::Outcome Read) const {
+    const HttpServer::Options &Limits = m_shared->m_options;
+    switch (Read) {
+    case RequestBody::Outcome::TooLarge:
       return problemResponse(bodyTooLarge(Limits.m_maxBodyBytes));
+    case RequestBody::Outcome::FramingTooLarge: {
+      HttpResponse Rejection =
+          problemResponse(framingTooLarge(Limits.m_maxHeaderBytes));
+      Rejection.m_status = 431;
+      return Rejection;
     }
-    if (isBodyTruncated(Source, *Body)) {
-      MustClose = true;
+    case RequestBody::Outcome::Truncated:
       return problemResponse({ErrorCode::Invalid, "request body is truncated"});
+    case RequestBody::Outcome::Complete:
+    case RequestBody::Outcome::Invalid:
+      break;
     }
-    m_shared->m_deadlines.onRequestRead(socketOf(Source));
-    return callHandler(Source, std::move(*Body));
+    return problemResponse(
+        {ErrorCode::Invalid, "request body is not encoded correctly"});
   }
 
   bool isOverConnectionLimit() const {
--- a/catkinseam/net/http_server.h
+++ b/catkinseam/net/http_server.h
@@ -36,8 +36,10 @@
     Endpoint m_listen;
     /// Further connections get a 503 response and are closed.
     std::size_t m_maxConnections = 256;
+    /// Also the limit on the chunk extensions and trailers of a body.
     std::size_t m_maxHeaderBytes = 16 * 1024;
     std::size_t m_maxBodyBytes = 1024 * 1024;
+    /// Limits the bodies of unfinished requests together; servers of a process
     /// Maximum time between reads of a request; also the maximum time to
     /// receive the complete first header of a connection, and a body with its
     /// chunk extensions and trailers.
--- a/catkinseam/net/http_server_test.cc
+++ b/catkinseam/net/http_server_test.cc
@@ -214,3 +214,14 @@
   BOOST_TEST(Server.handledPaths() == Expected,
              boost::test_tools::per_element());
 }
+
+// Guards against chunk extensions and trailers that are read without bound.
+BOOST_AUTO_TEST_CASE(FramingOfABodyIsLimited) {
+  const LimitedServer Server;
+  const std::string Long(3000, 'x');
+  for (const std::string &Body :
+       {"5;" + Long + "\r\nhello\r\n0\r\n\r\n", "0;" + Long + "\r\n\r\n",
+        "0\r\nX-T: " + Long + "\r\n\r\n"})
+    BOOST_TEST(Server.exchange(ChunkedHeader + Body).rfind("HTTP/1.1 431", 0) ==
+               0);
+}
