Limit the bodies of all unfinished requests of an entry together

What callers saw: 400 bodies of 1 MB that lack their last byte take 495 MB, with the limits at their defaults; the smallest machine ends a process at 260 MB.

Cause: body_bytes limits a request, and nothing limits the requests together.

Change: the listeners of a process share a budget of bytes, limits.unfinished_body_bytes (64 MiB, 64 times the largest body). A request that exceeds it gets 503 and its connection is closed; a request without a body needs none of it.

UnfinishedBodiesShareABudget and BudgetOfBodiesIsNotBelowTheLimitOfOne are new.

--- a/catkinseam/net/http_server.cc
+++ b/catkinseam/net/http_server.cc
@@ -24,7 +24,11 @@
   explicit Shared(const Options &Limits)
       : m_options(Limits),
         m_deadlines({Limits.m_readTimeout, Limits.m_idleTimeout,
-                     Limits.m_writeTimeout}) {}
+                     Limits.m_writeTimeout}) {
+    if (!m_options.m_bodyBudget)
+      m_options.m_bodyBudget =
+          std::make_shared<ByteBudget>(DefaultUnfinishedBytes);
+  }
 
   Options m_options;
   HttpHandler m_handler;
@@ -71,6 +75,11 @@
                                    std::to_string(Limit) + " bytes"};
 }
 
+Error budgetUsedUp(std::size_t Limit) {
+  return {ErrorCode::Unavailable,
+          "unfinished requests exceed " + std::to_string(Limit) + " bytes"};
+}
+
 Poco::Net::HTTPServerRequestImpl &implOf(HTTPServerRequest &Request) {
   return dynamic_cast<Poco::Net::HTTPServerRequestImpl &>(Request);
 }
@@ -115,7 +124,8 @@
       Rejection.m_status = 431;
       return Rejection;
     }
-    RequestBody Body({Limits.m_maxBodyBytes, Limits.m_maxHeaderBytes});
+    RequestBody Body({Limits.m_maxBodyBytes, Limits.m_maxHeaderBytes},
+                     *Limits.m_bodyBudget);
     const RequestBody::Outcome Read = Body.read(implOf(Source));
     if (Read != RequestBody::Outcome::Complete) {
       MustClose = true;
@@ -136,6 +146,8 @@
       Rejection.m_status = 431;
       return Rejection;
     }
+    case RequestBody::Outcome::OverBudget:
+      return problemResponse(budgetUsedUp(Limits.m_bodyBudget->limit()));
     case RequestBody::Outcome::Truncated:
       return problemResponse({ErrorCode::Invalid, "request body is truncated"});
     case RequestBody::Outcome::Complete:
--- a/catkinseam/net/http_server.h
+++ b/catkinseam/net/http_server.h
@@ -8,6 +8,7 @@
 #define CATKINSEAM_NET_HTTP_SERVER_H
 
 #include "catkinseam/base/clock.h"
+#include "catkinseam/net/byte_budget.h"
 #include "catkinseam/net/endpoint.h"
 #include "catkinseam/net/http.h"
 
@@ -32,6 +33,8 @@
 /// own pool, so that servers cannot starve one another.
 class HttpServer {
 public:
+  static constexpr std::size_t DefaultUnfinishedBytes = 64 * 1024 * 1024;
+
   struct Options {
     Endpoint m_listen;
     /// Further connections get a 503 response and are closed.
@@ -40,6 +43,8 @@
     std::size_t m_maxHeaderBytes = 16 * 1024;
     std::size_t m_maxBodyBytes = 1024 * 1024;
     /// Limits the bodies of unfinished requests together; servers of a process
+    /// may share it. Without one, the server has a budget of its own.
+    std::shared_ptr<ByteBudget> m_bodyBudget;
     /// Maximum time between reads of a request; also the maximum time to
     /// receive the complete first header of a connection, and a body with its
     /// chunk extensions and trailers.
--- a/catkinseam/net/http_server_test.cc
+++ b/catkinseam/net/http_server_test.cc
@@ -24,6 +24,8 @@
 constexpr std::size_t MaxConnections = 4;
 constexpr int CrowdSize = 24;
 
+constexpr std::size_t UnfinishedBytes = 64 * 1024;
+
 const std::string ChunkedHeader =
     "POST /upload HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
 const std::string GetRequest =
@@ -82,6 +84,7 @@
     Limits.m_listen = {"127.0.0.1", m_port};
     Limits.m_maxConnections = MaxConnections;
     Limits.m_maxHeaderBytes = 2048;
+    Limits.m_bodyBudget = std::make_shared<ByteBudget>(UnfinishedBytes);
     Limits.m_readTimeout = 300ms;
     return Limits;
   }
@@ -215,6 +218,32 @@
              boost::test_tools::per_element());
 }
 
+// Guards against bodies that each stay within their limit and together use up
+// the memory of the process.
+BOOST_AUTO_TEST_CASE(UnfinishedBodiesShareABudget) {
+  const LimitedServer Server;
+  const auto Post = [](std::size_t Length) {
+    return "POST /upload HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+           "Content-Length: " +
+           std::to_string(Length) + "\r\n\r\n";
+  };
+  StreamSocket Unfinished = Server.connect();
+  const std::string Part =
+      Post(UnfinishedBytes) + std::string(UnfinishedBytes - 8192, 'x');
+  Unfinished.sendBytes(Part.data(), static_cast<int>(Part.size()));
+  const std::string Whole = Post(16384) + std::string(16384, 'x');
+  std::string Refusal;
+  while (Refusal.rfind("HTTP/1.1 503", 0) != 0)
+    Refusal = Server.exchange(Whole);
+  BOOST_TEST(Refusal.find("unfinished requests exceed 65536 bytes") !=
+             std::string::npos);
+  Unfinished.close();
+  std::string Reply;
+  while (Reply.rfind("HTTP/1.1 200", 0) != 0)
+    Reply = Server.exchange(Whole);
+  BOOST_TEST(Server.servesOrdinaryRequest());
+}
+
 // Guards against chunk extensions and trailers that are read without bound.
 BOOST_AUTO_TEST_CASE(FramingOfABodyIsLimited) {
   const LimitedServer Server;
--- a/catkinseam/net/internal/request_body.cc
+++ b/catkinseam/net/internal/request_body.cc
@@ -147,6 +147,8 @@
 RequestBody::Outcome RequestBody::append(const char *Bytes, std::size_t Size) {
   if (m_bytes.size() + Size > m_options.m_maxBodyBytes)
     return Outcome::TooLarge;
+  if (!m_reservation.grow(Size))
+    return Outcome::OverBudget;
   m_bytes.append(Bytes, Size);
   return Outcome::Complete;
 }
--- a/catkinseam/net/internal/request_body.h
+++ b/catkinseam/net/internal/request_body.h
@@ -1,7 +1,8 @@
-// Reads the body of a request with bounds on its bytes and on the bytes of its
-// chunk extensions and trailers.
+// Reads the body of a request with bounds on its bytes, on the bytes of its
+// chunk extensions and trailers, and on what all unfinished requests use
+// together.
 //
-//   RequestBody Body({MaxBodyBytes, MaxFramingBytes});
+//   RequestBody Body({MaxBodyBytes, MaxFramingBytes}, Budget);
 //   if (Body.read(Request) == RequestBody::Outcome::Complete)
 //     use(Body.take());
 //
@@ -10,6 +11,8 @@
 #ifndef CATKINSEAM_NET_INTERNAL_REQUEST_BODY_H
 #define CATKINSEAM_NET_INTERNAL_REQUEST_BODY_H
 
+#include "catkinseam/net/byte_budget.h"
+
 #include <cstddef>
 #include <string>
 
@@ -28,6 +31,8 @@
     TooLarge,
     /// The chunk extensions and trailers exceed their limit.
     FramingTooLarge,
+    /// The budget of all unfinished requests is used up.
+    OverBudget,
     /// A chunk is malformed, or the transfer encoding is not supported.
     Invalid,
     /// The connection ended within the body.
@@ -39,12 +44,13 @@
     std::size_t m_maxFramingBytes;
   };
 
-  explicit RequestBody(const Options &Limits) : m_options(Limits) {}
+  RequestBody(const Options &Limits, ByteBudget &Budget)
+      : m_options(Limits), m_reservation(Budget) {}
 
   /// Reads the body, and the trailers of a chunked one, from the connection.
   Outcome read(Poco::Net::HTTPServerRequestImpl &Request);
 
-  /// Returns the body, once.
+  /// Returns the body. Its bytes stay reserved for the life of this object.
   std::string take() { return std::move(m_bytes); }
 
 private:
@@ -59,6 +65,7 @@
   Outcome append(const char *Bytes, std::size_t Size);
 
   const Options m_options;
+  ByteReservation m_reservation;
   std::string m_bytes;
   std::size_t m_framingBytes = 0;
 };
--- a/catkinseam/server/entry_server.cc
+++ b/catkinseam/server/entry_server.cc
@@ -88,12 +88,14 @@
 
 HttpServer::Options httpServerOptions(const Settings &EntrySettings,
                                       const Endpoint &Address,
-                                      std::int64_t MaxConnections) {
+                                      std::int64_t MaxConnections,
+                                      std::shared_ptr<ByteBudget> BodyBudget) {
   HttpServer::Options Opts;
   Opts.m_listen = Address;
   Opts.m_maxConnections = static_cast<std::size_t>(MaxConnections);
   Opts.m_maxHeaderBytes = static_cast<std::size_t>(EntrySettings.m_headerBytes);
   Opts.m_maxBodyBytes = static_cast<std::size_t>(EntrySettings.m_bodyBytes);
+  Opts.m_bodyBudget = std::move(BodyBudget);
   Opts.m_readTimeout = EntrySettings.m_readTimeout;
   Opts.m_writeTimeout = EntrySettings.m_writeTimeout;
   Opts.m_idleTimeout = EntrySettings.m_idleTimeout;
@@ -156,15 +158,17 @@
       m_startedAt(m_clock.now()) {
   m_peerMessenger.open();
   startThreads();
+  const auto BodyBudget = std::make_shared<ByteBudget>(
+      static_cast<std::size_t>(EntrySettings.m_unfinishedBodyBytes));
   m_adminServer = std::make_unique<HttpServer>(
       httpServerOptions(EntrySettings, EntrySettings.m_adminEndpoint,
-                        EntrySettings.m_adminConnections),
+                        EntrySettings.m_adminConnections, BodyBudget),
       [this](const HttpRequest &Request) {
         return m_adminApi.handle(Request);
       });
   m_callerServer = std::make_unique<HttpServer>(
       httpServerOptions(EntrySettings, EntrySettings.m_callerEndpoint,
-                        EntrySettings.m_callerConnections),
+                        EntrySettings.m_callerConnections, BodyBudget),
       [this](const HttpRequest &Request) {
         return m_requestService.handle(Request);
       });
--- a/catkinseam/settings/settings.cc
+++ b/catkinseam/settings/settings.cc
@@ -32,6 +32,8 @@
       {"admin", "token", &Settings::m_adminToken, true},
       {"limits", "header_bytes", &Settings::m_headerBytes, false, 1024, 65536},
       {"limits", "body_bytes", &Settings::m_bodyBytes, false, 1024, 67108864},
+      {"limits", "unfinished_body_bytes", &Settings::m_unfinishedBodyBytes,
+       false, 1024, 1073741824},
       {"limits", "caller_connections", &Settings::m_callerConnections, false, 1,
        10000},
       {"limits", "admin_connections", &Settings::m_adminConnections, false, 1,
@@ -72,6 +74,9 @@
   if (Values.m_leaseRenewInterval * 3 > Values.m_leaseDuration)
     Reader.addError("batch.renew_ms",
                     "must be at most a third of batch.lease_ms");
+  if (Values.m_unfinishedBodyBytes < Values.m_bodyBytes)
+    Reader.addError("limits.unfinished_body_bytes",
+                    "must not be below limits.body_bytes");
   static const std::set<std::string> LogLevels = {"debug", "info", "warn",
                                                   "error"};
   if (LogLevels.count(Values.m_logLevel) == 0)
--- a/catkinseam/settings/settings.h
+++ b/catkinseam/settings/settings.h
@@ -46,6 +46,8 @@
   // [limits]
   std::int64_t m_headerBytes = 16 * 1024;
   std::int64_t m_bodyBytes = 1024 * 1024;
+  /// For the bodies of all unfinished requests together.
+  std::int64_t m_unfinishedBodyBytes = 64 * 1024 * 1024;
   std::int64_t m_callerConnections = 1000;
   std::int64_t m_adminConnections = 64;
   std::int64_t m_requestsInFlight = 2000;
--- a/catkinseam/settings/settings_test.cc
+++ b/catkinseam/settings/settings_test.cc
@@ -54,6 +54,16 @@
   BOOST_TEST(Errors == Expected, boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(BudgetOfBodiesIsNotBelowTheLimitOfOne) {
+  const std::vector<std::string> Errors =
+      errorsOf(std::string(ValidSettings) +
+               "[limits]\nunfinished_body_bytes = 2048\nbody_bytes = 4096\n");
+  const std::vector<std::string> Expected = {
+      "line 15: limits.unfinished_body_bytes: must not be below "
+      "limits.body_bytes"};
+  BOOST_TEST(Errors == Expected, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(ReportsMissingKeysAndInvalidAddresses) {
   const std::vector<std::string> Errors = errorsOf(
       "[entry]\nname = \"\"\ncallers = \"host:1\"\npeers = [\"1.2.3.4\"]\n");
