Allocate a peer's frame as its bytes arrive

What was seen: four peers that each announce a frame of 256 MB in four bytes, and send nothing more, take 268 MB of an entry.

Cause: the frame was allocated, and cleared, at its announced size.

--- a/catkinseam/net/peer_transport.cc
+++ b/catkinseam/net/peer_transport.cc
@@ -7,6 +7,7 @@
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/Net/TCPServer.h>
 #include <Poco/Net/TCPServerConnectionFactory.h>
+#include <algorithm>
 #include <atomic>
 #include <thread>
 #include <vector>
@@ -62,8 +63,14 @@
     Size |= static_cast<std::size_t>(Header[Index]) << (8 * Index);
   if (Size > PeerTransport::MaxFrameBytes)
     throw Poco::IOException("frame is too large");
-  std::string Bytes(Size, '\0');
-  receiveAll(Socket, Bytes.data(), Size);
+  // Grows with the bytes that arrive: the announced size is not yet proven.
+  constexpr std::size_t PartBytes = 64 * 1024;
+  std::string Bytes;
+  while (Bytes.size() < Size) {
+    const std::size_t Received = Bytes.size();
+    Bytes.resize(std::min(Size, Received + PartBytes));
+    receiveAll(Socket, Bytes.data() + Received, Bytes.size() - Received);
+  }
   return Bytes;
 }
 
