Open overdue occurrences of a recurring job as room allows

What was seen: a job of 150 bytes whose 2,000 occurrences of 1,000 tasks were due in 1970 takes 403 MB of the owner; the smallest machine ends a process at 260 MB. The job is in the log, so it ends each next owner too.

Cause: record sizes bound the tasks of one occurrence (2,383 by default), but `repetitions` may be 100,000: the scheduler made a row for each occurrence at once, and opened all that were due, each with rows for all its tasks.

Change: rows are made when an occurrence opens, and an overdue one waits while the open ones of its job would have more than 10,000 tasks. Nothing is refused, so that stored records are covered too, and a job whose occurrences do not overlap to that extent runs as before.

--- a/catkinseam/scheduler/scheduler.h
+++ b/catkinseam/scheduler/scheduler.h
@@ -109,6 +109,9 @@
     /// Maximum number of waiting steps for which room is kept at a time; zero
     /// for none.
     std::size_t m_maxReservations = 0;
+    /// Occurrences of a recurring job that are due wait while the open ones
+    /// would have more tasks than this.
+    std::size_t m_maxRunningTasksPerJob = 10000;
     /// How long ended jobs are kept.
     Milliseconds m_jobRetention{180000};
     /// Epoch of the owner, for the log.
@@ -275,6 +278,11 @@
   void enqueueTask(TaskInfo &Task, Duration Delay);
   void dequeueTask(TaskInfo &Task);
   JobProgress progressOf(const JobInfo &Job) const;
+  static std::uint32_t occurrenceCount(const JobInfo &Job);
+  static std::int64_t dueMs(const JobInfo &Job, std::uint32_t Number);
+  static OccurrenceInfo &appendOccurrence(JobInfo &Job);
+  /// Returns whether the job may have one more occurrence open at once.
+  bool hasRoomForOccurrence(const JobInfo &Job) const;
   void openDueOccurrences();
   void forgetOldJobs(Decisions &Next);
   void releaseImages(const JobInfo &Job);
--- a/catkinseam/scheduler/scheduler_jobs.cc
+++ b/catkinseam/scheduler/scheduler_jobs.cc
@@ -83,24 +83,48 @@
     return;
   }
   ++m_liveJobs;
-  const std::uint32_t First = Recorded ? Recorded->m_firstOpenOccurrence : 0;
-  const std::uint32_t Count = std::max(1U, Job.m_spec.m_occurrences);
-  for (std::uint32_t Number = First; Number < Count; ++Number) {
-    OccurrenceInfo &Occurrence = Row.m_occurrences.emplace_back();
-    Occurrence.m_job = &Row;
-    Occurrence.m_number = Number;
-    Occurrence.m_dueMs =
-        Job.m_spec.m_occurrences == 0
-            ? Job.m_acceptedMs
-            : Job.m_spec.m_firstDueMs + Number * Job.m_spec.m_interval.count();
-  }
   if (Recorded) {
+    Row.m_nextOccurrence = Recorded->m_firstOpenOccurrence;
+    for (const OccurrenceRecord &Each : Recorded->m_occurrences)
+      while (Row.m_nextOccurrence <= Each.m_number &&
+             Row.m_nextOccurrence < occurrenceCount(Row))
+        appendOccurrence(Row);
     restore(Row, *Recorded);
     returnToQueue(Row);
     logRestored(Row);
   }
-  if (Job.m_spec.m_occurrences == 0 && !Row.m_occurrences.empty())
-    openOccurrence(Row.m_occurrences.front());
+  if (Job.m_spec.m_occurrences == 0 && Row.m_occurrences.empty())
+    appendOccurrence(Row);
+  for (OccurrenceInfo &Each : Row.m_occurrences)
+    openOccurrence(Each);
+}
+
+std::uint32_t Scheduler::occurrenceCount(const JobInfo &Job) {
+  return std::max(1U, Job.m_submission.m_spec.m_occurrences);
+}
+
+std::int64_t Scheduler::dueMs(const JobInfo &Job, std::uint32_t Number) {
+  const JobSpec &Spec = Job.m_submission.m_spec;
+  return Spec.m_occurrences == 0
+             ? Job.m_submission.m_acceptedMs
+             : Spec.m_firstDueMs + Number * Spec.m_interval.count();
+}
+
+OccurrenceInfo &Scheduler::appendOccurrence(JobInfo &Job) {
+  OccurrenceInfo &Occurrence = Job.m_occurrences.emplace_back();
+  Occurrence.m_job = &Job;
+  Occurrence.m_number = Job.m_nextOccurrence++;
+  Occurrence.m_dueMs = dueMs(Job, Occurrence.m_number);
+  return Occurrence;
+}
+
+bool Scheduler::hasRoomForOccurrence(const JobInfo &Job) const {
+  std::size_t Tasks = 0;
+  for (const StepSpec &Step : Job.m_submission.m_spec.m_steps)
+    Tasks += Step.m_count;
+  return Job.m_runningOccurrenceCount == 0 ||
+         (Job.m_runningOccurrenceCount + 1) * Tasks <=
+             m_options.m_maxRunningTasksPerJob;
 }
 
 void Scheduler::openDueOccurrences() {
@@ -108,11 +132,11 @@
   for (const auto &[Id, Job] : m_jobs) {
     if (Job->m_submission.m_spec.m_occurrences == 0 || isFinal(Job->m_state))
       continue;
-    for (OccurrenceInfo &Each : Job->m_occurrences) {
-      if (Each.m_dueMs > NowMs)
-        break;
-      openOccurrence(Each);
-    }
+    // The tasks of an occurrence that is due wait in the tables until they run.
+    while (Job->m_nextOccurrence < occurrenceCount(*Job) &&
+           dueMs(*Job, Job->m_nextOccurrence) <= NowMs &&
+           hasRoomForOccurrence(*Job))
+      openOccurrence(appendOccurrence(*Job));
   }
 }
 
@@ -120,6 +144,7 @@
   if (Occurrence.m_isOpen)
     return;
   Occurrence.m_isOpen = true;
+  ++Occurrence.m_job->m_runningOccurrenceCount;
   if (Occurrence.m_steps.empty())
     createSteps(Occurrence);
   beginReadySteps(Occurrence);
@@ -198,6 +223,8 @@
       if (Step.m_doneCount == Step.m_spec->m_count)
         ++Occurrence.m_doneStepCount;
     }
+    if (Occurrence.m_doneStepCount < Occurrence.m_steps.size())
+      ++Job.m_runningOccurrenceCount;
     beginReadySteps(Occurrence);
   }
 }
@@ -575,11 +602,14 @@
   ++Occurrence.m_doneStepCount;
   if (Occurrence.m_doneStepCount < Occurrence.m_steps.size())
     return beginReadySteps(Occurrence);
-  const bool IsLast = std::all_of(
-      Job.m_occurrences.begin(), Job.m_occurrences.end(),
-      [](const OccurrenceInfo &Each) {
-        return Each.m_isOpen && Each.m_doneStepCount == Each.m_steps.size();
-      });
+  --Job.m_runningOccurrenceCount;
+  const bool IsLast =
+      Job.m_nextOccurrence == occurrenceCount(Job) &&
+      std::all_of(Job.m_occurrences.begin(), Job.m_occurrences.end(),
+                  [](const OccurrenceInfo &Each) {
+                    return Each.m_isOpen &&
+                           Each.m_doneStepCount == Each.m_steps.size();
+                  });
   if (IsLast)
     endJob(Job, JobState::Completed, "completed");
 }
--- a/catkinseam/scheduler/tables.h
+++ b/catkinseam/scheduler/tables.h
@@ -197,7 +197,12 @@
 struct JobInfo {
   Submission m_submission;
   JobState m_state = JobState::Queued;
+  /// The occurrences up to the latest one that has been opened.
   std::deque<OccurrenceInfo> m_occurrences;
+  /// Number of the occurrence that follows them.
+  std::uint32_t m_nextOccurrence = 0;
+  /// Open occurrences that have not completed.
+  std::uint32_t m_runningOccurrenceCount = 0;
   /// A worker has run one of its tasks, as far as is known.
   bool m_hasBegun = false;
   /// Changed since decide() last returned its progress to be stored.
