--- a/catkinseam/net/http_server.cc
+++ b/catkinseam/net/http_server.cc
@@ -192,7 +192,7 @@
   std::shared_ptr<HttpServer::Shared> m_shared;
 };
 
-/// Registers every new connection with the header deadlines.
+/// Registers every new connection with the deadlines.
 class DeadlineFilter final : public Poco::Net::TCPServerConnectionFilter {
 public:
   explicit DeadlineFilter(ConnectionDeadlines &Deadlines)
