--- a/catkinseam/platform/adapters_test.cc
+++ b/catkinseam/platform/adapters_test.cc
@@ -59,6 +59,21 @@
              "field \"gang\" is not true or false");
 }
 
+// Guards against a body whose nesting exhausts the stack of the parser.
+BOOST_AUTO_TEST_CASE(DeeplyNestedBodyIsRefused) {
+  constexpr std::size_t Levels = 200000;
+  for (const char *Level : {"[", "{\"a\":"}) {
+    std::string Nested;
+    for (std::size_t Number = 0; Number < Levels; ++Number)
+      Nested += Level;
+    const std::string Body = "{\"spec\":" + Nested;
+    BOOST_TEST(!errorMessage([&] { return readJobBody(Body); }).empty());
+    BOOST_TEST(!errorMessage([&] {
+                  return parseWorkerRegistration("w1", Body);
+                }).empty());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ParsesAWorkerEntry) {
   const std::string Text =
       R"({"service":"s","address":"10.1.0.9:80","zone":"a","state":"draining",)"
