--- a/tests/process/hostile_jobs.sh
+++ b/tests/process/hostile_jobs.sh
@@ -1,7 +1,9 @@
 #!/usr/bin/env bash
-# Tests that a job that is small on the wire and large in the owner's tables neither
-# ends the owner nor the nodes that take over from it: memory stays under the bound of
+# Tests that jobs that are small on the wire and large in the owner's tables neither
+# end the owner nor the nodes that take over from it: memory stays under the bound of
 # the smallest machine, and an ordinary job completes afterwards.
+#
+#   hostile_jobs.sh PORT_BASE CASE
 set -euo pipefail
 source "$(dirname "${BASH_SOURCE[0]}")/../../scripts/lib/nodes.sh"
 trap nodes_stop EXIT
@@ -13,8 +15,19 @@
   exit 1
 }
 
-# 2,000 occurrences of 1,000 tasks, all of them overdue since 1970.
-large='{"spec":"batch","repetitions":2000,"firstRunMs":1,"intervalMs":1,"steps":[{"count":1000,"cpu":64000000,"memMb":100,"estimatedMs":300}]}'
+case $2 in
+recurring)
+  # 2,000 occurrences of 1,000 tasks, all of them overdue since 1970.
+  job_count=1
+  large='{"spec":"batch","repetitions":2000,"firstRunMs":1,"intervalMs":1,"steps":[{"count":1000,"cpu":64000000,"memMb":100,"estimatedMs":300}]}'
+  ;;
+many)
+  # 2,300 tasks each, nearly as many as a record may describe.
+  job_count=800
+  large='{"spec":"batch","steps":[{"count":2300,"cpu":64000000,"memMb":100,"estimatedMs":300}]}'
+  ;;
+*) fail "unknown case $2" ;;
+esac
 ordinary='{"spec":"batch","steps":[{"count":6,"cpu":1000,"memMb":100,"estimatedMs":300}]}'
 
 platform_start "$1"
@@ -50,11 +63,13 @@
 node_wait 20 "an owner" has_owner
 check_memory "before the job"
 # To accept or to refuse it is allowed.
-node_wait 20 "the large job" is_submitted 00000000000000c1 "$large"
+for ((job = 1; job <= job_count; ++job)); do
+  node_wait 20 "large job $job" is_submitted "$(printf '00000000000c%04x' "$job")" "$large"
+done
 node_wait 60 "an ordinary job" is_submitted 00000000000000a1 "$ordinary"
 node_wait 60 "the ordinary job's end" state_is 00000000000000a1 completed
-check_memory "with the job"
-echo "ok: an ordinary job completes beside a large one"
+check_memory "with the large jobs"
+echo "ok: an ordinary job completes beside large ones"
 
 owner=$(node_owner)
 node_signal "node-$owner" KILL
