--- a/catkinseam/aio/http_listener.cc
+++ b/catkinseam/aio/http_listener.cc
@@ -85,7 +85,7 @@
       : m_loop(Loop), m_options(Limits), m_handler(std::move(Handler)),
         m_acceptor(Loop.context()), m_retryTimer(Loop) {
     if (!m_options.m_budget)
-      m_options.m_budget = std::make_shared<ByteBudget>(DefaultBudgetBytes);
+      m_options.m_budget = std::make_shared<RequestMemory>(DefaultBudgetBytes);
   }
 
   EventLoop &m_loop;
@@ -199,7 +199,7 @@
   }
 
   void receive() {
-    if (!m_memory.hold(heldBytes(), ByteBudget::MayGiveUp::Yes))
+    if (!m_memory.hold(heldBytes(), RequestMemory::MayGiveUp::Yes))
       return reject(refusal());
     const std::size_t Size = beast::read_size(m_buffer, MaxReadBytes);
     if (Size == 0)
@@ -223,7 +223,7 @@
     if (Ec || m_isClosing)
       return;
     m_keepAlive = m_parser->keep_alive();
-    if (!m_memory.hold(heldBytes(), ByteBudget::MayGiveUp::No))
+    if (!m_memory.hold(heldBytes(), RequestMemory::MayGiveUp::No))
       return reject(refusal());
     ++m_shared->m_inProgress;
     beginWait(WaitsFor::Handler);
@@ -251,7 +251,7 @@
     m_parser.reset();
     // Other responses give up first; this one is sent in any case.
     m_memory.hold(m_buffer.capacity() + m_responseText.capacity(),
-                  ByteBudget::MayGiveUp::Yes);
+                  RequestMemory::MayGiveUp::Yes);
     beginWait(WaitsFor::ClientToRead);
     m_stream.expires_after(m_shared->m_options.m_idleTimeout);
     asio::async_write(
@@ -267,7 +267,7 @@
 
   std::shared_ptr<Shared> m_shared;
   beast::tcp_stream m_stream;
-  ByteBudget::Account m_memory;
+  RequestMemory::Account m_memory;
   beast::flat_buffer m_buffer;
   std::optional<http::request_parser<http::string_body>> m_parser;
   /// Bytes of the request in progress, and its maximum without the body.
--- a/catkinseam/aio/http_listener.h
+++ b/catkinseam/aio/http_listener.h
@@ -9,8 +9,8 @@
 #ifndef CATKINSEAM_AIO_HTTP_LISTENER_H
 #define CATKINSEAM_AIO_HTTP_LISTENER_H
 
-#include "catkinseam/aio/byte_budget.h"
 #include "catkinseam/aio/event_loop.h"
+#include "catkinseam/aio/request_memory.h"
 #include "catkinseam/net/endpoint.h"
 #include "catkinseam/net/http.h"
 
@@ -39,7 +39,7 @@
     Milliseconds m_idleTimeout{15000};
     /// For requests and responses; may be shared with other listeners. Without
     /// one, each listener has its own.
-    std::shared_ptr<ByteBudget> m_budget = nullptr;
+    std::shared_ptr<RequestMemory> m_budget = nullptr;
   };
 
   /// Binds and listens. Returns Unavailable, naming the address, on failure.
--- a/catkinseam/aio/http_listener_test.cc
+++ b/catkinseam/aio/http_listener_test.cc
@@ -112,7 +112,7 @@
 struct SmallBudgetFixture : ListenerFixture {
   SmallBudgetFixture()
       : ListenerFixture(
-            {.m_budget = std::make_shared<ByteBudget>(SmallBudgetBytes)}) {}
+            {.m_budget = std::make_shared<RequestMemory>(SmallBudgetBytes)}) {}
 
   static std::string head(std::size_t Size) {
     return "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
--- a/catkinseam/aio/byte_budget.h
+++ b/catkinseam/aio/request_memory.h
@@ -1,13 +1,13 @@
 // Budget of memory for the requests of a process, shared by its listeners.
 //
-//   ByteBudget Budget(64 << 20);
-//   ByteBudget::Account Request(Budget, [&] { closeConnection(); });
-//   if (!Request.hold(Bytes, ByteBudget::MayGiveUp::Yes)) refuse();
+//   RequestMemory Budget(64 << 20);
+//   RequestMemory::Account Request(Budget, [&] { closeConnection(); });
+//   if (!Request.hold(Bytes, RequestMemory::MayGiveUp::Yes)) refuse();
 //
 // When the budget is short, the accounts that hold the most give up first, so
 // that small requests are still served beside large ones.
-#ifndef CATKINSEAM_AIO_BYTE_BUDGET_H
-#define CATKINSEAM_AIO_BYTE_BUDGET_H
+#ifndef CATKINSEAM_AIO_REQUEST_MEMORY_H
+#define CATKINSEAM_AIO_REQUEST_MEMORY_H
 
 #include <cstddef>
 #include <functional>
@@ -17,7 +17,7 @@
 namespace catkinseam {
 
 /// Not thread-safe. Must outlive its accounts.
-class ByteBudget {
+class RequestMemory {
 public:
   enum class MayGiveUp { No, Yes };
 
@@ -26,7 +26,7 @@
   public:
     /// `GiveUp` releases what is held; it may run during the hold() of another
     /// account, and at most once for each hold().
-    Account(ByteBudget &Budget, std::function<void()> GiveUp)
+    Account(RequestMemory &Budget, std::function<void()> GiveUp)
         : m_budget(Budget), m_giveUp(std::move(GiveUp)) {
       m_budget.m_accounts.insert(this);
     }
@@ -55,17 +55,17 @@
     }
 
   private:
-    friend class ByteBudget;
+    friend class RequestMemory;
 
-    ByteBudget &m_budget;
+    RequestMemory &m_budget;
     const std::function<void()> m_giveUp;
     std::size_t m_held = 0;
     MayGiveUp m_mayGiveUp = MayGiveUp::No;
   };
 
-  explicit ByteBudget(std::size_t Limit) : m_limit(Limit) {}
-  ByteBudget(const ByteBudget &) = delete;
-  ByteBudget &operator=(const ByteBudget &) = delete;
+  explicit RequestMemory(std::size_t Limit) : m_limit(Limit) {}
+  RequestMemory(const RequestMemory &) = delete;
+  RequestMemory &operator=(const RequestMemory &) = delete;
 
   std::size_t used() const { return m_used; }
 
@@ -86,4 +86,4 @@
 
 } // namespace catkinseam
 
-#endif // CATKINSEAM_AIO_BYTE_BUDGET_H
+#endif // CATKINSEAM_AIO_REQUEST_MEMORY_H
--- a/catkinseam/net/http_server.cc
+++ b/catkinseam/net/http_server.cc
@@ -2,7 +2,8 @@
 #include "catkinseam/net/http_server.h"
 
 #include "catkinseam/base/ticker.h"
-#include "catkinseam/net/internal/header_deadlines.h"
+#include "catkinseam/net/internal/connection_deadlines.h"
+#include "catkinseam/net/internal/request_body.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandler.h>
@@ -16,19 +17,24 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/ThreadPool.h>
 #include <exception>
-#include <optional>
 
 namespace catkinseam {
 
 struct HttpServer::Shared {
   explicit Shared(const Options &Limits)
-      : m_headerDeadlines({Limits.m_readTimeout, Limits.m_idleTimeout}) {}
+      : m_options(Limits),
+        m_deadlines({Limits.m_readTimeout, Limits.m_idleTimeout,
+                     Limits.m_writeTimeout}) {
+    if (!m_options.m_bodyBudget)
+      m_options.m_bodyBudget =
+          std::make_shared<ByteBudget>(DefaultUnfinishedBytes);
+  }
 
   Options m_options;
   HttpHandler m_handler;
   std::atomic<bool> m_isClosing{false};
   Poco::Net::HTTPServer *m_server = nullptr;
-  HeaderDeadlines m_headerDeadlines;
+  ConnectionDeadlines m_deadlines;
 };
 
 namespace {
@@ -54,23 +60,6 @@
   return Bytes;
 }
 
-/// Reads at most `Limit` bytes; returns nullopt if there are more. Reading
-/// stops, and the body is truncated, once `MaxDuration` has passed.
-std::optional<std::string> readBody(std::istream &Stream, std::size_t Limit,
-                                    Duration MaxDuration) {
-  const SystemClock Clock;
-  const TimePoint End = Clock.now() + MaxDuration;
-  std::string Body;
-  char Buffer[8192];
-  while (Clock.now() < End &&
-         (Stream.read(Buffer, sizeof Buffer), Stream.gcount() > 0)) {
-    Body.append(Buffer, static_cast<std::size_t>(Stream.gcount()));
-    if (Body.size() > Limit)
-      return std::nullopt;
-  }
-  return Body;
-}
-
 Error headerTooLarge(std::size_t Limit) {
   return {ErrorCode::TooLarge,
           "request header exceeds " + std::to_string(Limit) + " bytes"};
@@ -81,13 +70,22 @@
           "request body exceeds " + std::to_string(Limit) + " bytes"};
 }
 
-bool isBodyTruncated(const HTTPServerRequest &Source, const std::string &Body) {
-  return Source.hasContentLength() &&
-         Source.getContentLength64() != static_cast<Poco::Int64>(Body.size());
+Error framingTooLarge(std::size_t Limit) {
+  return {ErrorCode::TooLarge, "chunk extensions and trailers exceed " +
+                                   std::to_string(Limit) + " bytes"};
+}
+
+Error budgetUsedUp(std::size_t Limit) {
+  return {ErrorCode::Unavailable,
+          "unfinished requests exceed " + std::to_string(Limit) + " bytes"};
+}
+
+Poco::Net::HTTPServerRequestImpl &implOf(HTTPServerRequest &Request) {
+  return dynamic_cast<Poco::Net::HTTPServerRequestImpl &>(Request);
 }
 
 Poco::Net::StreamSocket socketOf(HTTPServerRequest &Request) {
-  return dynamic_cast<Poco::Net::HTTPServerRequestImpl &>(Request).socket();
+  return implOf(Request).socket();
 }
 
 class RequestAdapter final : public Poco::Net::HTTPRequestHandler {
@@ -98,11 +96,17 @@
   void handleRequest(HTTPServerRequest &Source,
                      HTTPServerResponse &Target) override {
     const Poco::Net::StreamSocket Socket = socketOf(Source);
-    m_shared->m_headerDeadlines.onHeaderRead(Socket);
+    ConnectionDeadlines &Deadlines = m_shared->m_deadlines;
+    Deadlines.onHeaderRead(Socket);
     bool MustClose = m_shared->m_isClosing;
     const HttpResponse Response = respond(Source, MustClose);
-    send(Response, Target, MustClose || m_shared->m_isClosing);
-    m_shared->m_headerDeadlines.onResponseSent(Socket);
+    MustClose = MustClose || m_shared->m_isClosing;
+    Deadlines.onResponseReady(Socket);
+    send(Response, Target, MustClose);
+    if (MustClose)
+      Deadlines.onClosing(Socket);
+    else
+      Deadlines.onResponseSent(Socket);
   }
 
 private:
@@ -120,23 +124,38 @@
       Rejection.m_status = 431;
       return Rejection;
     }
-    if (Source.hasContentLength() &&
-        Source.getContentLength64() >
-            static_cast<Poco::Int64>(Limits.m_maxBodyBytes)) {
+    RequestBody Body({Limits.m_maxBodyBytes, Limits.m_maxHeaderBytes},
+                     *Limits.m_bodyBudget);
+    const RequestBody::Outcome Read = Body.read(implOf(Source));
+    if (Read != RequestBody::Outcome::Complete) {
       MustClose = true;
-      return problemResponse(bodyTooLarge(Limits.m_maxBodyBytes));
+      return rejection(Read);
     }
-    std::optional<std::string> Body =
-        readBody(Source.stream(), Limits.m_maxBodyBytes, Limits.m_readTimeout);
-    if (!Body) {
-      MustClose = true;
+    m_shared->m_deadlines.onRequestRead(socketOf(Source));
+    return callHandler(Source, Body.take());
+  }
+
+  HttpResponse rejection(RequestBody::Outcome Read) const {
+    const HttpServer::Options &Limits = m_shared->m_options;
+    switch (Read) {
+    case RequestBody::Outcome::TooLarge:
       return problemResponse(bodyTooLarge(Limits.m_maxBodyBytes));
+    case RequestBody::Outcome::FramingTooLarge: {
+      HttpResponse Rejection =
+          problemResponse(framingTooLarge(Limits.m_maxHeaderBytes));
+      Rejection.m_status = 431;
+      return Rejection;
     }
-    if (isBodyTruncated(Source, *Body)) {
-      MustClose = true;
+    case RequestBody::Outcome::OverBudget:
+      return problemResponse(budgetUsedUp(Limits.m_bodyBudget->limit()));
+    case RequestBody::Outcome::Truncated:
       return problemResponse({ErrorCode::Invalid, "request body is truncated"});
+    case RequestBody::Outcome::Complete:
+    case RequestBody::Outcome::Invalid:
+      break;
     }
-    return callHandler(Source, std::move(*Body));
+    return problemResponse(
+        {ErrorCode::Invalid, "request body is not encoded correctly"});
   }
 
   bool isOverConnectionLimit() const {
@@ -173,19 +192,19 @@
   std::shared_ptr<HttpServer::Shared> m_shared;
 };
 
-/// Registers every new connection with the header deadlines.
+/// Registers every new connection with the deadlines.
 class DeadlineFilter final : public Poco::Net::TCPServerConnectionFilter {
 public:
-  explicit DeadlineFilter(HeaderDeadlines &Deadlines)
-      : m_headerDeadlines(Deadlines) {}
+  explicit DeadlineFilter(ConnectionDeadlines &Deadlines)
+      : m_deadlines(Deadlines) {}
 
   bool accept(const Poco::Net::StreamSocket &Socket) override {
-    m_headerDeadlines.onAccepted(Socket);
+    m_deadlines.onAccepted(Socket);
     return true;
   }
 
 private:
-  HeaderDeadlines &m_headerDeadlines;
+  ConnectionDeadlines &m_deadlines;
 };
 
 class RequestAdapterFactory final
@@ -209,7 +228,6 @@
 
 HttpServer::HttpServer(const Options &Limits, HttpHandler Handler)
     : m_shared(std::make_shared<Shared>(Limits)) {
-  m_shared->m_options = Limits;
   m_shared->m_handler = std::move(Handler);
 
   const int Connections = static_cast<int>(Limits.m_maxConnections);
@@ -231,12 +249,10 @@
   m_server = std::make_unique<Poco::Net::HTTPServer>(
       new RequestAdapterFactory(m_shared), *m_threads, Socket, Params);
   m_shared->m_server = m_server.get();
-  m_server->setConnectionFilter(
-      new DeadlineFilter(m_shared->m_headerDeadlines));
+  m_server->setConnectionFilter(new DeadlineFilter(m_shared->m_deadlines));
   m_server->start();
-  m_deadlineTicker = std::make_unique<Ticker>(DeadlineCheckInterval, [this] {
-    m_shared->m_headerDeadlines.closeExpired();
-  });
+  m_deadlineTicker = std::make_unique<Ticker>(
+      DeadlineCheckInterval, [this] { m_shared->m_deadlines.closeExpired(); });
 }
 
 HttpServer::~HttpServer() {
--- a/catkinseam/net/http_server.h
+++ b/catkinseam/net/http_server.h
@@ -8,6 +8,7 @@
 #define CATKINSEAM_NET_HTTP_SERVER_H
 
 #include "catkinseam/base/clock.h"
+#include "catkinseam/net/byte_budget.h"
 #include "catkinseam/net/endpoint.h"
 #include "catkinseam/net/http.h"
 
@@ -32,17 +33,26 @@
 /// own pool, so that servers cannot starve one another.
 class HttpServer {
 public:
+  static constexpr std::size_t DefaultUnfinishedBytes = 64 * 1024 * 1024;
+
   struct Options {
     Endpoint m_listen;
     /// Further connections get a 503 response and are closed.
     std::size_t m_maxConnections = 256;
+    /// Also the limit on the chunk extensions and trailers of a body.
     std::size_t m_maxHeaderBytes = 16 * 1024;
     std::size_t m_maxBodyBytes = 1024 * 1024;
+    /// Limits the bodies of unfinished requests together; servers of a process
+    /// may share it. Without one, the server has a budget of its own.
+    std::shared_ptr<ByteBudget> m_bodyBudget;
     /// Maximum time between reads of a request; also the maximum time to
-    /// receive the complete first header of a connection, and a body.
+    /// receive the complete first header of a connection, and a body with its
+    /// chunk extensions and trailers.
     Duration m_readTimeout = std::chrono::seconds(5);
     /// Maximum idle time of a keep-alive connection.
     Duration m_idleTimeout = std::chrono::seconds(60);
+    /// Maximum time to send a response.
+    Duration m_writeTimeout = std::chrono::seconds(10);
   };
 
   /// Binds and starts serving. Throws Poco::Exception if the endpoint cannot
@@ -67,7 +77,7 @@
   std::shared_ptr<Shared> m_shared;
   std::unique_ptr<Poco::ThreadPool> m_threads;
   std::unique_ptr<Poco::Net::HTTPServer> m_server;
-  /// Periodically closes connections whose request header is overdue.
+  /// Periodically closes connections that are overdue.
   std::unique_ptr<Ticker> m_deadlineTicker;
 };
 
--- a/catkinseam/node/node.cc
+++ b/catkinseam/node/node.cc
@@ -121,7 +121,7 @@
                  [this] { return m_candidate.isCurrent(); },
                  [this] { return m_candidate.ledgerAge(); },
                  [this] { return isReady(); }}),
-      m_requestMemory(std::make_shared<ByteBudget>(static_cast<std::size_t>(
+      m_requestMemory(std::make_shared<RequestMemory>(static_cast<std::size_t>(
           Values.m_memoryMb * BytesPerMb / RequestMemoryShare))),
       m_stopTimer(Loop) {}
 
--- a/catkinseam/node/node.h
+++ b/catkinseam/node/node.h
@@ -69,7 +69,7 @@
   JobLookup m_jobLookup;
   Ingress m_ingress;
   std::optional<OperatorConfig> m_config;
-  std::shared_ptr<ByteBudget> m_requestMemory;
+  std::shared_ptr<RequestMemory> m_requestMemory;
   std::unique_ptr<HttpListener> m_callerListener;
   std::unique_ptr<HttpListener> m_readinessListener;
   std::unique_ptr<HttpListener> m_metricsListener;
