--- a/catkinseam/net/http_server_test.cc
+++ b/catkinseam/net/http_server_test.cc
@@ -86,6 +86,7 @@
     Limits.m_maxHeaderBytes = 2048;
     Limits.m_bodyBudget = std::make_shared<ByteBudget>(UnfinishedBytes);
     Limits.m_readTimeout = 300ms;
+    Limits.m_writeTimeout = 300ms;
     return Limits;
   }
 
