--- a/review/standin-3/world.cc
+++ b/review/standin-3/world.cc
@@ -71,12 +71,21 @@
   return Socket;
 }
 
-/// A port that was free a moment ago.
+/// A port that was free a moment ago, below those that the system gives to
+/// connections.
 std::uint16_t freePort() {
-  std::uint16_t Port = 0;
-  const int Socket = listenOn(0, Port);
-  close(Socket);
-  return Port;
+  static std::uint32_t Next = static_cast<std::uint32_t>(getpid()) * 37U;
+  for (;;) {
+    constexpr std::uint32_t First = 12000;
+    constexpr std::uint32_t Count = 16000;
+    std::uint16_t Port = 0;
+    const int Socket =
+        listenOn(static_cast<std::uint16_t>(First + Next++ % Count), Port);
+    if (Socket < 0)
+      continue;
+    close(Socket);
+    return Port;
+  }
 }
 
 bool sendAll(int Socket, const std::string &Text) {
