--- a/review/standin-3/world.cc
+++ b/review/standin-3/world.cc
@@ -35,7 +35,7 @@
 constexpr std::int64_t AppendMs = 2;
 constexpr std::size_t AppendBytesPerMs = 20000;
 /// Starts and ends of a job beyond this number are counted only.
-constexpr std::size_t MaxNotedStarts = 24;
+constexpr std::size_t MaxNotedStarts = 200;
 constexpr std::size_t RecordBytes = 262144;
 constexpr std::size_t RequestBytes = 2097152;
 constexpr std::size_t PageItems = 500;
@@ -939,6 +939,16 @@
 
 bool World::hasBegun(const std::string &Job) { return begun(Job) > 0; }
 
+std::set<std::string> World::activeTasks(const std::string &Job) {
+  const std::lock_guard Lock(m_mutex);
+  std::set<std::string> Names;
+  for (const auto &Each : m_workers)
+    for (const auto &[Task, Run] : Each->m_active)
+      if (jobOf(Task) == Job)
+        Names.insert(Task);
+  return Names;
+}
+
 std::size_t World::active() {
   const std::lock_guard Lock(m_mutex);
   std::size_t Count = 0;
--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -243,6 +243,8 @@
   std::size_t failed(const std::string &JobPrefix);
   std::size_t ended(const std::string &JobPrefix, const std::string &How);
   bool hasBegun(const std::string &Job);
+  /// Names of the job's tasks that are active on a worker that is up.
+  std::set<std::string> activeTasks(const std::string &Job);
 
 private:
   friend class Worker;
