--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -175,6 +175,8 @@
   friend class World;
   Response onCall(const Request &Given);
   Response start(const Request &Given);
+  /// Carries out a start, with the world's lock.
+  Response begin(const std::string &Body);
   Response stop(const Request &Given);
   Response hold(const Request &Given);
   Response pace(const Request &Given);
@@ -202,6 +204,8 @@
   std::deque<End> m_ends;
   std::uint64_t m_lastEnd = 0;
   std::map<std::string, std::uint64_t> m_barred;
+  /// Bodies of starts that got no answer and have not been carried out.
+  std::vector<std::string> m_lateStarts;
   std::uint64_t m_token = 0;
   std::int64_t m_expires = 0;
   std::unique_ptr<Server> m_server;
@@ -219,6 +223,15 @@
   void addWorkers(int Count, Capacity Size, const std::string &Kind = "a");
   /// The worker is gone without a word; what it ran has ended.
   void crashWorker(std::size_t Number);
+  /// From now on each second start gets no answer; it is carried out when its
+  /// worker starts again.
+  void delayStarts(bool AreDelayed);
+  /// Workers that have such a start of a task that runs on another worker now,
+  /// and none of which runs the task of another one's.
+  std::vector<std::size_t> workersWithGivenUpStarts();
+  std::size_t lateStarts();
+  /// Notes tasks of which two runs are active; returns how many there are.
+  std::size_t runTwice();
   /// It starts again under its id and address, and knows nothing of before.
   void restartWorker(std::size_t Number);
   Store &store() { return m_store; }
@@ -267,6 +280,9 @@
   std::map<std::string, std::vector<StepShape>> m_jobs;
   std::map<std::string, std::map<std::string, std::size_t>> m_counts;
   std::map<int, NodeProcess> m_nodes;
+  bool m_areStartsDelayed = false;
+  std::size_t m_delayableStarts = 0;
+  std::set<std::string> m_runTwice;
 };
 
 } // namespace review
