--- a/review/standin-3/world.cc
+++ b/review/standin-3/world.cc
@@ -809,10 +809,10 @@
        (Ran.empty() ? " nothing" : Ran));
 }
 
-void World::restartWorker(std::size_t Number) {
+void World::restartWorker(std::size_t Number, std::int64_t ClockStepMs) {
   const std::lock_guard Lock(m_mutex);
   Worker &Again = *m_workers[Number];
-  Again.m_born = wallMs();
+  Again.m_born = wallMs() + ClockStepMs;
   Again.m_clockOffset = 500 - nowMs();
   Again.m_ends.clear();
   Again.m_lastEnd = 0;
@@ -828,7 +828,8 @@
   Again.m_lateStarts.clear();
   m_store.put("keyed.servers", Again.m_id, Again.registration(0));
   Again.m_server->resume();
-  note("worker " + Again.m_id + ": starts again");
+  note("worker " + Again.m_id + ": starts again, born " +
+       std::to_string(Again.m_born));
 }
 
 void World::delayStarts(bool AreDelayed) {
--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -232,8 +232,9 @@
   std::size_t lateStarts();
   /// Notes tasks of which two runs are active; returns how many there are.
   std::size_t runTwice();
-  /// It starts again under its id and address, and knows nothing of before.
-  void restartWorker(std::size_t Number);
+  /// It starts again under its id and address, and knows nothing of before. Its
+  /// time of day differs from the true one by `ClockStepMs`.
+  void restartWorker(std::size_t Number, std::int64_t ClockStepMs = 0);
   Store &store() { return m_store; }
 
   /// Starts node `Number`, or starts it again, as a process of its own.
