--- a/review/standin-3/world.cc
+++ b/review/standin-3/world.cc
@@ -399,6 +399,14 @@
   m_changed.notify_all();
 }
 
+void Store::drop(const std::string &Name, const std::string &Key) {
+  const std::lock_guard Lock(m_mutex);
+  Topic &Into = topic(Name);
+  Into.m_newest.erase(Key);
+  Into.m_records.push_back({Key, "", false});
+  m_changed.notify_all();
+}
+
 std::size_t Store::largest(const std::string &Name) {
   const std::lock_guard Lock(m_mutex);
   return topic(Name).m_largest;
@@ -832,6 +840,12 @@
        std::to_string(Again.m_born));
 }
 
+void World::removeEntry(std::size_t Number) {
+  const std::lock_guard Lock(m_mutex);
+  m_store.drop("keyed.servers", m_workers[Number]->m_id);
+  note("worker " + m_workers[Number]->m_id + ": its entry is removed");
+}
+
 void World::delayStarts(bool AreDelayed) {
   const std::lock_guard Lock(m_mutex);
   m_areStartsDelayed = AreDelayed;
--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -102,6 +102,8 @@
   std::uint16_t port() const { return m_server->port(); }
   void put(const std::string &Topic, const std::string &Key,
            const std::string &Value);
+  /// Deletes the record of a key.
+  void drop(const std::string &Topic, const std::string &Key);
   Server &server() { return *m_server; }
   /// Largest record of a key that was appended or refused, in bytes.
   std::size_t largest(const std::string &Topic);
@@ -223,6 +225,8 @@
   void addWorkers(int Count, Capacity Size, const std::string &Kind = "a");
   /// The worker is gone without a word; what it ran has ended.
   void crashWorker(std::size_t Number);
+  /// The entry of a worker that is gone is removed from the store.
+  void removeEntry(std::size_t Number);
   /// From now on each second start gets no answer; it is carried out when its
   /// worker starts again.
   void delayStarts(bool AreDelayed);
