--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -227,7 +227,7 @@
   void crashWorker(std::size_t Number);
   /// The entry of a worker that is gone is removed from the store.
   void removeEntry(std::size_t Number);
-  /// From now on each second start gets no answer; it is carried out when its
+  /// From now on each 19th start gets no answer; it is carried out when its
   /// worker starts again.
   void delayStarts(bool AreDelayed);
   /// Workers that have such a start of a task that runs on another worker now,
